Lay out the workspace and the base types of the decisions

Cause: an empty tree; several people work side by side and need one frame. Ruled out: a single crate (the peers' packages are part of the house style).

--- /dev/null
+++ b/bin/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,11 @@
+//! Decisions and state machines of agatehill, without I/O.
+//!
+//! Nothing here opens a socket, reads a clock, starts a thread or draws a random number from a
+//! global source. Time and random numbers come in as arguments and outputs are values, so that the
+//! daemons, the keepers, the property tests and the bench all drive the same code.
+
+pub mod contract;
+pub mod name;
+pub mod outcome;
+pub mod priority;
+pub mod time;
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Harness for tests over real processes.
