Add the interface between the replicated log and its state

Cause: the log and the states that it replicates are written side by side. Ruled out: commands as plain bytes (untyped at every call). Conclusion: both sides build against one trait.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod name;
 pub mod outcome;
 pub mod priority;
+pub mod state;
 pub mod time;
