Add the settings of daemons and keepers

Cause: every process needs settings that are checked before it opens a port.

Logs go through spdlog, JSON or text, to stderr or a file.

Ruled out: the parser's own message, which shows a piece of the text over several lines and no key path; a logfmt formatter of our own, since the library's JSON formatter is structured already.

--- /dev/null
+++ b/crates/config/src/daemon.rs
@@ -0,0 +1,169 @@
+//! Settings of a daemon.
+
+use crate::{
+    LogSettings, SettingsCheck, SettingsFault,
+    listen::{KeyedAddress, check_distinct, check_ports, check_reachable},
+};
+use agatehill_decide::name::{DaemonName, RegionName, ZoneName};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Default of [`CallLimits::body_bytes_max`], in bytes.
+pub const BODY_BYTES_MAX: u64 = 1 << 30;
+
+/// Default of [`CallLimits::connections_max`].
+pub const CONNECTIONS_MAX: usize = 4096;
+
+/// Settings of a daemon.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct DaemonSettings {
+    /// Name of the daemon, unique over the whole installation.
+    pub name: DaemonName,
+    /// Region of its host.
+    pub region: RegionName,
+    /// Availability zone of its host.
+    pub availability_zone: ZoneName,
+    /// Peer addresses of the keepers, those of its own zone first.
+    pub keepers: Vec<SocketAddr>,
+    /// The addresses it listens on.
+    pub listen: DaemonListen,
+    /// Daemons to join; none for the first one.
+    #[serde(default, rename = "seed")]
+    pub seeds: Vec<SeedAddress>,
+    /// What it takes from one caller.
+    #[serde(default)]
+    pub limits: CallLimits,
+    /// Its logs.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// The addresses that a daemon listens on; port 0 takes any free port.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct DaemonListen {
+    /// Calls of callers and of the backend server on its host, HTTP.
+    pub caller: SocketAddr,
+    /// Calls that other daemons forward, HTTP.
+    pub forward: SocketAddr,
+    /// Announcements of the backend servers on its host, HTTP.
+    pub announce: SocketAddr,
+    /// Dump, metrics, drain and liveness, HTTP.
+    pub operator: SocketAddr,
+    /// Membership gossip, UDP.
+    pub gossip: SocketAddr,
+    /// Control messages of other daemons, tarpc.
+    pub control: SocketAddr,
+}
+
+/// Addresses of another daemon.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SeedAddress {
+    /// Where it listens for gossip, UDP.
+    pub gossip: SocketAddr,
+    /// Where it listens for control messages, tarpc.
+    pub control: SocketAddr,
+}
+
+/// What a daemon takes from callers.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CallLimits {
+    /// Largest request body, in bytes.
+    pub body_bytes_max: u64,
+    /// Most open connections of callers.
+    pub connections_max: usize,
+}
+
+impl Default for CallLimits {
+    fn default() -> CallLimits {
+        CallLimits {
+            body_bytes_max: BODY_BYTES_MAX,
+            connections_max: CONNECTIONS_MAX,
+        }
+    }
+}
+
+impl SettingsCheck for DaemonSettings {
+    fn check(&self) -> Result<(), SettingsFault> {
+        if self.keepers.is_empty() {
+            return Err(SettingsFault::new("keepers", "names no keeper"));
+        }
+        self.listen.check()?;
+        self.check_keepers()?;
+        self.check_seeds()?;
+        self.limits.check()?;
+        self.log.check()
+    }
+}
+
+impl DaemonSettings {
+    fn check_keepers(&self) -> Result<(), SettingsFault> {
+        let keyed = |(idx, address): (usize, &SocketAddr)| {
+            KeyedAddress::new(format!("keepers[{idx}]"), *address)
+        };
+        let keepers: Vec<_> = self.keepers.iter().enumerate().map(keyed).collect();
+        check_ports(&keepers)?;
+        check_reachable(&keepers)?;
+        check_distinct(&keepers)
+    }
+
+    fn check_seeds(&self) -> Result<(), SettingsFault> {
+        let mut gossip = Vec::new();
+        let mut control = Vec::new();
+        for (idx, seed) in self.seeds.iter().enumerate() {
+            gossip.push(KeyedAddress::new(
+                format!("seed[{idx}].gossip"),
+                seed.gossip,
+            ));
+            control.push(KeyedAddress::new(
+                format!("seed[{idx}].control"),
+                seed.control,
+            ));
+        }
+        for addresses in [gossip, control] {
+            check_ports(&addresses)?;
+            check_reachable(&addresses)?;
+            check_distinct(&addresses)?;
+        }
+        Ok(())
+    }
+}
+
+impl DaemonListen {
+    fn check(&self) -> Result<(), SettingsFault> {
+        let keyed = |name: &str, address| KeyedAddress::new(format!("listen.{name}"), address);
+        check_distinct(&[
+            keyed("caller", self.caller),
+            keyed("forward", self.forward),
+            keyed("announce", self.announce),
+            keyed("operator", self.operator),
+            keyed("control", self.control),
+        ])?;
+        check_reachable(&[
+            keyed("forward", self.forward),
+            keyed("gossip", self.gossip),
+            keyed("control", self.control),
+        ])
+    }
+}
+
+impl CallLimits {
+    fn check(&self) -> Result<(), SettingsFault> {
+        if self.body_bytes_max == 0 {
+            return Err(SettingsFault::new(
+                "limits.body_bytes_max",
+                "must be above 0",
+            ));
+        }
+        if self.connections_max == 0 {
+            return Err(SettingsFault::new(
+                "limits.connections_max",
+                "must be above 0",
+            ));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/config/src/log.rs
@@ -0,0 +1,146 @@
+//! Logs: structured lines, written only for changes of state.
+
+use crate::{SettingsCheck, SettingsFault};
+use serde::{Deserialize, Serialize};
+use spdlog::{
+    Level, LevelFilter, Logger,
+    formatter::{Formatter, FullFormatter, JsonFormatter},
+    sink::{FileSink, Sink, StdStreamSink},
+    terminal_style::StyleMode,
+};
+use std::{fmt, path::PathBuf, sync::Arc};
+
+/// Target that stands for the standard error stream.
+pub const STDERR_TARGET: &str = "stderr";
+
+/// Where log lines go and which.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogSettings {
+    /// The least severe lines that are written.
+    pub level: LogLevel,
+    /// `stderr` or the path of a file that lines are appended to.
+    pub target: PathBuf,
+    /// Form of a line.
+    pub format: LogFormat,
+}
+
+/// Severity of a log line.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// Nothing is written.
+    Off,
+    /// The process can't do what it is for.
+    Error,
+    /// Something is wrong that the process goes on with.
+    Warn,
+    /// Changes of state.
+    Info,
+    /// Changes of state that matter to developers.
+    Debug,
+}
+
+/// Form of a log line.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    /// One JSON object a line, with the fields `level`, `timestamp`, `payload` and `kv`.
+    Json,
+    /// Time, level, text and `key=value` pairs.
+    Text,
+}
+
+/// A log that could not be opened.
+#[derive(Debug)]
+pub struct LogError {
+    target: PathBuf,
+    cause: spdlog::Error,
+}
+
+impl fmt::Display for LogError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let target = self.target.display();
+        write!(f, "cannot open log \"{target}\": {}", self.cause)
+    }
+}
+
+impl std::error::Error for LogError {}
+
+impl Default for LogSettings {
+    fn default() -> LogSettings {
+        LogSettings {
+            level: LogLevel::Info,
+            target: STDERR_TARGET.into(),
+            format: LogFormat::Json,
+        }
+    }
+}
+
+impl SettingsCheck for LogSettings {
+    fn check(&self) -> Result<(), SettingsFault> {
+        if self.target.as_os_str().is_empty() {
+            return Err(SettingsFault::new("log.target", "is empty"));
+        }
+        Ok(())
+    }
+}
+
+/// Makes the process's default logger write as `settings` say.
+///
+/// # Errors
+///
+/// A log file that can't be opened.
+pub fn init(settings: &LogSettings) -> Result<(), LogError> {
+    let fail = |cause| LogError {
+        target: settings.target.clone(),
+        cause,
+    };
+    let sink = open_sink(settings).map_err(fail)?;
+    let logger = Logger::builder()
+        .sink(sink)
+        .level_filter(settings.level.filter())
+        .flush_level_filter(LevelFilter::All)
+        .build_arc()
+        .map_err(fail)?;
+    spdlog::set_default_logger(logger);
+    Ok(())
+}
+
+fn open_sink(settings: &LogSettings) -> Result<Arc<dyn Sink>, spdlog::Error> {
+    match settings.format {
+        LogFormat::Json => open_formatted(settings, JsonFormatter::new()),
+        LogFormat::Text => open_formatted(settings, FullFormatter::new()),
+    }
+}
+
+fn open_formatted<F: Formatter + 'static>(
+    settings: &LogSettings,
+    formatter: F,
+) -> Result<Arc<dyn Sink>, spdlog::Error> {
+    if settings.target.as_os_str() == STDERR_TARGET {
+        let sink = StdStreamSink::builder()
+            .stderr()
+            .style_mode(StyleMode::Never)
+            .formatter(formatter)
+            .build_arc()?;
+        return Ok(sink);
+    }
+    let sink = FileSink::builder()
+        .path(&settings.target)
+        .formatter(formatter)
+        .build_arc()?;
+    Ok(sink)
+}
+
+impl LogLevel {
+    fn filter(self) -> LevelFilter {
+        match self {
+            LogLevel::Off => LevelFilter::Off,
+            LogLevel::Error => LevelFilter::MoreSevereEqual(Level::Error),
+            LogLevel::Warn => LevelFilter::MoreSevereEqual(Level::Warn),
+            LogLevel::Info => LevelFilter::MoreSevereEqual(Level::Info),
+            LogLevel::Debug => LevelFilter::MoreSevereEqual(Level::Debug),
+        }
+    }
+}
