Add the load generator and the stand-in backend server

Cause: nothing can be tried or measured without a backend server and a load.

Change: agatehill-load backend (slots, service time, cold start, shed, crash and cut on a mark, silent connections, lying reports, child calls, counts of runs by idempotency-key), run (open loop, latency from the intended start, direct calls to the stand-in interleaved) and upload (streamed, compared by BLAKE3 hash).

--- /dev/null
+++ b/bin/load/src/cmd/mod.rs
@@ -0,0 +1,5 @@
+//! One module a subcommand.
+
+pub(crate) mod backend;
+pub(crate) mod run;
+pub(crate) mod upload;
--- /dev/null
+++ b/bin/load/src/load/pace.rs
@@ -0,0 +1,59 @@
+//! Start times of an open-loop load.
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use std::{
+    hint, thread,
+    time::{Duration, Instant},
+};
+
+/// Rest of a wait that is spun away, since a thread wakes up late from a sleep.
+const SPIN_SPAN: Duration = Duration::from_micros(100);
+
+/// When calls start.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LoadPace {
+    /// Calls a second.
+    pub(crate) rate: f64,
+    /// Time over which calls are started.
+    pub(crate) span: Duration,
+    /// Draws the gaps from an exponential distribution; otherwise they are equal.
+    pub(crate) poisson: bool,
+    /// Seed of the gaps.
+    pub(crate) seed: u64,
+}
+
+impl LoadPace {
+    /// Runs `start(number, intended)` at each start time, on the thread that calls this.
+    pub(crate) fn run(self, mut start: impl FnMut(u64, Instant)) {
+        let mut rng = StdRng::seed_from_u64(self.seed);
+        let begin = Instant::now();
+        let mut offset = Duration::ZERO;
+        let mut number = 0;
+        while offset < self.span {
+            let intended = begin + offset;
+            wait_until(intended);
+            start(number, intended);
+            number += 1;
+            offset += self.gap(&mut rng);
+        }
+    }
+
+    fn gap(&self, rng: &mut StdRng) -> Duration {
+        let mean = Duration::from_secs_f64(1.0 / self.rate);
+        if !self.poisson {
+            return mean;
+        }
+        let uniform: f64 = rng.random();
+        mean.mul_f64(-(1.0 - uniform).ln())
+    }
+}
+
+fn wait_until(point: Instant) {
+    let left = point.saturating_duration_since(Instant::now());
+    if left > SPIN_SPAN {
+        thread::sleep(left - SPIN_SPAN);
+    }
+    while Instant::now() < point {
+        hint::spin_loop();
+    }
+}
--- /dev/null
+++ b/bin/load/src/load/report.rs
@@ -0,0 +1,234 @@
+//! Latencies and counts of a load.
+
+use super::call::{CallEnd, CallRecord, CallRoute};
+use agatehill_decide::contract::RequestClass;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::{
+    collections::BTreeMap,
+    fmt::{self, Write},
+    time::Duration,
+};
+
+/// Longest latency that a histogram tells from longer ones, in microseconds.
+const LATENCY_MICROS_MAX: u64 = 120_000_000;
+
+/// Decimal digits that a histogram keeps of a latency.
+const LATENCY_DIGITS: u8 = 3;
+
+/// Collects the records of a load.
+pub(crate) struct LoadReport {
+    span: Duration,
+    groups: BTreeMap<(CallRoute, RequestClass), CallGroup>,
+    routes: BTreeMap<CallRoute, Histogram<u64>>,
+}
+
+struct CallGroup {
+    sent: u64,
+    attempts: u64,
+    ends: BTreeMap<CallEnd, u64>,
+    lasts: BTreeMap<String, u64>,
+    latencies: Histogram<u64>,
+}
+
+/// A report as it is printed.
+#[derive(Debug, Serialize)]
+pub(crate) struct ReportSummary {
+    groups: Vec<GroupSummary>,
+    added: Option<AddedLatency>,
+}
+
+/// Calls of one route and class; latencies in milliseconds, of whole answers only.
+#[derive(Debug, Serialize)]
+struct GroupSummary {
+    route: CallRoute,
+    class: RequestClass,
+    sent: u64,
+    whole: u64,
+    whole_per_second: f64,
+    attempts_per_call: f64,
+    p50_ms: f64,
+    p90_ms: f64,
+    p99_ms: f64,
+    p999_ms: f64,
+    max_ms: f64,
+    ends: BTreeMap<CallEnd, u64>,
+    last_answers: BTreeMap<String, u64>,
+}
+
+/// Latency through a daemon less latency of direct calls, in milliseconds.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct AddedLatency {
+    p50_ms: f64,
+    p90_ms: f64,
+    p99_ms: f64,
+}
+
+impl LoadReport {
+    /// Opens a report of calls that start within `span`.
+    pub(crate) fn open(span: Duration) -> LoadReport {
+        LoadReport {
+            span,
+            groups: BTreeMap::new(),
+            routes: BTreeMap::new(),
+        }
+    }
+
+    /// Adds one call.
+    pub(crate) fn add(&mut self, record: CallRecord) {
+        let group = self
+            .groups
+            .entry((record.route, record.class))
+            .or_insert_with(CallGroup::new);
+        group.sent += 1;
+        group.attempts += u64::from(record.attempts);
+        *group.ends.entry(record.end).or_default() += 1;
+        *group.lasts.entry(record.last).or_default() += 1;
+        if record.end == CallEnd::Whole {
+            let micros = record.latency.as_micros() as u64;
+            group.latencies.saturating_record(micros);
+            let route = self.routes.entry(record.route);
+            route.or_insert_with(histogram).saturating_record(micros);
+        }
+    }
+
+    /// Returns the report's figures.
+    pub(crate) fn summary(&self) -> ReportSummary {
+        let groups = self.groups.iter();
+        ReportSummary {
+            groups: groups
+                .map(|(&(route, class), group)| group.summary(route, class, self.span))
+                .collect(),
+            added: self.added(),
+        }
+    }
+
+    fn added(&self) -> Option<AddedLatency> {
+        let through = self.routes.get(&CallRoute::Through)?;
+        let direct = self.routes.get(&CallRoute::Direct)?;
+        let added = |q| millis(through, q) - millis(direct, q);
+        Some(AddedLatency {
+            p50_ms: added(0.5),
+            p90_ms: added(0.9),
+            p99_ms: added(0.99),
+        })
+    }
+}
+
+impl CallGroup {
+    fn new() -> CallGroup {
+        CallGroup {
+            sent: 0,
+            attempts: 0,
+            ends: BTreeMap::new(),
+            lasts: BTreeMap::new(),
+            latencies: histogram(),
+        }
+    }
+
+    fn summary(&self, route: CallRoute, class: RequestClass, span: Duration) -> GroupSummary {
+        let whole = self.ends.get(&CallEnd::Whole).copied().unwrap_or(0);
+        GroupSummary {
+            route,
+            class,
+            sent: self.sent,
+            whole,
+            whole_per_second: whole as f64 / span.as_secs_f64(),
+            attempts_per_call: self.attempts as f64 / self.sent as f64,
+            p50_ms: millis(&self.latencies, 0.5),
+            p90_ms: millis(&self.latencies, 0.9),
+            p99_ms: millis(&self.latencies, 0.99),
+            p999_ms: millis(&self.latencies, 0.999),
+            max_ms: self.latencies.max() as f64 / 1e3,
+            ends: self.ends.clone(),
+            last_answers: self.lasts.clone(),
+        }
+    }
+}
+
+impl fmt::Display for ReportSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:8} {:10} {:>8} {:>8} {:>9} {:>8} {:>8} {:>8} {:>8} {:>8} {:>9}",
+            "route",
+            "class",
+            "sent",
+            "whole",
+            "whole/s",
+            "p50 ms",
+            "p90 ms",
+            "p99 ms",
+            "p99.9 ms",
+            "max ms",
+            "attempts"
+        )?;
+        for group in &self.groups {
+            writeln!(f, "{group}")?;
+        }
+        for group in &self.groups {
+            writeln!(
+                f,
+                "{} {}:{}",
+                word(&group.route),
+                word(&group.class),
+                counts(group)
+            )?;
+        }
+        if let Some(added) = self.added {
+            writeln!(
+                f,
+                "added: p50 {:.3} ms, p90 {:.3} ms, p99 {:.3} ms",
+                added.p50_ms, added.p90_ms, added.p99_ms
+            )?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for GroupSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:8} {:10} {:>8} {:>8} {:>9.1} {:>8.3} {:>8.3} {:>8.3} {:>8.3} {:>8.3} {:>9.3}",
+            word(&self.route),
+            word(&self.class),
+            self.sent,
+            self.whole,
+            self.whole_per_second,
+            self.p50_ms,
+            self.p90_ms,
+            self.p99_ms,
+            self.p999_ms,
+            self.max_ms,
+            self.attempts_per_call
+        )
+    }
+}
+
+fn counts(group: &GroupSummary) -> String {
+    let mut text = String::new();
+    for (end, count) in &group.ends {
+        let _ = write!(text, " {}={count}", word(end));
+    }
+    for (last, count) in &group.last_answers {
+        let _ = write!(text, " [{last}]={count}");
+    }
+    text
+}
+
+/// Returns the serialised name of a plain enum value.
+fn word(value: &impl Serialize) -> String {
+    match serde_json::to_value(value) {
+        Ok(serde_json::Value::String(word)) => word,
+        _ => String::new(),
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_max(LATENCY_MICROS_MAX, LATENCY_DIGITS).expect("bounds are constants")
+}
+
+fn millis(latencies: &Histogram<u64>, quantile: f64) -> f64 {
+    latencies.value_at_quantile(quantile) as f64 / 1e3
+}
--- a/bin/load/src/main.rs
+++ b/bin/load/src/main.rs
@@ -1,3 +1,43 @@
-//! Placeholder.
+//! Load and stand-in backend servers for trying agatehill on one machine.
 
-fn main() {}
+mod client;
+mod cmd;
+mod load;
+mod standin;
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+
+/// Open-loop load, uploads and a stand-in backend server.
+#[derive(Debug, Parser)]
+#[command(name = "agatehill-load", version)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs a stand-in backend server until SIGTERM.
+    Backend(Box<cmd::backend::Args>),
+    /// Sends calls at a fixed rate and prints latencies and outcomes.
+    Run(cmd::run::Args),
+    /// Streams one large body and compares what arrived.
+    Upload(cmd::upload::Args),
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let done = match Args::parse().command {
+        Command::Backend(args) => cmd::backend::run(*args).await,
+        Command::Run(args) => cmd::run::run(args).await,
+        Command::Upload(args) => cmd::upload::run(args).await,
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("agatehill-load: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/bin/load/src/standin/mod.rs
@@ -0,0 +1,143 @@
+//! A backend server that stands in for a real one.
+
+pub(crate) mod announce;
+pub(crate) mod serve;
+
+mod child;
+mod count;
+mod work;
+
+pub(crate) use self::{child::ChildCall, count::RunSummary};
+
+use self::{child::ChildCaller, count::RunCounts};
+use agatehill_decide::name::ServiceName;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use serde::Serialize;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+use tokio::sync::{Semaphore, watch};
+
+/// How a stand-in behaves.
+#[derive(Debug)]
+pub(crate) struct StandInSettings {
+    pub(crate) service: ServiceName,
+    pub(crate) slots: usize,
+    pub(crate) reported_slots: usize,
+    pub(crate) connections: usize,
+    pub(crate) time: ServiceTime,
+    pub(crate) cold: Duration,
+    pub(crate) cold_factor: f64,
+    pub(crate) hide_cold: bool,
+    pub(crate) shed: bool,
+    pub(crate) answer_bytes: usize,
+    pub(crate) calls: Vec<ChildCall>,
+    pub(crate) daemon: Option<SocketAddr>,
+    pub(crate) parallel: bool,
+    pub(crate) call_retries: u32,
+    pub(crate) seed: u64,
+}
+
+/// Distribution of the time that a request takes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServiceTime {
+    pub(crate) mean: Duration,
+    pub(crate) exponential: bool,
+}
+
+/// What a backend server says of itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum ServerState {
+    Starting,
+    Serving,
+    Leaving,
+}
+
+/// The state of a running stand-in.
+pub(crate) struct StandIn {
+    address: SocketAddr,
+    settings: StandInSettings,
+    started: Instant,
+    slots: Semaphore,
+    counts: RunCounts,
+    caller: Option<ChildCaller>,
+    open_connections: AtomicUsize,
+    /// Connections accepted before this counter last rose are silent.
+    silence: AtomicU64,
+    leaving: watch::Sender<bool>,
+    rng: Mutex<StdRng>,
+}
+
+impl StandIn {
+    /// Makes a stand-in that listens on `address`.
+    pub(crate) fn open(address: SocketAddr, settings: StandInSettings) -> Arc<StandIn> {
+        let caller = settings.daemon.map(|daemon| {
+            let retries = settings.call_retries;
+            ChildCaller::open(daemon, retries, settings.seed)
+        });
+        Arc::new(StandIn {
+            address,
+            started: Instant::now(),
+            slots: Semaphore::new(settings.slots),
+            counts: RunCounts::default(),
+            caller,
+            open_connections: AtomicUsize::new(0),
+            silence: AtomicU64::new(0),
+            leaving: watch::Sender::new(false),
+            rng: Mutex::new(StdRng::seed_from_u64(settings.seed)),
+            settings,
+        })
+    }
+
+    /// Says from now on that it is leaving.
+    pub(crate) fn leave(&self) {
+        self.counts.leave();
+        self.leaving.send_replace(true);
+    }
+
+    /// Returns what ran so far.
+    pub(crate) fn summary(&self) -> RunSummary {
+        self.counts.summary()
+    }
+
+    fn is_cold(&self) -> bool {
+        self.started.elapsed() < self.settings.cold
+    }
+
+    fn state(&self) -> ServerState {
+        match (*self.leaving.borrow(), self.is_cold()) {
+            (true, _) => ServerState::Leaving,
+            (false, true) if !self.settings.hide_cold => ServerState::Starting,
+            (false, _) => ServerState::Serving,
+        }
+    }
+
+    fn silence_open_connections(&self) {
+        self.silence.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn silence_epoch(&self) -> u64 {
+        self.silence.load(Ordering::Relaxed)
+    }
+
+    fn draw_time(&self) -> Duration {
+        let ServiceTime { mean, exponential } = self.settings.time;
+        let scale = if self.is_cold() {
+            self.settings.cold_factor
+        } else {
+            1.0
+        };
+        if !exponential {
+            return mean.mul_f64(scale);
+        }
+        let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
+        let uniform: f64 = rng.random();
+        mean.mul_f64(scale * -(1.0 - uniform).ln())
+    }
+}
