--- /dev/null
+++ b/crates/backend/src/announce.rs
@@ -0,0 +1,97 @@
+//! `POST /announce`, by which backend servers make themselves known to the daemon on their host.
+
+use crate::registry::{ServerAnnouncement, ServerRegistry};
+use agatehill_platform::{clock::MonoClock, health::AssertNewHandler};
+use gotham::{
+    handler::HandlerResult,
+    helpers::http::{Body, response::create_response},
+    prelude::*,
+    router::{Router, build_simple_router},
+    state::State,
+};
+use http::StatusCode;
+use http_body_util::{BodyExt, Limited};
+use std::{fmt, sync::Arc};
+
+/// Largest announcement, in bytes.
+const ANNOUNCEMENT_BYTES_MAX: usize = 4 * 1024;
+
+/// Why an announcement was refused.
+#[derive(Debug)]
+pub enum AnnounceError {
+    /// The body is too large or was broken off.
+    Body,
+    /// The body is no announcement.
+    Malformed(serde_json::Error),
+    /// The server offers no slots.
+    NoSlots,
+}
+
+impl fmt::Display for AnnounceError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            AnnounceError::Body => {
+                write!(
+                    f,
+                    "announcement is over {ANNOUNCEMENT_BYTES_MAX} bytes or broken off"
+                )
+            }
+            AnnounceError::Malformed(e) => write!(f, "announcement: {e}"),
+            AnnounceError::NoSlots => f.write_str("announcement: slots must be at least 1"),
+        }
+    }
+}
+
+impl std::error::Error for AnnounceError {}
+
+impl From<serde_json::Error> for AnnounceError {
+    fn from(e: serde_json::Error) -> AnnounceError {
+        AnnounceError::Malformed(e)
+    }
+}
+
+/// Returns the router of the announce listener.
+pub fn router(registry: Arc<ServerRegistry>, clock: MonoClock) -> Router {
+    build_simple_router(|route| {
+        route
+            .post("/announce")
+            .to_new_handler(AssertNewHandler(move || {
+                let registry = registry.clone();
+                Ok(
+                    move |state| -> std::pin::Pin<Box<gotham::handler::HandlerFuture>> {
+                        Box::pin(handle(state, registry, clock))
+                    },
+                )
+            }));
+    })
+}
+
+async fn handle(
+    mut state: State,
+    registry: Arc<ServerRegistry>,
+    clock: MonoClock,
+) -> HandlerResult {
+    let (status, text) = match read(Body::take_from(&mut state)).await {
+        Ok(announcement) => {
+            registry.announce(announcement, clock.now());
+            (StatusCode::NO_CONTENT, String::new())
+        }
+        Err(e) => (StatusCode::BAD_REQUEST, e.to_string()),
+    };
+    let response = create_response(&state, status, gotham::mime::TEXT_PLAIN, text);
+    Ok((state, response))
+}
+
+async fn read(body: Body) -> Result<ServerAnnouncement, AnnounceError> {
+    let limited = Limited::new(body, ANNOUNCEMENT_BYTES_MAX);
+    let bytes = limited
+        .collect()
+        .await
+        .map_err(|_| AnnounceError::Body)?
+        .to_bytes();
+    let announcement: ServerAnnouncement = serde_json::from_slice(&bytes)?;
+    if announcement.slots == 0 {
+        return Err(AnnounceError::NoSlots);
+    }
+    Ok(announcement)
+}
--- /dev/null
+++ b/crates/peer/src/body.rs
@@ -0,0 +1,104 @@
+//! The body of a call: whole in memory when small, else a stream.
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::{BodyExt, Full};
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+/// Largest body that is held whole, in bytes; a larger one is streamed and can't be resent.
+pub const WHOLE_BODY_BYTES_MAX: u64 = 64 * 1024;
+
+/// The body of a call or of its answer.
+#[derive(Debug)]
+pub enum CallBody {
+    /// The whole body; can be sent again.
+    Whole(Full<Bytes>),
+    /// A body that passes through in frames.
+    Stream(gotham::helpers::http::Body),
+}
+
+impl CallBody {
+    /// Returns an empty body.
+    pub fn empty() -> CallBody {
+        CallBody::whole(Bytes::new())
+    }
+
+    /// Returns a body of `bytes`.
+    pub fn whole(bytes: Bytes) -> CallBody {
+        CallBody::Whole(Full::new(bytes))
+    }
+
+    /// Returns a second copy, unless the body is a stream.
+    pub fn try_clone(&self) -> Option<CallBody> {
+        match self {
+            CallBody::Whole(full) => Some(CallBody::Whole(full.clone())),
+            CallBody::Stream(_) => None,
+        }
+    }
+
+    /// Reads `body` whole when its length is known and small, else passes it on as a stream.
+    ///
+    /// # Errors
+    ///
+    /// The sender broke the body off.
+    pub async fn read<B>(body: B) -> io::Result<CallBody>
+    where
+        B: Body<Data = Bytes> + Send + 'static,
+        B::Error: std::error::Error + Send + Sync + 'static,
+    {
+        let is_small = body
+            .size_hint()
+            .exact()
+            .is_some_and(|n| n <= WHOLE_BODY_BYTES_MAX);
+        if !is_small {
+            return Ok(CallBody::Stream(
+                body.map_err(io::Error::other).boxed_unsync(),
+            ));
+        }
+        let bytes = body.collect().await.map_err(io::Error::other)?.to_bytes();
+        Ok(CallBody::whole(bytes))
+    }
+
+    /// Returns the body in the form that a gotham answer takes.
+    pub fn into_gotham(self) -> gotham::helpers::http::Body {
+        match self {
+            CallBody::Whole(full) => full.map_err(|never| match never {}).boxed_unsync(),
+            CallBody::Stream(body) => body,
+        }
+    }
+}
+
+impl Body for CallBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match self.get_mut() {
+            CallBody::Whole(full) => Pin::new(full)
+                .poll_frame(cx)
+                .map_err(|never| match never {}),
+            CallBody::Stream(body) => Pin::new(body).poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            CallBody::Whole(full) => full.is_end_stream(),
+            CallBody::Stream(body) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            CallBody::Whole(full) => full.size_hint(),
+            CallBody::Stream(body) => body.size_hint(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/forward.rs
@@ -0,0 +1,220 @@
+//! The hop from the daemon that took a call to the daemon beside the chosen server.
+//!
+//! The hop is HTTP/1.1 over pooled connections, so that bodies stream. What the two daemons tell
+//! each other besides the call itself travels in one request and one answer header, each a
+//! postcard value in hexadecimal digits.
+
+use crate::body::CallBody;
+use agatehill_decide::{
+    name::{ChainId, CustomerName, RequestId, ServiceName},
+    outcome::CallOutcome,
+    priority::CallPriority,
+};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, Uri};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::{fmt, net::SocketAddr, time::Duration};
+
+/// Carries a [`ForwardHead`].
+pub const HEAD_HEADER: HeaderName = HeaderName::from_static("agatehill-forward");
+/// Carries a [`ForwardReport`].
+pub const REPORT_HEADER: HeaderName = HeaderName::from_static("agatehill-report");
+
+/// Time after which an unused pooled connection is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+/// Time to open a connection to another host.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// Time without acknowledged data after which a connection counts as silent.
+const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+/// Idle connections kept to one host.
+const IDLE_PER_HOST_MAX: usize = 64;
+
+/// What the gate needs to know about a forwarded call.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ForwardHead {
+    /// The customer whose contract applies.
+    pub customer: CustomerName,
+    /// The request that the call belongs to.
+    pub request: RequestId,
+    /// The call chain.
+    pub chain: ChainId,
+    /// The service to run it.
+    pub service: ServiceName,
+    /// The backend server that was chosen.
+    pub server: SocketAddr,
+    /// Priority of the chain.
+    pub priority: CallPriority,
+    /// Time left to the caller, in milliseconds.
+    pub deadline_ms: u32,
+    /// Retries that the calls below may spend together.
+    pub retries: u32,
+    /// The caller's own count of attempts.
+    pub attempt: u32,
+    /// Hours for which the run must be remembered; `None` when the operation is idempotent.
+    pub remember_hours: Option<u32>,
+}
+
+/// Why a call was refused or failed.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub enum FailureKind {
+    /// The remaining time does not suffice or has passed.
+    Deadline,
+    /// The request id was used for another request.
+    KeyReused,
+    /// The contract's limits are spent.
+    Limit,
+    /// The connection to the server or its host was lost.
+    Lost,
+    /// The server or its gate has no place for the call.
+    Shed,
+    /// The request crashed servers.
+    Quarantined,
+    /// No server of the service can be reached.
+    NoServer,
+}
+
+/// What the gate tells beside the answer.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ForwardReport {
+    /// What is known about the run.
+    pub outcome: CallOutcome,
+    /// Why there is no answer; `None` when there is one.
+    pub failure: Option<FailureKind>,
+    /// Time after which the caller may ask again, in milliseconds.
+    pub retry_after_ms: u32,
+    /// Retries that the calls below have spent.
+    pub retries_used: u32,
+    /// A deeper hop has given up; the failure is not retried above it.
+    pub is_final: bool,
+    /// Calls at the server, as a share of its limit, in thousandths.
+    pub load: u16,
+    /// The gate admits priorities below this level.
+    pub level: CallPriority,
+}
+
+/// A forward header that does not decode.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ForwardError {
+    header: HeaderName,
+    reason: String,
+}
+
+impl fmt::Display for ForwardError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "header {:?}: {}", self.header.as_str(), self.reason)
+    }
+}
+
+impl std::error::Error for ForwardError {}
+
+impl From<&ForwardHead> for HeaderValue {
+    fn from(head: &ForwardHead) -> HeaderValue {
+        encode(head)
+    }
+}
+
+impl From<&ForwardReport> for HeaderValue {
+    fn from(report: &ForwardReport) -> HeaderValue {
+        encode(report)
+    }
+}
+
+impl TryFrom<&HeaderMap> for ForwardHead {
+    type Error = ForwardError;
+
+    fn try_from(headers: &HeaderMap) -> Result<ForwardHead, ForwardError> {
+        decode(headers, HEAD_HEADER)
+    }
+}
+
+impl TryFrom<&HeaderMap> for ForwardReport {
+    type Error = ForwardError;
+
+    fn try_from(headers: &HeaderMap) -> Result<ForwardReport, ForwardError> {
+        decode(headers, REPORT_HEADER)
+    }
+}
+
+/// How a forwarded call failed on its way.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ForwardFailure {
+    /// The call was never sent.
+    NotSent,
+    /// The call was sent and its answer did not come.
+    Lost,
+}
+
+/// Sends calls to the gates of other daemons.
+#[derive(Clone, Debug)]
+pub struct ForwardClient {
+    client: Client<HttpConnector, CallBody>,
+}
+
+impl ForwardClient {
+    /// Opens a client with an empty connection pool.
+    pub fn open() -> ForwardClient {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_LIMIT));
+        connector.set_keepalive(Some(SILENCE_LIMIT));
+        connector.set_tcp_user_timeout(Some(SILENCE_LIMIT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_LIMIT)
+            .pool_max_idle_per_host(IDLE_PER_HOST_MAX)
+            .build(connector);
+        ForwardClient { client }
+    }
+
+    /// Sends `req` with `head` to the daemon whose forward port is `addr`.
+    ///
+    /// # Errors
+    ///
+    /// No answer came; the failure tells whether the call was sent.
+    pub async fn send(
+        &self,
+        addr: SocketAddr,
+        head: &ForwardHead,
+        mut req: Request<CallBody>,
+    ) -> Result<Response<Incoming>, ForwardFailure> {
+        req.headers_mut().insert(HEAD_HEADER, head.into());
+        *req.uri_mut() = absolute_uri(addr, req.uri());
+        self.client.request(req).await.map_err(|e| {
+            if e.is_connect() {
+                ForwardFailure::NotSent
+            } else {
+                ForwardFailure::Lost
+            }
+        })
+    }
+}
+
+/// Returns `uri`'s path and query at host `addr`.
+pub fn absolute_uri(addr: SocketAddr, uri: &Uri) -> Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    Uri::builder()
+        .scheme("http")
+        .authority(addr.to_string())
+        .path_and_query(path)
+        .build()
+        .expect("a socket address and a parsed path make a URI")
+}
+
+fn encode<T: Serialize>(value: &T) -> HeaderValue {
+    let bytes = postcard::to_allocvec(value).expect("forward types always encode");
+    HeaderValue::try_from(hex::encode(bytes)).expect("hexadecimal digits make a header value")
+}
+
+fn decode<T: DeserializeOwned>(headers: &HeaderMap, name: HeaderName) -> Result<T, ForwardError> {
+    let fail = |reason: &str| ForwardError {
+        header: name.clone(),
+        reason: reason.to_owned(),
+    };
+    let value = headers.get(&name).ok_or_else(|| fail("missing"))?;
+    let bytes = hex::decode(value.as_bytes()).map_err(|_| fail("not hexadecimal"))?;
+    postcard::from_bytes(&bytes).map_err(|e| fail(&e.to_string()))
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! What daemons and keepers say to each other.
+
+pub mod body;
+pub mod forward;
--- /dev/null
+++ b/crates/platform/src/clock.rs
@@ -0,0 +1,29 @@
+//! The process's monotonic clock.
+
+use agatehill_decide::time::MonoTime;
+use std::time::{Duration, Instant};
+
+/// Hands out [`MonoTime`] for the state machines.
+#[derive(Clone, Copy, Debug)]
+pub struct MonoClock {
+    start: Instant,
+}
+
+impl MonoClock {
+    /// Starts a clock at [`MonoTime::ZERO`].
+    pub fn open() -> MonoClock {
+        MonoClock {
+            start: Instant::now(),
+        }
+    }
+
+    /// Returns the time since the clock was opened.
+    pub fn now(&self) -> MonoTime {
+        MonoTime::ZERO + self.start.elapsed()
+    }
+
+    /// Returns the instant that `time` stands for, for timers of the runtime.
+    pub fn instant(&self, time: MonoTime) -> Instant {
+        self.start + Duration::from_micros(time.as_micros())
+    }
+}
--- /dev/null
+++ b/crates/platform/src/health.rs
@@ -0,0 +1,87 @@
+//! `GET /livez`, `GET /readyz` and `POST /drain`.
+
+use crate::drain::DrainSignal;
+use gotham::{
+    helpers::http::response::create_empty_response, prelude::*, router::builder::RouterBuilder,
+    state::State,
+};
+use http::StatusCode;
+use std::{
+    panic::RefUnwindSafe,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+/// Whether the process may be sent work.
+#[derive(Clone, Debug, Default)]
+pub struct ReadyFlag {
+    flag: Arc<AtomicBool>,
+}
+
+impl ReadyFlag {
+    /// Sets whether the process may be sent work.
+    pub fn set(&self, ready: bool) {
+        self.flag.store(ready, Ordering::Release);
+    }
+
+    /// Returns whether the process may be sent work.
+    pub fn get(&self) -> bool {
+        self.flag.load(Ordering::Acquire)
+    }
+}
+
+/// Adds the health and drain routes to `route`.
+pub fn add_routes<C, P>(route: &mut RouterBuilder<'_, C, P>, ready: ReadyFlag, drain: DrainSignal)
+where
+    C: gotham::pipeline::PipelineHandleChain<P> + Copy + Send + Sync + 'static,
+    P: RefUnwindSafe + Send + Sync + 'static,
+{
+    route
+        .get("/livez")
+        .to_new_handler(|| Ok(|state| reply(state, StatusCode::OK)));
+    let is_draining = drain.clone();
+    route
+        .get("/readyz")
+        .to_new_handler(AssertNewHandler(move || {
+            let ok = ready.get() && !is_draining.is_raised();
+            let status = if ok {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            };
+            Ok(move |state| reply(state, status))
+        }));
+    route
+        .post("/drain")
+        .to_new_handler(AssertNewHandler(move || {
+            drain.raise();
+            Ok(|state| reply(state, StatusCode::ACCEPTED))
+        }));
+}
+
+/// Marks a handler factory as unwind safe.
+///
+/// The factories hold watch channels and atomics, which a caught panic leaves whole.
+#[derive(Clone, Debug)]
+pub struct AssertNewHandler<F>(pub F);
+
+impl<F> RefUnwindSafe for AssertNewHandler<F> {}
+
+impl<F, H> gotham::handler::NewHandler for AssertNewHandler<F>
+where
+    F: Fn() -> gotham::anyhow::Result<H> + Send + Sync,
+    H: gotham::handler::Handler + Send,
+{
+    type Instance = H;
+
+    fn new_handler(&self) -> gotham::anyhow::Result<H> {
+        (self.0)()
+    }
+}
+
+fn reply(state: State, status: StatusCode) -> (State, http::Response<gotham::helpers::http::Body>) {
+    let response = create_empty_response(&state, status);
+    (state, response)
+}
--- /dev/null
+++ b/crates/platform/src/serve.rs
@@ -0,0 +1,143 @@
+//! The accept loop that runs a gotham handler over HTTP/1.1 and h2c, with a graceful stop.
+
+use gotham::{handler::NewHandler, service::call_handler, state::State};
+use http::Request;
+use hyper::{body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto::Builder, graceful::GracefulShutdown},
+};
+use std::{
+    future::Future, io, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::oneshot,
+    task::JoinHandle,
+};
+
+/// Time for a caller to send a request head, also on an idle connection.
+const HEAD_READ_LIMIT: Duration = Duration::from_secs(60);
+/// Time between keep-alive pings on an HTTP/2 connection.
+const PING_INTERVAL: Duration = Duration::from_secs(5);
+/// Time after which an unanswered keep-alive ping closes an HTTP/2 connection.
+const PING_LIMIT: Duration = Duration::from_secs(5);
+/// Pause after a failed accept, for example when no file descriptor is free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A running HTTP listener.
+#[derive(Debug)]
+pub struct HttpServer {
+    local: SocketAddr,
+    stop: oneshot::Sender<()>,
+    task: JoinHandle<()>,
+}
+
+impl HttpServer {
+    /// Binds `addr` and serves `handler` until [`HttpServer::stop`].
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound.
+    pub async fn bind<H>(addr: SocketAddr, handler: H) -> io::Result<HttpServer>
+    where
+        H: NewHandler + 'static,
+    {
+        let listener = TcpListener::bind(addr).await?;
+        let local = listener.local_addr()?;
+        let (stop, stopped) = oneshot::channel();
+        let task = tokio::spawn(accept_loop(listener, Arc::new(handler), stopped));
+        Ok(HttpServer { local, stop, task })
+    }
+
+    /// Returns the bound address.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.local
+    }
+
+    /// Stops listening and waits until every request in flight has ended.
+    pub async fn stop(self) {
+        // The loop may have ended by itself; then there is nobody to tell.
+        let _ = self.stop.send(());
+        let _ = self.task.await;
+    }
+}
+
+async fn accept_loop<H>(listener: TcpListener, handler: Arc<H>, mut stopped: oneshot::Receiver<()>)
+where
+    H: NewHandler + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, peer)) => spawn_connection(stream, peer, handler.clone(), &graceful),
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            },
+            _ = &mut stopped => break,
+        }
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn spawn_connection<H>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: Arc<H>,
+    graceful: &GracefulShutdown,
+) where
+    H: NewHandler + 'static,
+{
+    // Without it, small answers wait for the peer's delayed acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |req: Request<Incoming>| serve_one(handler.clone(), req, peer));
+    let conn = connection_builder()
+        .serve_connection(TokioIo::new(stream), service)
+        .into_owned();
+    let watched = graceful.watch(conn);
+    tokio::spawn(async move {
+        // A connection that breaks concerns its own requests only; they report their outcome.
+        let _ = watched.await;
+    });
+}
+
+fn serve_one<H>(
+    handler: Arc<H>,
+    req: Request<Incoming>,
+    peer: SocketAddr,
+) -> impl Future<Output = gotham::anyhow::Result<http::Response<gotham::helpers::http::Body>>>
+where
+    H: NewHandler + 'static,
+{
+    let state = State::from_request(req, peer);
+    call_handler(AssertShared(handler), AssertUnwindSafe(state))
+}
+
+/// A shared handler that a caught panic leaves usable.
+struct AssertShared<H>(Arc<H>);
+
+impl<H> std::panic::UnwindSafe for AssertShared<H> {}
+impl<H> std::panic::RefUnwindSafe for AssertShared<H> {}
+
+impl<H: NewHandler> NewHandler for AssertShared<H> {
+    type Instance = H::Instance;
+
+    fn new_handler(&self) -> gotham::anyhow::Result<H::Instance> {
+        self.0.new_handler()
+    }
+}
+
+fn connection_builder() -> Builder<TokioExecutor> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_READ_LIMIT);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_LIMIT);
+    builder
+}
