--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod name;
 pub mod outcome;
 pub mod priority;
+pub mod route;
 pub mod state;
 pub mod time;
