Add the claim table

Cause: a non-idempotent request must run at most once, wherever its caller resends it.

Change: ClaimTable, a ReplicatedState that grants a request to one claimer at a time. The grant's log position is its fence. Only the claimer itself can give a grant back (Withdraw), which also refuses late copies of the claim, so a lost reply never leaves a claim behind that nobody runs. Runs of a daemon that are over become unknown, never free. Ages by capped ticks of log time.

Ruled out: a Start command (one more quorum round, and a crash after Start is as unknown as one after the grant); a void state of the entry (an absent entry says the same); names as keys (128-bit hashes take a third of the memory; a collision is a mismatch, never a second run); a digest of the whole body (an upload would have to be held; the first 64 KiB decide).

--- /dev/null
+++ b/crates/decide/src/claim.rs
@@ -0,0 +1,265 @@
+//! Claims: the replicated record that makes a non-idempotent request run at most once.
+//!
+//! A gate claims a request before it runs it and records the answer after. The table is replicated
+//! by the keepers; a claim is granted to one claimer at a time, and only the claimer itself can
+//! give a granted claim back, by proving that it has not started and never will.
+
+use crate::{
+    name::{DaemonName, Incarnation},
+    state::ReplicatedState,
+};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, btree_map::Entry};
+
+mod message;
+
+pub use message::{
+    ANSWER_BYTES_MAX, AnswerBody, ClaimCommand, ClaimEnd, ClaimFence, ClaimKey, ClaimOwner,
+    ClaimReply, ClaimRequest, DIGEST_BODY_BYTES_MAX, KeyHash, RequestDigest, StoredAnswer,
+    TICK_SECONDS_MAX,
+};
+
+/// Default bound on the memory of one table, in bytes.
+pub const TABLE_BYTES_MAX: u64 = 1 << 30;
+/// Log time for which a withdrawn claimer is remembered, in seconds.
+pub const WITHDRAWN_SECONDS: u64 = 3_600;
+/// Log time between two expiry queues, in seconds.
+const EXPIRY_SECONDS: u64 = 60;
+/// Memory of one claim without its answer, in bytes: entry, tree node share and expiry record.
+const CLAIM_BYTES: u64 = 192;
+/// Memory of one withdrawn claimer, in bytes.
+const WITHDRAWN_BYTES: u64 = 128;
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct ClaimEntry {
+    digest: RequestDigest,
+    fence: ClaimFence,
+    expires: u64,
+    state: ClaimState,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+enum ClaimState {
+    Running(ClaimOwner),
+    Answered(Box<StoredAnswer>),
+    Unknown,
+}
+
+/// The claims of one group of keepers, the same on every replica.
+///
+/// Ordered maps only: neither the result of a command nor a snapshot depends on a hash seed.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ClaimTable {
+    /// Seconds of log time since the table was made.
+    clock: u64,
+    bytes: u64,
+    bytes_max: u64,
+    claims: BTreeMap<KeyHash, ClaimEntry>,
+    running: BTreeMap<ClaimOwner, KeyHash>,
+    withdrawn: BTreeMap<ClaimOwner, u64>,
+    /// What to look at when the clock reaches the key; a record may be out of date.
+    claim_expiry: BTreeMap<u64, Vec<KeyHash>>,
+    withdrawn_expiry: BTreeMap<u64, Vec<ClaimOwner>>,
+}
+
+impl Default for ClaimTable {
+    fn default() -> ClaimTable {
+        ClaimTable::with_bytes_max(TABLE_BYTES_MAX)
+    }
+}
+
+impl ReplicatedState for ClaimTable {
+    type Command = ClaimCommand;
+    type Reply = ClaimReply;
+
+    fn apply(&mut self, position: u64, command: ClaimCommand) -> ClaimReply {
+        match command {
+            ClaimCommand::Claim(request) => self.claim(ClaimFence(position), request),
+            ClaimCommand::Withdraw { owner, .. } => self.withdraw(owner),
+            ClaimCommand::Finish { key, fence, end } => self.finish(key.hash(), fence, end),
+            ClaimCommand::Retire { daemon, before } => self.retire(daemon, before),
+            ClaimCommand::Tick { elapsed_seconds } => self.tick(elapsed_seconds),
+        }
+    }
+}
+
+impl ClaimTable {
+    /// Returns an empty table that refuses new claims at `bytes_max` bytes of memory.
+    pub fn with_bytes_max(bytes_max: u64) -> ClaimTable {
+        ClaimTable {
+            clock: 0,
+            bytes: 0,
+            bytes_max,
+            claims: BTreeMap::new(),
+            running: BTreeMap::new(),
+            withdrawn: BTreeMap::new(),
+            claim_expiry: BTreeMap::new(),
+            withdrawn_expiry: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the number of claims that are remembered.
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Returns whether no claim is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    /// Returns the number of granted claims that have not ended.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the memory in use, in bytes, as the bound counts it.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Returns the seconds of log time since the table was made.
+    pub fn clock(&self) -> u64 {
+        self.clock
+    }
+
+    fn claim(&mut self, fence: ClaimFence, request: ClaimRequest) -> ClaimReply {
+        let hash = request.key.hash();
+        if let Some(entry) = self.claims.get(&hash) {
+            return entry.reply(&request);
+        }
+        if self.withdrawn.contains_key(&request.owner) {
+            return ClaimReply::Withdrawn;
+        }
+        if self.bytes + CLAIM_BYTES > self.bytes_max {
+            return ClaimReply::Full;
+        }
+        let expires = self.clock + u64::from(request.remember_seconds);
+        let entry = ClaimEntry {
+            digest: request.digest,
+            fence,
+            expires,
+            state: ClaimState::Running(request.owner.clone()),
+        };
+        self.claims.insert(hash, entry);
+        self.running.insert(request.owner, hash);
+        self.bytes += CLAIM_BYTES;
+        push_expiry(&mut self.claim_expiry, expires, hash);
+        ClaimReply::Granted(fence)
+    }
+
+    fn withdraw(&mut self, owner: ClaimOwner) -> ClaimReply {
+        if let Some(hash) = self.running.remove(&owner) {
+            self.claims.remove(&hash);
+            self.bytes -= CLAIM_BYTES;
+        }
+        let expires = self.clock + WITHDRAWN_SECONDS;
+        if let Entry::Vacant(slot) = self.withdrawn.entry(owner.clone()) {
+            slot.insert(expires);
+            self.bytes += WITHDRAWN_BYTES;
+            push_expiry(&mut self.withdrawn_expiry, expires, owner);
+        }
+        ClaimReply::Done
+    }
+
+    fn finish(&mut self, hash: KeyHash, fence: ClaimFence, end: ClaimEnd) -> ClaimReply {
+        let room = self.bytes_max.saturating_sub(self.bytes);
+        let Some(entry) = self.claims.get_mut(&hash).filter(|e| e.fence == fence) else {
+            return ClaimReply::Refused;
+        };
+        if matches!(entry.state, ClaimState::Answered(_)) {
+            return ClaimReply::Done;
+        }
+        if let ClaimState::Running(owner) = &entry.state {
+            self.running.remove(owner);
+        }
+        entry.state = match end {
+            ClaimEnd::Unknown => ClaimState::Unknown,
+            ClaimEnd::Answered(answer) => ClaimState::Answered(Box::new(answer.fit(room))),
+        };
+        self.bytes += entry.answer_bytes();
+        ClaimReply::Done
+    }
+
+    fn retire(&mut self, daemon: DaemonName, before: Incarnation) -> ClaimReply {
+        let owner = |incarnation| ClaimOwner {
+            daemon: daemon.clone(),
+            incarnation,
+            sequence: 0,
+        };
+        let range = owner(Incarnation(0))..owner(before);
+        let over: Vec<_> = self
+            .running
+            .range(range)
+            .map(|(o, h)| (o.clone(), *h))
+            .collect();
+        for (owner, hash) in over {
+            self.running.remove(&owner);
+            if let Some(entry) = self.claims.get_mut(&hash) {
+                entry.state = ClaimState::Unknown;
+            }
+        }
+        ClaimReply::Done
+    }
+
+    fn tick(&mut self, elapsed_seconds: u32) -> ClaimReply {
+        self.clock += u64::from(elapsed_seconds.min(TICK_SECONDS_MAX));
+        while let Some(hashes) = pop_expiry(&mut self.claim_expiry, self.clock) {
+            hashes.into_iter().for_each(|hash| self.expire_claim(hash));
+        }
+        while let Some(owners) = pop_expiry(&mut self.withdrawn_expiry, self.clock) {
+            for owner in owners {
+                self.withdrawn.remove(&owner);
+                self.bytes -= WITHDRAWN_BYTES;
+            }
+        }
+        ClaimReply::Done
+    }
+
+    fn expire_claim(&mut self, hash: KeyHash) {
+        let clock = self.clock;
+        let expired = |entry: &ClaimEntry| entry.expires <= clock;
+        if !self.claims.get(&hash).is_some_and(expired) {
+            return;
+        }
+        let entry = self.claims.remove(&hash).expect("the claim was found");
+        self.bytes -= CLAIM_BYTES + entry.answer_bytes();
+        if let ClaimState::Running(owner) = entry.state {
+            self.running.remove(&owner);
+        }
+    }
+}
+
+impl ClaimEntry {
+    fn reply(&self, request: &ClaimRequest) -> ClaimReply {
+        if self.digest != request.digest {
+            return ClaimReply::Mismatch;
+        }
+        match &self.state {
+            ClaimState::Running(owner) if *owner == request.owner => {
+                ClaimReply::Granted(self.fence)
+            }
+            ClaimState::Running(owner) => ClaimReply::Running(owner.clone()),
+            ClaimState::Answered(answer) => ClaimReply::Replay(answer.as_ref().clone()),
+            ClaimState::Unknown => ClaimReply::Unknown,
+        }
+    }
+
+    fn answer_bytes(&self) -> u64 {
+        match &self.state {
+            ClaimState::Answered(answer) => answer.bytes(),
+            ClaimState::Running(_) | ClaimState::Unknown => 0,
+        }
+    }
+}
+
+/// Puts `item` into the queue that comes due at `expires` or up to a minute later.
+fn push_expiry<T>(queues: &mut BTreeMap<u64, Vec<T>>, expires: u64, item: T) {
+    let due = expires.next_multiple_of(EXPIRY_SECONDS);
+    queues.entry(due).or_default().push(item);
+}
+
+fn pop_expiry<T>(queues: &mut BTreeMap<u64, Vec<T>>, clock: u64) -> Option<Vec<T>> {
+    let first = queues.first_entry()?;
+    (*first.key() <= clock).then(|| first.remove())
+}
