Add the entry: a caller's request through contract, route, gate or forward hop

Cause: the whole path must be served by separate processes. Change: request checks, contract lookup, attempts over the route table, local gate or forward hop, report folded into outcome and problem body. Ruled out: an untyped error body between daemons; the report is a value.

--- a/crates/backend/src/gate.rs
+++ b/crates/backend/src/gate.rs
@@ -129,7 +129,7 @@
 
     /// Admits the call `req` and runs it.
     pub async fn run(&self, head: &ForwardHead, req: Request<CallBody>) -> GateAnswer {
-        let Some(server) = self.registry.get(head.server) else {
+        let Some(server) = head.server.and_then(|addr| self.registry.get(addr)) else {
             return refuse(FailureKind::NoServer, CallOutcome::NotRun, 0);
         };
         if server.announcement.service != head.service {
@@ -141,7 +141,8 @@
         let limit = Duration::from_millis(u64::from(head.deadline_ms));
         let req = with_deadline(req, head.deadline_ms);
         let load = server.places.load();
-        match tokio::time::timeout(limit, self.client.send(head.server, req)).await {
+        match tokio::time::timeout(limit, self.client.send(server.announcement.address, req)).await
+        {
             Ok(Ok(response)) => answer(
                 response.map(|body| body.map_err(io::Error::other)),
                 place,
--- /dev/null
+++ b/crates/caller/src/attempt.rs
@@ -0,0 +1,172 @@
+//! One attempt of a call: choose a server, then run there or forward to the daemon beside it.
+
+use crate::{call::ActiveCall, routes::RouteView};
+use agatehill_backend::gate::{CallGate, GateAnswer};
+use agatehill_decide::{
+    name::DaemonName,
+    outcome::CallOutcome,
+    priority::CallPriority,
+    route::{
+        AnswerEvidence, RequestHash, RouteChoice, RouteQuery, RouteReach, RouteTarget, ServerKey,
+    },
+};
+use agatehill_peer::{
+    body::CallBody,
+    forward::{FailureKind, ForwardClient, ForwardFailure, ForwardHead, ForwardReport},
+};
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::{io, time::Duration};
+
+/// Time after which a caller that found no server may ask again.
+const ABSENT_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// Time after which a caller that was refused by level may ask again.
+const SHED_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// Runs attempts, here or at other daemons.
+#[derive(Clone, Debug)]
+pub struct AttemptRunner {
+    /// Name of this daemon.
+    pub daemon: DaemonName,
+    /// The servers to choose from.
+    pub routes: RouteView,
+    /// The gate of the servers on this host.
+    pub gate: CallGate,
+    /// The way to other daemons.
+    pub forward: ForwardClient,
+}
+
+impl AttemptRunner {
+    /// Makes one attempt of `call` at a server that is not among `tried`, and adds it there.
+    pub async fn run(
+        &self,
+        call: &ActiveCall,
+        req: Request<CallBody>,
+        reach: RouteReach,
+        tried: &mut Vec<ServerKey>,
+    ) -> GateAnswer {
+        match self.choose(call, reach, tried) {
+            RouteChoice::Target(target) => {
+                tried.push(target.key);
+                self.run_at(call, req, &target).await
+            }
+            RouteChoice::Shed { level } => {
+                let mut report = refusal(FailureKind::Shed, SHED_RETRY_AFTER);
+                report.level = level;
+                bodiless(report)
+            }
+            RouteChoice::Absent => bodiless(refusal(FailureKind::NoServer, ABSENT_RETRY_AFTER)),
+        }
+    }
+
+    fn choose(&self, call: &ActiveCall, reach: RouteReach, tried: &[ServerKey]) -> RouteChoice {
+        self.routes.load().choose(&RouteQuery {
+            service: &call.service,
+            request: RequestHash::of(&call.customer, &call.request),
+            priority: call.priority,
+            tried,
+            reach,
+            now: self.gate.clock().now(),
+        })
+    }
+
+    async fn run_at(
+        &self,
+        call: &ActiveCall,
+        req: Request<CallBody>,
+        target: &RouteTarget,
+    ) -> GateAnswer {
+        let started = self.gate.clock().now();
+        let head = match call.head(target.view.backend, started) {
+            Ok(head) => head,
+            Err(kind) => return bodiless(refusal(kind, Duration::ZERO)),
+        };
+        let _in_flight = target.signal.enter();
+        let answer = if target.view.daemon == self.daemon {
+            self.gate.run(&head, req).await
+        } else {
+            self.forward(&head, req, target).await
+        };
+        let now = self.gate.clock().now();
+        target
+            .signal
+            .record(evidence(&answer.report, now.since(started)), now);
+        answer
+    }
+
+    async fn forward(
+        &self,
+        head: &ForwardHead,
+        req: Request<CallBody>,
+        target: &RouteTarget,
+    ) -> GateAnswer {
+        let limit = Duration::from_millis(u64::from(head.deadline_ms));
+        let sent = self.forward.send(target.forward(), head, req);
+        match tokio::time::timeout(limit, sent).await {
+            Ok(Ok(response)) => forwarded_answer(response),
+            Ok(Err(ForwardFailure::NotSent)) => bodiless(lost(CallOutcome::NotRun)),
+            Ok(Err(ForwardFailure::Lost)) => bodiless(lost(CallOutcome::Unknown)),
+            Err(_) => bodiless(expired()),
+        }
+    }
+}
+
+/// Returns a report of a call that was refused before it ran.
+pub fn refusal(kind: FailureKind, retry_after: Duration) -> ForwardReport {
+    ForwardReport {
+        outcome: CallOutcome::NotRun,
+        failure: Some(kind),
+        retry_after_ms: u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX),
+        retries_used: 0,
+        is_final: false,
+        load: 0,
+        level: CallPriority::LAST,
+    }
+}
+
+fn lost(outcome: CallOutcome) -> ForwardReport {
+    ForwardReport {
+        outcome,
+        ..refusal(FailureKind::Lost, Duration::ZERO)
+    }
+}
+
+fn expired() -> ForwardReport {
+    let report = refusal(FailureKind::Deadline, Duration::ZERO);
+    ForwardReport {
+        outcome: CallOutcome::Unknown,
+        ..report
+    }
+}
+
+fn bodiless(report: ForwardReport) -> GateAnswer {
+    GateAnswer {
+        report,
+        response: Response::new(CallBody::empty()),
+    }
+}
+
+/// Reads the answer of another daemon; one without a report may have run.
+fn forwarded_answer(response: Response<Incoming>) -> GateAnswer {
+    match ForwardReport::try_from(response.headers()) {
+        Ok(report) => {
+            let stream =
+                |body: Incoming| CallBody::Stream(body.map_err(io::Error::other).boxed_unsync());
+            GateAnswer {
+                report,
+                response: response.map(stream),
+            }
+        }
+        Err(_) => bodiless(lost(CallOutcome::Unknown)),
+    }
+}
+
+fn evidence(report: &ForwardReport, elapsed: Duration) -> AnswerEvidence {
+    let level = report.level;
+    match report.failure {
+        None => AnswerEvidence::Answered { elapsed, level },
+        Some(FailureKind::Lost | FailureKind::NoServer) => AnswerEvidence::Failed,
+        Some(_) => AnswerEvidence::Shed { level },
+    }
+}
--- a/crates/caller/src/contracts.rs
+++ b/crates/caller/src/contracts.rs
@@ -26,7 +26,10 @@
         let mut applied = 0;
         self.table.rcu(|old| {
             let mut table = ContractTable::clone(old);
-            applied = specs.iter().filter(|spec| table.apply((*spec).clone())).count();
+            applied = specs
+                .iter()
+                .filter(|spec| table.apply((*spec).clone()))
+                .count();
             table
         });
         applied
--- /dev/null
+++ b/crates/caller/src/entry.rs
@@ -0,0 +1,219 @@
+//! The path of a call through the daemon that took it.
+
+use crate::{
+    attempt::AttemptRunner,
+    call::ActiveCall,
+    contracts::ContractView,
+    problem::{CallProblem, OUTCOME_HEADER},
+    request::{CallerRequest, KEY_HEADER, TRACE_HEADER},
+    trace,
+};
+use agatehill_backend::gate::GateAnswer;
+use agatehill_decide::{
+    contract::OperationSpec, name::ChainId, outcome::CallOutcome, route::RouteReach,
+};
+use agatehill_peer::{
+    body::CallBody,
+    forward::{FailureKind, ForwardHead, REPORT_HEADER},
+    headers::strip_hop,
+};
+use gotham::helpers::http::Body;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Limited};
+
+/// Takes calls from callers and from other daemons.
+#[derive(Clone, Debug)]
+pub struct CallEntry {
+    /// The contracts in force.
+    pub contracts: ContractView,
+    /// Makes the attempts.
+    pub runner: AttemptRunner,
+    /// Largest request body, in bytes.
+    pub body_bytes_max: u64,
+}
+
+impl CallEntry {
+    /// Runs a caller's request and returns its answer.
+    pub async fn call(&self, req: Request<Body>) -> Response<CallBody> {
+        match self.try_call(req).await {
+            Ok(response) => response,
+            Err(problem) => problem.response(),
+        }
+    }
+
+    /// Runs a call that another daemon forwarded and returns its answer with the report.
+    pub async fn forwarded(&self, req: Request<Body>) -> Response<CallBody> {
+        match self.try_forwarded(req).await {
+            Ok(answer) => with_report(answer),
+            Err(problem) => problem.response(),
+        }
+    }
+
+    async fn try_call(&self, req: Request<Body>) -> Result<Response<CallBody>, CallProblem> {
+        let (parts, body) = req.into_parts();
+        let head = CallerRequest::parse(&parts.uri, &parts.headers)?;
+        let call = self.begin(&head, &parts.method)?;
+        let body = self.read_body(body).await?;
+        let class = call.priority.class();
+        let req = outgoing(parts.method, &head.target, parts.headers, &call, body)?;
+        let answer = self.attempts(call, req, RouteReach::of(class)).await;
+        finish(answer)
+    }
+
+    async fn try_forwarded(&self, req: Request<Body>) -> Result<GateAnswer, CallProblem> {
+        let (mut parts, body) = req.into_parts();
+        let wrong =
+            |e: agatehill_peer::forward::ForwardError| CallProblem::Malformed(e.to_string());
+        let head = ForwardHead::try_from(&parts.headers).map_err(wrong)?;
+        strip_hop(&mut parts.headers);
+        let body = self.read_body(body).await?;
+        let req = Request::from_parts(parts, body);
+        if head.server.is_some() {
+            return Ok(self.runner.gate.run(&head, req).await);
+        }
+        let call = ActiveCall::forwarded(&head, self.runner.gate.clock().now());
+        Ok(self.attempts(call, req, RouteReach::LOCAL).await)
+    }
+
+    fn begin(&self, head: &CallerRequest, method: &Method) -> Result<ActiveCall, CallProblem> {
+        let customer = head.customer.as_ref().ok_or(CallProblem::CustomerMissing)?;
+        let unknown = || CallProblem::UnknownCustomer(customer.clone());
+        let spec = self.contracts.get(customer).ok_or_else(unknown)?;
+        let operation = operation_of(&spec, head, method)?;
+        let chain = ChainId(rand::random::<u128>().max(1));
+        ActiveCall::root(
+            head,
+            &spec,
+            operation,
+            chain,
+            self.runner.gate.clock().now(),
+        )
+    }
+
+    async fn read_body(&self, body: Body) -> Result<CallBody, CallProblem> {
+        let limit = self.body_bytes_max;
+        let is_over = http_body::Body::size_hint(&body).lower() > limit;
+        if is_over {
+            return Err(CallProblem::BodyTooLarge { limit });
+        }
+        let broken = |e: std::io::Error| CallProblem::Malformed(format!("body: {e}"));
+        CallBody::read(limited(body, limit)).await.map_err(broken)
+    }
+
+    /// Makes attempts until one answers or no further one is allowed.
+    async fn attempts(
+        &self,
+        mut call: ActiveCall,
+        req: Request<CallBody>,
+        reach: RouteReach,
+    ) -> GateAnswer {
+        let mut tried = Vec::new();
+        let mut next = Some(req);
+        let mut outcome = CallOutcome::NotRun;
+        let mut used = 0;
+        loop {
+            let req = next.take().expect("a further attempt has a request");
+            next = try_clone(&req);
+            let mut answer = self.runner.run(&call, req, reach, &mut tried).await;
+            outcome = outcome.combine(answer.report.outcome);
+            used += answer.report.retries_used;
+            call.retries = call.retries.saturating_sub(answer.report.retries_used);
+            if next.is_none() || !may_retry(&call, &answer) {
+                answer.report.outcome = outcome;
+                answer.report.retries_used = used;
+                return answer;
+            }
+            call.retries -= 1;
+            used += 1;
+        }
+    }
+}
+
+/// Returns `body`, broken off with an error past `limit` bytes.
+fn limited(body: Body, limit: u64) -> Body {
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    Limited::new(body, limit)
+        .map_err(std::io::Error::other)
+        .boxed_unsync()
+}
+
+fn operation_of<'a>(
+    spec: &'a agatehill_decide::contract::ContractSpec,
+    head: &CallerRequest,
+    method: &Method,
+) -> Result<&'a OperationSpec, CallProblem> {
+    let unknown = || CallProblem::UnknownOperation {
+        service: head.service.clone(),
+        method: method.to_string(),
+        path: head.path.clone(),
+    };
+    spec.operation(&head.service, method.as_str(), &head.path)
+        .ok_or_else(unknown)
+}
+
+/// Returns the request as the backend server gets it.
+fn outgoing(
+    method: Method,
+    target: &str,
+    mut headers: HeaderMap,
+    call: &ActiveCall,
+    body: CallBody,
+) -> Result<Request<CallBody>, CallProblem> {
+    strip_hop(&mut headers);
+    let span = rand::random::<u64>();
+    headers
+        .entry(TRACE_HEADER)
+        .or_insert_with(|| trace::format(call.chain, span));
+    let key = HeaderValue::try_from(call.request.as_str()).expect("request ids are visible ASCII");
+    headers.insert(KEY_HEADER, key);
+    let wrong = |_| CallProblem::Malformed(format!("path {target:?} is malformed"));
+    let mut req = Request::new(body);
+    *req.method_mut() = method;
+    *req.uri_mut() = Uri::try_from(target).map_err(wrong)?;
+    *req.headers_mut() = headers;
+    Ok(req)
+}
+
+fn may_retry(call: &ActiveCall, answer: &GateAnswer) -> bool {
+    let Some(kind) = answer.report.failure else {
+        return false;
+    };
+    let is_safe = call.is_idempotent() || answer.report.outcome == CallOutcome::NotRun;
+    let is_useful = matches!(kind, FailureKind::Lost | FailureKind::Shed);
+    is_safe && is_useful && !answer.report.is_final && call.retries > 0
+}
+
+fn try_clone(req: &Request<CallBody>) -> Option<Request<CallBody>> {
+    let body = req.body().try_clone()?;
+    let mut copy = Request::new(body);
+    *copy.method_mut() = req.method().clone();
+    *copy.uri_mut() = req.uri().clone();
+    *copy.headers_mut() = req.headers().clone();
+    Some(copy)
+}
+
+fn finish(answer: GateAnswer) -> Result<Response<CallBody>, CallProblem> {
+    if let Some(kind) = answer.report.failure {
+        return Err(CallProblem::from_report(kind, &answer.report));
+    }
+    let mut response = answer.response;
+    strip_hop(response.headers_mut());
+    let outcome = HeaderValue::from_static(answer.report.outcome.as_str());
+    response.headers_mut().insert(OUTCOME_HEADER, outcome);
+    Ok(response)
+}
+
+fn with_report(answer: GateAnswer) -> Response<CallBody> {
+    let GateAnswer {
+        report,
+        mut response,
+    } = answer;
+    strip_hop(response.headers_mut());
+    if report.failure.is_some() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+        .headers_mut()
+        .insert(REPORT_HEADER, (&report).into());
+    response
+}
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -1,5 +1,7 @@
 //! Towards callers: the HTTP interface, and the path of a call through the daemon that took it.
 
+pub mod attempt;
+pub mod call;
 pub mod contracts;
 pub mod entry;
 pub mod handler;
--- a/crates/caller/src/problem.rs
+++ b/crates/caller/src/problem.rs
@@ -69,16 +69,20 @@
     /// Returns the failure that `report` tells of, as `kind`.
     pub fn from_report(kind: FailureKind, report: &ForwardReport) -> CallProblem {
         let retry_after = Duration::from_millis(u64::from(report.retry_after_ms));
-        CallProblem::Failed { kind, outcome: report.outcome, retry_after }
+        CallProblem::Failed {
+            kind,
+            outcome: report.outcome,
+            retry_after,
+        }
     }
 
     /// Returns the HTTP status.
     pub fn status(&self) -> StatusCode {
         match self {
             CallProblem::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
-            CallProblem::CustomerMissing
-            | CallProblem::KeyMissing
-            | CallProblem::Malformed(_) => StatusCode::BAD_REQUEST,
+            CallProblem::CustomerMissing | CallProblem::KeyMissing | CallProblem::Malformed(_) => {
+                StatusCode::BAD_REQUEST
+            }
             CallProblem::UnknownCustomer(_) => StatusCode::FORBIDDEN,
             CallProblem::UnknownOperation { .. } => StatusCode::NOT_FOUND,
             CallProblem::Failed { kind, .. } => failure_status(*kind),
@@ -99,8 +103,14 @@
         let mut response = Response::new(CallBody::whole(Bytes::from(text)));
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
-        headers.insert(OUTCOME_HEADER, HeaderValue::from_static(self.outcome().as_str()));
+        headers.insert(
+            CONTENT_TYPE,
+            HeaderValue::from_static("application/problem+json"),
+        );
+        headers.insert(
+            OUTCOME_HEADER,
+            HeaderValue::from_static(self.outcome().as_str()),
+        );
         if let CallProblem::Failed { retry_after, .. } = self
             && !retry_after.is_zero()
         {
@@ -150,7 +160,11 @@
             CallProblem::UnknownCustomer(customer) => {
                 write!(f, "no contract is in force for customer \"{customer}\"")
             }
-            CallProblem::UnknownOperation { service, method, path } => write!(
+            CallProblem::UnknownOperation {
+                service,
+                method,
+                path,
+            } => write!(
                 f,
                 "the contract lists no operation {method} {path:?} at service {service:?}"
             ),
@@ -197,5 +211,8 @@
 }
 
 fn whole_seconds(span: Duration) -> u64 {
-    span.as_millis().div_ceil(1_000).try_into().unwrap_or(u64::MAX)
+    span.as_millis()
+        .div_ceil(1_000)
+        .try_into()
+        .unwrap_or(u64::MAX)
 }
--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -65,7 +65,8 @@
 
 fn split_target(uri: &Uri) -> Result<(String, String), CallProblem> {
     let full = uri.path_and_query().map_or("", |path| path.as_str());
-    let wrong = || CallProblem::Malformed(format!("path {full:?} is not /call/{{service}}/{{path}}"));
+    let wrong =
+        || CallProblem::Malformed(format!("path {full:?} is not /call/{{service}}/{{path}}"));
     let rest = full.strip_prefix(CALL_PREFIX).ok_or_else(wrong)?;
     let (service, _) = rest.split_once('/').ok_or_else(wrong)?;
     if service.is_empty() {
@@ -83,7 +84,9 @@
 fn number(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u32>, CallProblem> {
     let wrong = |text: &str| {
         let max = u32::MAX;
-        CallProblem::Malformed(format!("header {name:?}: {text:?} is not a number from 0 to {max}"))
+        CallProblem::Malformed(format!(
+            "header {name:?}: {text:?} is not a number from 0 to {max}"
+        ))
     };
     let parse = |text: &str| text.parse().map_err(|_| wrong(text));
     text(headers, name)?.map(parse).transpose()
@@ -102,7 +105,9 @@
     let mut values = headers.get_all(name).iter();
     let first = values.next();
     if values.next().is_some() {
-        return Err(CallProblem::Malformed(format!("header {name:?} is given twice")));
+        return Err(CallProblem::Malformed(format!(
+            "header {name:?} is given twice"
+        )));
     }
     Ok(first)
 }
--- a/crates/peer/src/forward.rs
+++ b/crates/peer/src/forward.rs
@@ -44,8 +44,8 @@
     pub chain: ChainId,
     /// The service to run it.
     pub service: ServiceName,
-    /// The backend server that was chosen.
-    pub server: SocketAddr,
+    /// The backend server that was chosen; `None` lets the receiving daemon choose in its zone.
+    pub server: Option<SocketAddr>,
     /// Priority of the chain.
     pub priority: CallPriority,
     /// Time left to the caller, in milliseconds.
--- /dev/null
+++ b/crates/peer/src/headers.rs
@@ -0,0 +1,39 @@
+//! Headers that belong to one connection and are not passed on (RFC 9110, section 7.6.1).
+
+use crate::forward::{HEAD_HEADER, REPORT_HEADER};
+use http::{
+    HeaderMap, HeaderName,
+    header::{CONNECTION, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE},
+};
+
+const HOP_HEADERS: [HeaderName; 9] = [
+    CONNECTION,
+    HOST,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    HeaderName::from_static("keep-alive"),
+    HEAD_HEADER,
+    REPORT_HEADER,
+];
+
+/// Removes the headers of one connection, those that `Connection` names included.
+pub fn strip_hop(headers: &mut HeaderMap) {
+    for name in named_by_connection(headers) {
+        headers.remove(name);
+    }
+    for name in &HOP_HEADERS {
+        headers.remove(name);
+    }
+}
+
+fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
+    let values = headers.get_all(CONNECTION).iter();
+    let tokens = values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','));
+    tokens
+        .filter_map(|token| token.trim().parse().ok())
+        .collect()
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod body;
 pub mod forward;
+pub mod headers;
