--- /dev/null
+++ b/crates/decide/src/contract_book.rs
@@ -0,0 +1,158 @@
+//! The accepted contracts of all customers, as a replicated state.
+
+use crate::{name::CustomerName, state::ReplicatedState};
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeMap, sync::Arc};
+
+/// BLAKE3 digest of a contract's text.
+pub type TextDigest = [u8; 32];
+
+/// Returns the digest of a contract's text.
+pub fn text_digest(text: &str) -> TextDigest {
+    *blake3::hash(text.as_bytes()).as_bytes()
+}
+
+/// A change that an operator proposes.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PutContract {
+    /// Whose contract it is.
+    pub customer: CustomerName,
+    /// The revision that `text` holds.
+    pub revision: u64,
+    /// The whole contract in TOML, already checked.
+    pub text: Arc<str>,
+}
+
+/// One accepted change.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AcceptedRevision {
+    /// Counts the customer's accepted changes, from 1.
+    pub revision: u64,
+    /// Position of the change in the log.
+    pub position: u64,
+    /// Digest of the accepted text.
+    pub digest: TextDigest,
+}
+
+/// The answer to a proposed change.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum PutReply {
+    /// The change is accepted; a resend of the same bytes gets the same answer.
+    Accepted(AcceptedRevision),
+    /// Another text holds this revision.
+    Conflict(AcceptedRevision),
+    /// The revision skips ahead; `current` is the accepted one, 0 without any.
+    Gap {
+        /// The latest accepted revision.
+        current: u64,
+    },
+}
+
+/// The accepted contract of one customer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ContractRecord {
+    /// Every accepted revision; the one at index `i` is revision `i + 1`.
+    revisions: Vec<(u64, TextDigest)>,
+    /// The text of the latest revision.
+    text: Arc<str>,
+}
+
+impl ContractRecord {
+    /// Returns the latest accepted revision.
+    pub fn latest(&self) -> AcceptedRevision {
+        let revision = self.revisions.len() as u64;
+        self.accepted(revision)
+            .expect("a record holds at least one revision")
+    }
+
+    /// Returns the text of the latest accepted revision.
+    pub fn text(&self) -> &Arc<str> {
+        &self.text
+    }
+
+    /// Returns all accepted revisions, oldest first.
+    pub fn log(&self) -> Vec<AcceptedRevision> {
+        let count = self.revisions.len() as u64;
+        (1..=count).filter_map(|rev| self.accepted(rev)).collect()
+    }
+
+    fn accepted(&self, revision: u64) -> Option<AcceptedRevision> {
+        let idx = usize::try_from(revision.checked_sub(1)?).ok()?;
+        let (position, digest) = *self.revisions.get(idx)?;
+        Some(AcceptedRevision {
+            revision,
+            position,
+            digest,
+        })
+    }
+}
+
+/// The accepted contracts of all customers.
+///
+/// Digest and position of every accepted revision are kept, so that a resend gets the first answer
+/// however many changes lie between; texts are kept for the latest revision only.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ContractBook {
+    records: BTreeMap<CustomerName, ContractRecord>,
+    position: u64,
+}
+
+impl ContractBook {
+    /// Returns the log position of the latest accepted change, 0 without any.
+    pub fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// Returns the record of `customer`.
+    pub fn get(&self, customer: &CustomerName) -> Option<&ContractRecord> {
+        self.records.get(customer)
+    }
+
+    /// Returns all records, ordered by customer.
+    pub fn iter(&self) -> impl Iterator<Item = (&CustomerName, &ContractRecord)> {
+        self.records.iter()
+    }
+
+    /// Returns the records that were changed after log position `after`.
+    pub fn changed_after(
+        &self,
+        after: u64,
+    ) -> impl Iterator<Item = (&CustomerName, &ContractRecord)> {
+        self.iter()
+            .filter(move |(_, record)| record.latest().position > after)
+    }
+
+    fn accept(&mut self, position: u64, put: PutContract) -> AcceptedRevision {
+        let digest = text_digest(&put.text);
+        let record = self.records.entry(put.customer).or_insert(ContractRecord {
+            revisions: Vec::new(),
+            text: put.text.clone(),
+        });
+        record.revisions.push((position, digest));
+        record.text = put.text;
+        self.position = position;
+        record.latest()
+    }
+}
+
+impl ReplicatedState for ContractBook {
+    type Command = PutContract;
+    type Reply = PutReply;
+
+    fn apply(&mut self, position: u64, put: PutContract) -> PutReply {
+        let record = self.records.get(&put.customer);
+        let current = record.map_or(0, |r| r.latest().revision);
+        if let Some(accepted) = record.and_then(|r| r.accepted(put.revision)) {
+            let same = accepted.digest == text_digest(&put.text);
+            return if same {
+                PutReply::Accepted(accepted)
+            } else {
+                PutReply::Conflict(accepted)
+            };
+        }
+        if put.revision != current + 1 {
+            return PutReply::Gap { current };
+        }
+        PutReply::Accepted(self.accept(position, put))
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 //! daemons, the keepers, the property tests and the bench all drive the same code.
 
 pub mod contract;
+pub mod contract_book;
 pub mod name;
 pub mod outcome;
 pub mod priority;
--- /dev/null
+++ b/crates/operator/src/inspect.rs
@@ -0,0 +1,59 @@
+//! `GET /dump` and `GET /metrics`, which every process answers.
+
+use crate::reply::{ServiceHandler, json, respond};
+use gotham::{
+    helpers::http::Body,
+    pipeline::PipelineHandleChain,
+    router::builder::{DefineSingleRoute, DrawRoutes, RouterBuilder},
+    state::State,
+};
+use http::{Response, StatusCode};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use std::{panic::RefUnwindSafe, sync::OnceLock};
+
+/// A process whose state can be read.
+pub trait StateDump: Send + Sync + 'static {
+    /// Returns the whole state that matters.
+    fn dump(&self) -> serde_json::Value;
+}
+
+/// Adds `GET /dump` and `GET /metrics` to `route`.
+pub fn inspect_routes<D, C, P>(route: &mut RouterBuilder<'_, C, P>, state: D)
+where
+    D: Clone + StateDump,
+    C: PipelineHandleChain<P> + Copy + Send + Sync + 'static,
+    P: RefUnwindSafe + Send + Sync + 'static,
+{
+    route
+        .get("/dump")
+        .to_new_handler(ServiceHandler::new(state, dump));
+    route
+        .get("/metrics")
+        .to_new_handler(ServiceHandler::new(metrics_recorder(), metrics));
+}
+
+/// Installs the process's metrics recorder, the first time, and returns its handle.
+pub fn metrics_recorder() -> PrometheusHandle {
+    static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+    let install = || {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        // Another recorder was installed before: its owner reads it.
+        let _ = metrics::set_global_recorder(recorder);
+        handle
+    };
+    RECORDER.get_or_init(install).clone()
+}
+
+async fn dump<D: StateDump>(process: D, state: State) -> (State, Response<Body>) {
+    (state, json(StatusCode::OK, &process.dump()))
+}
+
+async fn metrics(recorder: PrometheusHandle, state: State) -> (State, Response<Body>) {
+    recorder.run_upkeep();
+    let text = recorder.render();
+    (
+        state,
+        respond(StatusCode::OK, "text/plain; version=0.0.4", text),
+    )
+}
--- /dev/null
+++ b/crates/peer/src/codec.rs
@@ -0,0 +1,38 @@
+//! Postcard codec for tarpc transports.
+
+use bytes::{Bytes, BytesMut};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{io, pin::Pin};
+use tokio_serde::{Deserializer, Serializer};
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// Longest message, in bytes.
+pub const MESSAGE_BYTES_MAX: usize = 256 << 20;
+
+/// Encodes and decodes one message as postcard.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PostcardCodec;
+
+impl<T: Serialize> Serializer<T> for PostcardCodec {
+    type Error = io::Error;
+
+    fn serialize(self: Pin<&mut Self>, item: &T) -> io::Result<Bytes> {
+        let buf = postcard::to_stdvec(item).map_err(io::Error::other)?;
+        Ok(buf.into())
+    }
+}
+
+impl<T: DeserializeOwned> Deserializer<T> for PostcardCodec {
+    type Error = io::Error;
+
+    fn deserialize(self: Pin<&mut Self>, src: &BytesMut) -> io::Result<T> {
+        postcard::from_bytes(src).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
+    }
+}
+
+/// Returns the framing of tarpc messages on a byte stream.
+pub fn message_frames() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MESSAGE_BYTES_MAX)
+        .new_codec()
+}
--- /dev/null
+++ b/crates/peer/src/keeper.rs
@@ -0,0 +1,202 @@
+//! The service that keepers offer to daemons and to each other.
+
+use crate::codec::{PostcardCodec, message_frames};
+use agatehill_decide::{contract_book::PutReply, name::CustomerName};
+use futures_util::StreamExt;
+use serde::{Deserialize, Serialize};
+use std::{fmt, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+use tarpc::{
+    context::Context,
+    server::{BaseChannel, Channel},
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+use tokio_util::codec::Framed;
+
+/// A connection without a request for this long is closed.
+const IDLE_SPAN: Duration = Duration::from_secs(120);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The text of one accepted contract.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ContractText {
+    /// Whose contract it is.
+    pub customer: CustomerName,
+    /// Its revision.
+    pub revision: u64,
+    /// The contract in TOML.
+    pub text: Arc<str>,
+}
+
+/// Contracts that were accepted after a log position.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FeedPage {
+    /// The log position that the page brings its reader to.
+    pub position: u64,
+    /// The latest contract of each customer with a change.
+    pub contracts: Vec<ContractText>,
+}
+
+/// Why a keeper did not do what it was asked.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum KeeperError {
+    /// Another keeper leads the group; nothing was proposed.
+    NotLeader {
+        /// Peer address of the leader, when known.
+        leader: Option<SocketAddr>,
+    },
+    /// The contract's text is faulty; nothing was proposed.
+    Invalid(String),
+    /// No answer in time, or the leader changed: the change may have been made.
+    Unknown,
+    /// No keeper could be reached; nothing was proposed.
+    Unreachable,
+}
+
+impl fmt::Display for KeeperError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            KeeperError::NotLeader { leader: Some(addr) } => write!(f, "keeper {addr} leads"),
+            KeeperError::NotLeader { leader: None } => f.write_str("no keeper leads"),
+            KeeperError::Invalid(reason) => write!(f, "contract refused: {reason}"),
+            KeeperError::Unknown => f.write_str("the change may or may not have been made"),
+            KeeperError::Unreachable => f.write_str("no keeper could be reached"),
+        }
+    }
+}
+
+impl std::error::Error for KeeperError {}
+
+pub use control::KeeperControlClient;
+use control::KeeperControl;
+
+/// What a keeper does for daemons and other keepers.
+pub trait KeeperService: Clone + Send + Sync + 'static {
+    /// Waits up to `wait` for contracts that are newer than log position `after`.
+    fn feed(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<FeedPage, KeeperError>> + Send;
+
+    /// Proposes a contract, if this keeper leads.
+    fn put_contract(
+        &self,
+        customer: CustomerName,
+        text: String,
+    ) -> impl Future<Output = Result<PutReply, KeeperError>> + Send;
+}
+
+/// Adapts a [`KeeperService`] to the generated trait, whose futures are not known to be `Send`.
+#[derive(Clone)]
+struct ControlAdapter<S>(S);
+
+impl<S: KeeperService> KeeperControl for ControlAdapter<S> {
+    async fn feed(
+        self,
+        _: Context,
+        after: u64,
+        wait_ms: u32,
+    ) -> Result<FeedPage, KeeperError> {
+        self.0.feed(after, Duration::from_millis(wait_ms.into())).await
+    }
+
+    async fn put_contract(
+        self,
+        _: Context,
+        customer: CustomerName,
+        text: String,
+    ) -> Result<PutReply, KeeperError> {
+        self.0.put_contract(customer, text).await
+    }
+}
+
+mod control {
+    #![allow(missing_docs)] // tarpc generates items without documentation.
+
+    use super::{CustomerName, FeedPage, KeeperError, PutReply};
+
+    /// The wire form of [`super::KeeperService`].
+    #[tarpc::service]
+    pub trait KeeperControl {
+        /// Waits up to `wait_ms` for contracts that are newer than log position `after`.
+        async fn feed(after: u64, wait_ms: u32) -> Result<FeedPage, KeeperError>;
+        /// Proposes a contract at the leader.
+        async fn put_contract(
+            customer: CustomerName,
+            text: String,
+        ) -> Result<PutReply, KeeperError>;
+    }
+}
+
+/// A running listener for a [`KeeperService`]; stops when dropped.
+#[derive(Debug)]
+pub struct KeeperServer {
+    addr: SocketAddr,
+    _stop: watch::Sender<()>,
+}
+
+impl KeeperServer {
+    /// Serves `service` on `addr`.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound.
+    pub async fn bind<S>(addr: SocketAddr, service: S) -> io::Result<KeeperServer>
+    where
+        S: KeeperService,
+    {
+        let listener = TcpListener::bind(addr).await?;
+        let addr = listener.local_addr()?;
+        let (stop, stopped) = watch::channel(());
+        tokio::spawn(accept(listener, service, stopped));
+        Ok(KeeperServer { addr, _stop: stop })
+    }
+
+    /// Returns the address that is listened on.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+async fn accept<S>(listener: TcpListener, service: S, mut stopped: watch::Receiver<()>)
+where
+    S: KeeperService,
+{
+    loop {
+        let accepted = tokio::select! {
+            _ = stopped.changed() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let serving = serve(stream, service.clone(), stopped.clone());
+                tokio::spawn(serving);
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve<S>(stream: TcpStream, service: S, mut stopped: watch::Receiver<()>)
+where
+    S: KeeperService,
+{
+    // Without this, small answers wait for the peer's delayed acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let frames = Framed::new(stream, message_frames());
+    let transport = tarpc::serde_transport::new(frames, PostcardCodec);
+    let channel = BaseChannel::with_defaults(transport);
+    let mut calls = Box::pin(channel.execute(ControlAdapter(service).serve()));
+    loop {
+        let call = tokio::select! {
+            _ = stopped.changed() => return,
+            call = tokio::time::timeout(IDLE_SPAN, calls.next()) => call,
+        };
+        let Ok(Some(call)) = call else { return };
+        tokio::spawn(call);
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,5 @@
-//! Placeholder.
+//! What the system's own processes say to each other.
+
+pub mod codec;
+pub mod keeper;
+pub mod keeper_client;
