--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,10 +4,13 @@
 //! global source. Time and random numbers come in as arguments and outputs are values, so that the
 //! daemons, the keepers, the property tests and the bench all drive the same code.
 
+pub mod claim;
 pub mod contract;
 pub mod contract_book;
+pub mod document;
 pub mod name;
 pub mod outcome;
 pub mod priority;
+pub mod route;
 pub mod state;
 pub mod time;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -3,3 +3,7 @@
 pub mod codec;
 pub mod keeper;
 pub mod keeper_client;
+//! What daemons and keepers say to each other.
+
+pub mod body;
+pub mod forward;
