--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod claim;
 pub mod contract;
+pub mod contract_book;
 pub mod document;
 pub mod name;
 pub mod outcome;
