Add the gate, its limit and level, retries, deadlines and quotas

Cause: every server needs one place that decides on admission, and a chain needs bounds on time, tries and contract limits that hold over many hosts. Change: ServerGate with SlotLimit, LevelControl and a short queue; LevelTable for entries; RetryBudget with fixed shares an attempt and leases down the chain; CallDeadline as remaining time; QuotaShare with leased loans, RateBucket. Ruled out: shared counters for tries (resends meet other daemons and zones); quota shares worked out by each zone from its own view of the digests (two views that differ add up to more than the contract). Conclusion: the interface to wire; choices inside are to be measured.

--- /dev/null
+++ b/crates/decide/src/gate.rs
@@ -0,0 +1,496 @@
+//! The gate of one backend server: which calls run on it now, wait or are refused.
+//!
+//! A call is admitted while the concurrency limit has room, waits in a short queue if it can still
+//! finish in its remaining time, and is refused at once otherwise. Under pressure the gate lowers
+//! its priority level. Everything that happens to queued calls comes out as [`GateEvent`]s, which
+//! the driver takes after every call.
+
+mod queue;
+
+use crate::{
+    level::{LevelControl, LevelWindow},
+    limit::{HoldEstimate, LimitPolicy, SlotLimit},
+    priority::CallPriority,
+    time::MonoTime,
+};
+use queue::CallQueue;
+pub use queue::QueueOrder;
+use serde::{Deserialize, Serialize};
+use slotmap::{SlotMap, new_key_type};
+use std::time::Duration;
+
+new_key_type! {
+    /// A call that runs at the server.
+    pub struct SlotKey;
+    /// A call that waits at the gate.
+    pub struct TicketKey;
+}
+
+/// Length of a window of measurement.
+pub const WINDOW: Duration = Duration::from_millis(100);
+/// Windows that are made up for at most after a time without calls.
+const WINDOWS_MAX: u32 = 50;
+/// Time to come back after a refusal for want of capacity, before it is spread.
+const COME_BACK_PRESSED: Duration = Duration::from_millis(1_000);
+/// Time to come back after a refusal that another server may not share, before it is spread.
+const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(100);
+
+/// Settings of a gate.
+#[derive(Clone, Copy, Debug)]
+pub struct GateConfig {
+    /// How the concurrency limit moves.
+    pub limit: LimitPolicy,
+    /// Order of the queue.
+    pub order: QueueOrder,
+    /// Longest expected wait for which a call is queued.
+    pub wait_max: Duration,
+    /// Mean wait in a window from which the gate counts as pressed.
+    pub wait_target: Duration,
+    /// Whether the priority level is used.
+    pub use_level: bool,
+    /// Whether calls of a chain that has work done already pass the level.
+    pub spare_nested: bool,
+    /// Whether a starting server gets its calls by and by.
+    pub use_ramp: bool,
+}
+
+impl Default for GateConfig {
+    fn default() -> GateConfig {
+        GateConfig {
+            limit: LimitPolicy::Knee,
+            order: QueueOrder::Fifo,
+            wait_max: Duration::from_millis(100),
+            wait_target: Duration::from_millis(10),
+            use_level: true,
+            spare_nested: true,
+            use_ramp: true,
+        }
+    }
+}
+
+/// What a backend server announced about itself.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ServerState {
+    /// Not ready for calls.
+    Starting,
+    /// Takes calls.
+    Serving,
+    /// Finishes what it has and takes no more.
+    Leaving,
+}
+
+/// A call that asks for a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct GateCall {
+    /// Priority of its chain.
+    pub priority: CallPriority,
+    /// Point by which its answer must be on its way.
+    pub deadline: MonoTime,
+    /// Whether another backend server makes it as part of a chain.
+    pub is_nested: bool,
+}
+
+/// Why a call was refused; it did not run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RefusalReason {
+    /// Its priority is below the gate's level.
+    Level,
+    /// It cannot finish in its remaining time.
+    Deadline,
+    /// The queue is full of calls that are as important.
+    Full,
+    /// The server has not started yet.
+    Starting,
+    /// The server is leaving.
+    Leaving,
+}
+
+/// A refusal, final for this server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct GateRefusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// The gate's level.
+    pub level: CallPriority,
+    /// When to come back, to be spread by [`crate::retry::spread_retry_after`].
+    pub retry_after: Duration,
+}
+
+/// What becomes of an offered call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum GateDecision {
+    /// Run it now.
+    Admit(SlotKey),
+    /// It waits; exactly one [`GateEvent`] or a [`ServerGate::cancel`] ends that.
+    Queue(TicketKey),
+    /// Answer the refusal now.
+    Refuse(GateRefusal),
+}
+
+/// The end of a call's wait.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum GateEvent {
+    /// Run it now.
+    Admitted {
+        /// The call that waited.
+        ticket: TicketKey,
+        /// Its slot.
+        slot: SlotKey,
+    },
+    /// Answer the refusal now.
+    Refused {
+        /// The call that waited.
+        ticket: TicketKey,
+        /// The refusal.
+        refusal: GateRefusal,
+    },
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunResult {
+    /// With a whole answer.
+    Answered,
+    /// The server shed it; it did not run.
+    Shed,
+    /// With an error of the server or of a child call.
+    Failed,
+    /// The connection or the server was lost.
+    Lost,
+    /// The caller went away or the deadline passed.
+    Cancelled,
+}
+
+/// Load of a gate, for routing and for the dump.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct GateLoad {
+    /// Calls that run.
+    pub running: u32,
+    /// Calls that wait.
+    pub queued: u32,
+    /// Calls that may run at once.
+    pub limit: u32,
+    /// Least important priority that is let in.
+    pub level: CallPriority,
+}
+
+/// Counts since the gate was made.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct GateCounts {
+    /// Calls that got a slot.
+    pub admitted: u64,
+    /// Calls refused for their priority.
+    pub refused_level: u64,
+    /// Calls refused for their remaining time.
+    pub refused_deadline: u64,
+    /// Calls refused by a full queue.
+    pub refused_full: u64,
+    /// Calls refused because the server starts or leaves.
+    pub refused_state: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RunningCall {
+    since: MonoTime,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct GateWindow {
+    is_full: bool,
+    is_short: bool,
+    waits: u32,
+    waited: Duration,
+}
+
+/// The gate of one backend server.
+#[derive(Clone, Debug)]
+pub struct ServerGate {
+    config: GateConfig,
+    state: ServerState,
+    limit: SlotLimit,
+    level: LevelControl,
+    hold: HoldEstimate,
+    running: SlotMap<SlotKey, RunningCall>,
+    queue: CallQueue,
+    events: Vec<GateEvent>,
+    window: GateWindow,
+    window_end: MonoTime,
+    counts: GateCounts,
+}
+
+impl ServerGate {
+    /// Returns the gate of a server that serves with `slots` slots.
+    pub fn new(config: GateConfig, slots: u32, now: MonoTime) -> ServerGate {
+        ServerGate {
+            config,
+            state: ServerState::Serving,
+            limit: SlotLimit::new(config.limit, slots),
+            level: LevelControl::default(),
+            hold: HoldEstimate::default(),
+            running: SlotMap::with_key(),
+            queue: CallQueue::new(config.order),
+            events: Vec::new(),
+            window: GateWindow::default(),
+            window_end: now + WINDOW,
+            counts: GateCounts::default(),
+        }
+    }
+
+    /// Decides on `call`.
+    pub fn offer(&mut self, call: GateCall, now: MonoTime) -> GateDecision {
+        self.roll_windows(now);
+        let offered = self.decide(call, now);
+        match offered {
+            Ok(decision) => decision,
+            Err(reason) => GateDecision::Refuse(self.refuse(reason)),
+        }
+    }
+
+    /// Ends the run in `slot`; `child_time` is what it spent waiting for child calls.
+    pub fn finish(
+        &mut self,
+        slot: SlotKey,
+        result: RunResult,
+        child_time: Duration,
+        now: MonoTime,
+    ) {
+        self.roll_windows(now);
+        let Some(call) = self.running.remove(slot) else {
+            return;
+        };
+        let held = now.since(call.since);
+        match result {
+            RunResult::Answered => {
+                self.hold.record(held);
+                self.limit.record_answer(held.saturating_sub(child_time));
+            }
+            RunResult::Shed => self.limit.record_shed(),
+            RunResult::Failed | RunResult::Lost | RunResult::Cancelled => {}
+        }
+        self.fill_slots(now);
+    }
+
+    /// Takes a call out of the queue whose caller has gone away.
+    pub fn cancel(&mut self, ticket: TicketKey) {
+        self.queue.remove(ticket);
+    }
+
+    /// Takes a new announcement of the server.
+    pub fn announce(&mut self, state: ServerState, slots: u32, now: MonoTime) {
+        self.limit.set_slots(slots);
+        let old = std::mem::replace(&mut self.state, state);
+        if old == ServerState::Starting && state == ServerState::Serving && self.config.use_ramp {
+            self.limit.start_ramp();
+        }
+        if state != ServerState::Serving {
+            self.refuse_queue();
+        }
+        self.fill_slots(now);
+    }
+
+    /// Does what is due at `now`.
+    pub fn poll(&mut self, now: MonoTime) {
+        self.roll_windows(now);
+        for ticket in self.queue.overdue(Duration::ZERO, now) {
+            self.refuse_ticket(ticket, RefusalReason::Deadline);
+        }
+        self.fill_slots(now);
+    }
+
+    /// Returns when [`ServerGate::poll`] is due next, `None` while nothing can change by itself.
+    pub fn next_poll(&self) -> Option<MonoTime> {
+        let is_idle = self.running.is_empty() && self.queue.len() == 0;
+        if is_idle && self.level.level() == CallPriority::LAST {
+            return None;
+        }
+        let deadline = self.queue.earliest_deadline().unwrap_or(self.window_end);
+        Some(deadline.min(self.window_end))
+    }
+
+    /// Takes what has become of queued calls since the last time.
+    pub fn take_events(&mut self) -> Vec<GateEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Returns the least important priority that is let in; it goes back on every answer.
+    pub fn level(&self) -> CallPriority {
+        match self.config.use_level {
+            true => self.level.level(),
+            false => CallPriority::LAST,
+        }
+    }
+
+    /// Returns the state that the server announced last.
+    pub fn state(&self) -> ServerState {
+        self.state
+    }
+
+    /// Returns the load.
+    pub fn load(&self) -> GateLoad {
+        GateLoad {
+            running: self.running.len() as u32,
+            queued: self.queue.len() as u32,
+            limit: self.limit.limit(),
+            level: self.level(),
+        }
+    }
+
+    /// Returns the counts.
+    pub fn counts(&self) -> GateCounts {
+        self.counts
+    }
+
+    /// Returns how long a call holds its slot.
+    pub fn hold_time(&self) -> Duration {
+        self.hold.mean()
+    }
+
+    fn decide(&mut self, call: GateCall, now: MonoTime) -> Result<GateDecision, RefusalReason> {
+        match self.state {
+            ServerState::Starting => return Err(RefusalReason::Starting),
+            ServerState::Leaving => return Err(RefusalReason::Leaving),
+            ServerState::Serving => {}
+        }
+        let passes = self.level.admits(call.priority);
+        let is_spared = self.config.spare_nested && call.is_nested;
+        if self.config.use_level && !passes && !is_spared {
+            return Err(RefusalReason::Level);
+        }
+        if call.deadline <= now + self.expected_hold() {
+            self.window.is_short = true;
+            return Err(RefusalReason::Deadline);
+        }
+        if self.has_room() && self.queue.len() == 0 {
+            self.window.waits += 1;
+            return Ok(GateDecision::Admit(self.start(now)));
+        }
+        self.enqueue(call, now)
+    }
+
+    fn enqueue(&mut self, call: GateCall, now: MonoTime) -> Result<GateDecision, RefusalReason> {
+        self.window.is_full = true;
+        let wait = self.expected_wait(self.queue.ahead_of(&call));
+        if call.deadline <= now + wait + self.expected_hold() {
+            self.window.is_short = true;
+            return Err(RefusalReason::Deadline);
+        }
+        if self.expected_wait(self.queue.len()) > self.config.wait_max {
+            self.window.is_short = true;
+            let Some(ticket) = self.queue.last_below(call.priority) else {
+                return Err(RefusalReason::Full);
+            };
+            self.refuse_ticket(ticket, RefusalReason::Full);
+        }
+        Ok(GateDecision::Queue(self.queue.push(call, now)))
+    }
+
+    fn has_room(&self) -> bool {
+        self.running.len() < self.limit.limit() as usize
+    }
+
+    /// Returns the time that a call is expected to run; zero at an idle server, so that an estimate
+    /// that has become too long is corrected.
+    fn expected_hold(&self) -> Duration {
+        match self.running.is_empty() {
+            true => Duration::ZERO,
+            false => self.hold.mean(),
+        }
+    }
+
+    fn expected_wait(&self, ahead: usize) -> Duration {
+        let turns = (ahead + 1) as f64 / f64::from(self.limit.limit());
+        self.hold.mean().mul_f64(turns)
+    }
+
+    fn start(&mut self, now: MonoTime) -> SlotKey {
+        self.counts.admitted += 1;
+        self.running.insert(RunningCall { since: now })
+    }
+
+    fn fill_slots(&mut self, now: MonoTime) {
+        while self.has_room() {
+            let Some(ticket) = self.queue.first() else {
+                return;
+            };
+            self.start_ticket(ticket, now);
+        }
+    }
+
+    fn start_ticket(&mut self, ticket: TicketKey, now: MonoTime) {
+        let hold = self.expected_hold();
+        let Some(queued) = self.queue.remove(ticket) else {
+            return;
+        };
+        let waited = now.since(queued.since);
+        self.window.waits += 1;
+        self.window.waited += waited;
+        if queued.call.deadline <= now + hold {
+            self.window.is_short = true;
+            let refusal = self.refuse(RefusalReason::Deadline);
+            self.events.push(GateEvent::Refused { ticket, refusal });
+            return;
+        }
+        let slot = self.start(now);
+        self.events.push(GateEvent::Admitted { ticket, slot });
+    }
+
+    fn refuse_queue(&mut self) {
+        let reason = match self.state {
+            ServerState::Starting => RefusalReason::Starting,
+            ServerState::Serving | ServerState::Leaving => RefusalReason::Leaving,
+        };
+        for ticket in self.queue.tickets() {
+            self.refuse_ticket(ticket, reason);
+        }
+    }
+
+    fn refuse_ticket(&mut self, ticket: TicketKey, reason: RefusalReason) {
+        if self.queue.remove(ticket).is_some() {
+            let refusal = self.refuse(reason);
+            self.events.push(GateEvent::Refused { ticket, refusal });
+        }
+    }
+
+    fn refuse(&mut self, reason: RefusalReason) -> GateRefusal {
+        let (count, retry_after) = match reason {
+            RefusalReason::Level => (&mut self.counts.refused_level, COME_BACK_PRESSED),
+            RefusalReason::Deadline => (&mut self.counts.refused_deadline, COME_BACK_PRESSED),
+            RefusalReason::Full => (&mut self.counts.refused_full, COME_BACK_PRESSED),
+            RefusalReason::Starting | RefusalReason::Leaving => {
+                (&mut self.counts.refused_state, COME_BACK_ELSEWHERE)
+            }
+        };
+        *count += 1;
+        GateRefusal {
+            reason,
+            level: self.level(),
+            retry_after,
+        }
+    }
+
+    fn roll_windows(&mut self, now: MonoTime) {
+        let mut windows = 0;
+        while self.window_end <= now {
+            windows += 1;
+            if windows > WINDOWS_MAX {
+                self.window_end = now + WINDOW;
+                return;
+            }
+            self.window_end = self.window_end + WINDOW;
+            self.close_window();
+        }
+    }
+
+    fn close_window(&mut self) {
+        let window = std::mem::take(&mut self.window);
+        self.limit.close_window(window.is_full);
+        let mean_wait = window.waited / window.waits.max(1);
+        let hold = self.hold.mean().max(Duration::from_micros(1));
+        self.level.close_window(LevelWindow {
+            capacity: f64::from(self.limit.limit()) * WINDOW.div_duration_f64(hold),
+            is_pressed: window.is_short || mean_wait > self.config.wait_target,
+            queued: self.queue.len() as f64,
+        });
+    }
+}
--- /dev/null
+++ b/crates/decide/src/level.rs
@@ -0,0 +1,200 @@
+//! Priority level of a gate under pressure, and what callers of the gate remember of it.
+//!
+//! A gate that cannot keep up lowers its level and refuses what is less important. The level
+//! travels back on answers, so that entries refuse there what would be refused deeper. The scheme
+//! of levels fed back to callers is that of DAGOR, "Overload Control for Scaling WeChat
+//! Microservices", SoCC 2018; the step here follows the measured capacity instead of a fixed share.
+
+use crate::{
+    priority::{CLASS_LEVELS, CallPriority},
+    time::MonoTime,
+};
+use std::{collections::HashMap, hash::Hash, time::Duration};
+
+/// Levels in one bucket of the demand histogram.
+const BUCKET_LEVELS: u16 = 32;
+/// Buckets of the demand histogram.
+const BUCKETS: usize = (CallPriority::LAST.0 / BUCKET_LEVELS) as usize + 1;
+/// Weight of the newest window in the demand histogram.
+const DEMAND_WEIGHT: f64 = 0.3;
+/// Smallest share of the demand that stays after one step down.
+const KEEP_MIN: f64 = 0.5;
+/// Largest share of the demand that stays after one step down.
+const KEEP_MAX: f64 = 0.98;
+/// Largest step up a window, in levels.
+const RAISE_MAX: u16 = CLASS_LEVELS / 4;
+/// Smallest step up a window, in levels.
+const RAISE_MIN: u16 = CLASS_LEVELS / 64;
+
+/// What a gate measured in one window.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LevelWindow {
+    /// Calls that the server could have finished in the window.
+    pub capacity: f64,
+    /// Whether calls waited too long or were refused for want of room.
+    pub is_pressed: bool,
+    /// Calls that wait at the end of the window.
+    pub queued: f64,
+}
+
+/// The level of one gate.
+#[derive(Clone, Debug)]
+pub struct LevelControl {
+    level: CallPriority,
+    counts: Box<[u32]>,
+    demand: Box<[f64]>,
+}
+
+impl Default for LevelControl {
+    fn default() -> LevelControl {
+        LevelControl {
+            level: CallPriority::LAST,
+            counts: vec![0; BUCKETS].into_boxed_slice(),
+            demand: vec![0.0; BUCKETS].into_boxed_slice(),
+        }
+    }
+}
+
+impl LevelControl {
+    /// Returns the least important priority that is let in.
+    pub fn level(&self) -> CallPriority {
+        self.level
+    }
+
+    /// Counts an offered call; returns whether its priority is let in.
+    pub fn admits(&mut self, priority: CallPriority) -> bool {
+        self.counts[bucket_of(priority)] += 1;
+        priority <= self.level
+    }
+
+    /// Ends a window and moves the level.
+    pub fn close_window(&mut self, window: LevelWindow) {
+        for (demand, count) in self.demand.iter_mut().zip(self.counts.iter_mut()) {
+            *demand += (f64::from(*count) - *demand) * DEMAND_WEIGHT;
+            *count = 0;
+        }
+        let top = bucket_of(self.level);
+        let admitted: f64 = self.demand[..=top].iter().sum();
+        if window.is_pressed {
+            self.lower(window, admitted);
+        } else if self.level < CallPriority::LAST {
+            self.raise(window, admitted);
+        }
+    }
+
+    fn lower(&mut self, window: LevelWindow, admitted: f64) {
+        let target = window.capacity - window.queued * 0.5;
+        let keep = (target / admitted.max(1.0)).clamp(KEEP_MIN, KEEP_MAX);
+        let mut left = admitted * keep;
+        for (idx, demand) in self.demand.iter().enumerate() {
+            if *demand >= left {
+                let part = left / demand.max(f64::MIN_POSITIVE);
+                let level = level_in(idx, part);
+                self.level = level.min(self.level);
+                return;
+            }
+            left -= demand;
+        }
+    }
+
+    fn raise(&mut self, window: LevelWindow, admitted: f64) {
+        let spare = (window.capacity - admitted).max(0.0);
+        let density = self.density_at(bucket_of(self.level));
+        let levels = (spare * 0.5 / density) as u16;
+        let step = levels.clamp(RAISE_MIN, RAISE_MAX);
+        self.level = CallPriority(self.level.0 + step).min(CallPriority::LAST);
+    }
+
+    /// Returns the demand a level around bucket `top`, which is taken to go on above it.
+    fn density_at(&self, top: usize) -> f64 {
+        let from = top.saturating_sub(4);
+        let seen: f64 = self.demand[from..=top].iter().sum();
+        let levels = (top - from + 1) as f64 * f64::from(BUCKET_LEVELS);
+        (seen / levels).max(1e-3)
+    }
+}
+
+fn bucket_of(priority: CallPriority) -> usize {
+    usize::from(priority.0.min(CallPriority::LAST.0) / BUCKET_LEVELS)
+}
+
+fn level_in(bucket: usize, part: f64) -> CallPriority {
+    let base = bucket as u16 * BUCKET_LEVELS;
+    CallPriority(base + (f64::from(BUCKET_LEVELS) * part) as u16)
+}
+
+/// Time for which a heard level holds in full.
+const LEVEL_HOLD: Duration = Duration::from_millis(300);
+/// Time over which a level that is not heard again rises back to let everything in.
+const LEVEL_FADE: Duration = Duration::from_millis(1_000);
+/// Weight of a newly heard level.
+const HEARD_WEIGHT: f64 = 0.2;
+
+/// Levels that a caller of gates has heard, by what they were heard for.
+#[derive(Clone, Debug)]
+pub struct LevelTable<K> {
+    heard: HashMap<K, HeardLevel>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HeardLevel {
+    level: f64,
+    at: MonoTime,
+}
+
+impl<K> Default for LevelTable<K> {
+    fn default() -> LevelTable<K> {
+        LevelTable {
+            heard: HashMap::new(),
+        }
+    }
+}
+
+impl<K: Eq + Hash> LevelTable<K> {
+    /// Records the level on an answer.
+    pub fn hear(&mut self, key: K, level: CallPriority, now: MonoTime) {
+        if level == CallPriority::LAST && !self.heard.contains_key(&key) {
+            return;
+        }
+        let new = f64::from(level.0);
+        let heard = self.heard.entry(key).or_insert(HeardLevel {
+            level: f64::from(CallPriority::LAST.0),
+            at: now,
+        });
+        let old = heard.faded(now);
+        heard.level = old + (new - old) * HEARD_WEIGHT;
+        heard.at = now;
+    }
+
+    /// Returns the least important priority that is worth sending to `key`.
+    pub fn level(&self, key: &K, now: MonoTime) -> CallPriority {
+        match self.heard.get(key) {
+            Some(heard) => CallPriority(heard.faded(now).round() as u16),
+            None => CallPriority::LAST,
+        }
+    }
+
+    /// Forgets the levels that have faded.
+    pub fn prune(&mut self, now: MonoTime) {
+        self.heard
+            .retain(|_, heard| now.since(heard.at) < LEVEL_HOLD + LEVEL_FADE);
+    }
+
+    /// Returns the number of levels held.
+    pub fn len(&self) -> usize {
+        self.heard.len()
+    }
+
+    /// Returns whether no level is held.
+    pub fn is_empty(&self) -> bool {
+        self.heard.is_empty()
+    }
+}
+
+impl HeardLevel {
+    fn faded(&self, now: MonoTime) -> f64 {
+        let over = now.since(self.at).saturating_sub(LEVEL_HOLD);
+        let share = (over.as_secs_f64() / LEVEL_FADE.as_secs_f64()).min(1.0);
+        self.level + (f64::from(CallPriority::LAST.0) - self.level) * share
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,8 +5,14 @@
 //! daemons, the keepers, the property tests and the bench all drive the same code.
 
 pub mod contract;
+pub mod deadline;
+pub mod gate;
+pub mod level;
+pub mod limit;
 pub mod name;
 pub mod outcome;
 pub mod priority;
+pub mod quota;
+pub mod retry;
 pub mod state;
 pub mod time;
--- /dev/null
+++ b/crates/decide/src/quota.rs
@@ -0,0 +1,217 @@
+//! Contract limits divided over places, never exceeded in sum.
+//!
+//! Each zone holds a fixed share of a limit. A zone with more demand than its share borrows from
+//! the others: it asks, and a grant runs for a fixed term that the borrower counts from when it
+//! asked and the lender from when it was asked, which is later. So a grant ends at the borrower
+//! first, no clocks are compared, and the shares in use never add up to more than the limit. A zone
+//! that is cut off falls back to its fixed share within one term. Inside a zone the same type
+//! divides the zone's share over daemons: one of them holds it and the others borrow.
+//!
+//! Lowering a base takes back nothing that is lent: for one term the sum may exceed the new limit
+//! by what was lent under the old one. The clocks of two hosts are taken to run at the same rate to
+//! within [`RATE_MARGIN`].
+
+use crate::{name::Incarnation, time::MonoTime};
+use serde::{Deserialize, Serialize};
+use std::{collections::HashMap, hash::Hash, time::Duration};
+
+/// Term of a grant.
+pub const GRANT_TERM: Duration = Duration::from_secs(3);
+/// Time that the lender waits past the term, for clocks that run at different rates.
+pub const RATE_MARGIN: Duration = Duration::from_millis(30);
+/// Demand over its recent use that a lender keeps for itself.
+const KEEP_FACTOR: f64 = 1.2;
+
+/// Asks another place for part of its share.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QuotaNeed {
+    /// The borrower's run; the grant echoes it.
+    pub asker: Incarnation,
+    /// When this was asked, on the borrower's clock; the grant echoes it.
+    pub asked_at: MonoTime,
+    /// How much is wanted.
+    pub amount: u32,
+}
+
+/// Lends part of a share for [`GRANT_TERM`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QuotaGrant {
+    /// Echo of the borrower's run.
+    pub asker: Incarnation,
+    /// Echo of the borrower's time.
+    pub asked_at: MonoTime,
+    /// How much is lent, in place of any earlier grant.
+    pub amount: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HeldGrant {
+    amount: u32,
+    until: MonoTime,
+}
+
+/// The part of a contract limit that one place may use.
+#[derive(Clone, Debug)]
+pub struct QuotaShare<K> {
+    incarnation: Incarnation,
+    base: u32,
+    demand: u32,
+    lent: HashMap<K, Vec<HeldGrant>>,
+    borrowed: HashMap<K, BorrowedGrant>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct BorrowedGrant {
+    asked_at: MonoTime,
+    grant: HeldGrant,
+}
+
+impl<K: Copy + Eq + Hash> QuotaShare<K> {
+    /// Returns a share of `base` that nothing is lent of or borrowed to, in the run `incarnation`
+    /// of its process.
+    pub fn new(base: u32, incarnation: Incarnation) -> QuotaShare<K> {
+        QuotaShare {
+            incarnation,
+            base,
+            demand: 0,
+            lent: HashMap::new(),
+            borrowed: HashMap::new(),
+        }
+    }
+
+    /// Takes a new fixed share, after a change of the contract or of the places.
+    pub fn set_base(&mut self, base: u32) {
+        self.base = base;
+    }
+
+    /// Records the demand lately seen here.
+    pub fn set_demand(&mut self, demand: u32) {
+        self.demand = demand;
+    }
+
+    /// Returns what may be used at `now`.
+    pub fn available(&self, now: MonoTime) -> u32 {
+        let borrowed: u32 = self.borrowed.values().map(|b| b.grant.alive(now)).sum();
+        (self.base + borrowed).saturating_sub(self.lent(now))
+    }
+
+    /// Returns what is lent out at `now`.
+    pub fn lent(&self, now: MonoTime) -> u32 {
+        let most = |grants: &Vec<HeldGrant>| grants.iter().map(|g| g.alive(now)).max();
+        self.lent.values().filter_map(most).sum()
+    }
+
+    /// Returns what to ask one of `peers` other places for, `None` while the own share will do.
+    pub fn need(&self, peers: u32, now: MonoTime) -> Option<QuotaNeed> {
+        let own = self.base.saturating_sub(self.lent(now));
+        let missing = self.wanted().saturating_sub(own);
+        let amount = missing.div_ceil(peers.max(1));
+        (amount > 0).then_some(QuotaNeed {
+            asker: self.incarnation,
+            asked_at: now,
+            amount,
+        })
+    }
+
+    /// Answers the place `from`, which asks for part of this share.
+    pub fn lend(&mut self, from: K, need: QuotaNeed, now: MonoTime) -> QuotaGrant {
+        let others = self.lent_except(from, now);
+        let spare = self.base.saturating_sub(others + self.wanted());
+        let amount = need.amount.min(spare);
+        let grants = self.lent.entry(from).or_default();
+        grants.retain(|g| g.alive(now) > amount);
+        grants.push(HeldGrant {
+            amount,
+            until: now + GRANT_TERM + RATE_MARGIN,
+        });
+        QuotaGrant {
+            asker: need.asker,
+            asked_at: need.asked_at,
+            amount,
+        }
+    }
+
+    /// Takes the grant of the place `from`; one that an earlier run asked for, or that is older
+    /// than the one held, changes nothing.
+    pub fn borrow(&mut self, from: K, grant: QuotaGrant) {
+        if grant.asker != self.incarnation {
+            return;
+        }
+        let held = self.borrowed.get(&from);
+        if held.is_some_and(|b| b.asked_at > grant.asked_at) {
+            return;
+        }
+        let borrowed = BorrowedGrant {
+            asked_at: grant.asked_at,
+            grant: HeldGrant {
+                amount: grant.amount,
+                until: grant.asked_at + GRANT_TERM,
+            },
+        };
+        self.borrowed.insert(from, borrowed);
+    }
+
+    fn wanted(&self) -> u32 {
+        (f64::from(self.demand) * KEEP_FACTOR).ceil() as u32
+    }
+
+    fn lent_except(&self, place: K, now: MonoTime) -> u32 {
+        let most = |grants: &Vec<HeldGrant>| grants.iter().map(|g| g.alive(now)).max();
+        self.lent
+            .iter()
+            .filter(|(to, _)| **to != place)
+            .filter_map(|(_, grants)| most(grants))
+            .sum()
+    }
+}
+
+impl HeldGrant {
+    fn alive(&self, now: MonoTime) -> u32 {
+        if now < self.until { self.amount } else { 0 }
+    }
+}
+
+/// Token bucket whose rate may change.
+#[derive(Clone, Debug)]
+pub struct RateBucket {
+    tokens: f64,
+    filled_at: MonoTime,
+}
+
+impl RateBucket {
+    /// Time of full rate that an unused bucket saves up.
+    const BURST: Duration = Duration::from_millis(100);
+
+    /// Returns a bucket that is full at `rate` calls a second.
+    pub fn new(rate: u32, now: MonoTime) -> RateBucket {
+        RateBucket {
+            tokens: burst_of(rate),
+            filled_at: now,
+        }
+    }
+
+    /// Takes one call at `rate` calls a second.
+    ///
+    /// # Errors
+    ///
+    /// The time after which a call fits, [`crate::retry::RETRY_AFTER_MAX`] at a rate of zero.
+    pub fn take(&mut self, rate: u32, now: MonoTime) -> Result<(), Duration> {
+        let refill = now.since(self.filled_at).as_secs_f64() * f64::from(rate);
+        self.tokens = (self.tokens + refill).min(burst_of(rate));
+        self.filled_at = now;
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        if rate == 0 {
+            return Err(crate::retry::RETRY_AFTER_MAX);
+        }
+        Err(Duration::from_secs_f64(
+            (1.0 - self.tokens) / f64::from(rate),
+        ))
+    }
+}
+
+fn burst_of(rate: u32) -> f64 {
+    (f64::from(rate) * RateBucket::BURST.as_secs_f64()).max(1.0)
+}
