Add the daemon binary

Cause: the path needs a process that listens, follows the contracts and stops gracefully. Change: serve command, contract feed, upkeep of the route table from local announcements, dump; SIGTERM and POST /drain tell the others first, then stop the listeners and wait for the calls in flight. Ruled out: stopping the listeners at once (a caller on a kept connection would be cut). Conclusion: builds clean; served as soon as a keeper runs.

--- /dev/null
+++ b/bin/daemon/src/cmd/serve.rs
@@ -0,0 +1,153 @@
+//! `agatehill-daemon serve SETTINGS`: runs the daemon until SIGTERM or `POST /drain`.
+//!
+//! Prints one line on standard output once it takes calls:
+//! `ready caller=ADDR forward=ADDR announce=ADDR operator=ADDR`.
+//! Exits with 0 after a graceful stop and with 1 when it can't start.
+
+use crate::{dump::DaemonDump, feed::ContractFeed, members::MemberTable};
+use agatehill_backend::{announce, gate::CallGate, registry::ServerRegistry};
+use agatehill_caller::{
+    attempt::AttemptRunner,
+    contracts::ContractView,
+    entry::CallEntry,
+    handler::{caller_router, forward_handler},
+    routes::RouteView,
+};
+use agatehill_config::DaemonSettings;
+use agatehill_operator::inspect::inspect_routes;
+use agatehill_peer::{forward::ForwardClient, keeper_client::KeeperClient};
+use agatehill_platform::{
+    clock::MonoClock,
+    drain::DrainSignal,
+    health::{self, ReadyFlag},
+    serve::HttpServer,
+};
+use eyre::WrapErr;
+use gotham::router::{Router, build_simple_router};
+use std::{path::PathBuf, sync::Arc, time::Duration};
+
+/// Time for which a stopping daemon still takes calls while the others learn of it.
+const LEAVE_SPAN: Duration = Duration::from_millis(1_500);
+
+/// Arguments of the command.
+#[derive(Debug, clap::Args)]
+pub(crate) struct Args {
+    /// Settings file, TOML.
+    settings: PathBuf,
+}
+
+/// The HTTP listeners of a daemon.
+struct DaemonListeners {
+    caller: HttpServer,
+    forward: HttpServer,
+    announce: HttpServer,
+    operator: HttpServer,
+}
+
+pub(crate) fn run(args: &Args) -> eyre::Result<()> {
+    let settings: DaemonSettings = agatehill_config::load(&args.settings)?;
+    agatehill_config::log::init(&settings.log)?;
+    let runtime = tokio::runtime::Runtime::new().wrap_err("cannot start the runtime")?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: DaemonSettings) -> eyre::Result<()> {
+    let clock = MonoClock::open();
+    let drain = DrainSignal::open().wrap_err("cannot listen for signals")?;
+    let ready = ReadyFlag::default();
+    let entry = Arc::new(open_entry(&settings, clock));
+    let dump = DaemonDump::new(&settings, entry.clone());
+    let health = (ready.clone(), drain.clone());
+    let listeners = bind(&settings, &entry, dump, health).await?;
+
+    let forward = listeners.forward.local_addr();
+    let members = MemberTable::spawn(&settings, entry.runner.clone(), forward);
+    let feed = ContractFeed::spawn(
+        KeeperClient::spawn(settings.keepers.clone()),
+        entry.contracts.clone(),
+    );
+    feed.in_force().await;
+    ready.set(true);
+    println!("ready {}", listeners.addresses());
+    spdlog::info!(
+        "daemon {} takes calls at {}",
+        settings.name,
+        listeners.caller.local_addr()
+    );
+
+    drain.raised().await;
+    spdlog::info!("daemon {} stops gracefully", settings.name);
+    members.leave();
+    tokio::time::sleep(LEAVE_SPAN).await;
+    listeners.stop().await;
+    spdlog::info!("daemon {} has stopped", settings.name);
+    Ok(())
+}
+
+fn open_entry(settings: &DaemonSettings, clock: MonoClock) -> CallEntry {
+    let registry = Arc::new(ServerRegistry::open());
+    let runner = AttemptRunner {
+        daemon: settings.name.clone(),
+        routes: RouteView::default(),
+        gate: CallGate::open(registry, clock),
+        forward: ForwardClient::open(),
+    };
+    CallEntry {
+        contracts: ContractView::default(),
+        runner,
+        body_bytes_max: settings.limits.body_bytes_max,
+    }
+}
+
+async fn bind(
+    settings: &DaemonSettings,
+    entry: &Arc<CallEntry>,
+    dump: DaemonDump,
+    (ready, drain): (ReadyFlag, DrainSignal),
+) -> eyre::Result<DaemonListeners> {
+    let listen = settings.listen;
+    let gate = &entry.runner.gate;
+    let announce = announce::router(gate.registry().clone(), gate.clock());
+    let operator = operator_router(dump, ready, drain);
+    Ok(DaemonListeners {
+        caller: HttpServer::bind(listen.caller, caller_router(entry.clone()))
+            .await
+            .wrap_err_with(|| format!("cannot bind listen.caller {}", listen.caller))?,
+        forward: HttpServer::bind(listen.forward, forward_handler(entry.clone()))
+            .await
+            .wrap_err_with(|| format!("cannot bind listen.forward {}", listen.forward))?,
+        announce: HttpServer::bind(listen.announce, announce)
+            .await
+            .wrap_err_with(|| format!("cannot bind listen.announce {}", listen.announce))?,
+        operator: HttpServer::bind(listen.operator, operator)
+            .await
+            .wrap_err_with(|| format!("cannot bind listen.operator {}", listen.operator))?,
+    })
+}
+
+fn operator_router(dump: DaemonDump, ready: ReadyFlag, drain: DrainSignal) -> Router {
+    build_simple_router(|route| {
+        health::add_routes(route, ready, drain);
+        inspect_routes(route, dump);
+    })
+}
+
+impl DaemonListeners {
+    fn addresses(&self) -> String {
+        format!(
+            "caller={} forward={} announce={} operator={}",
+            self.caller.local_addr(),
+            self.forward.local_addr(),
+            self.announce.local_addr(),
+            self.operator.local_addr()
+        )
+    }
+
+    /// Stops the listeners; ends when every call in flight has its answer.
+    async fn stop(self) {
+        self.caller.stop().await;
+        self.forward.stop().await;
+        self.announce.stop().await;
+        self.operator.stop().await;
+    }
+}
--- /dev/null
+++ b/bin/daemon/src/dump.rs
@@ -0,0 +1,74 @@
+//! The daemon's state, for `GET /dump`.
+
+use agatehill_caller::entry::CallEntry;
+use agatehill_config::DaemonSettings;
+use agatehill_operator::inspect::StateDump;
+use serde_json::{Value, json};
+use std::sync::Arc;
+
+/// Reads the state of a daemon.
+#[derive(Clone, Debug)]
+pub(crate) struct DaemonDump {
+    settings: Arc<DaemonSettings>,
+    entry: Arc<CallEntry>,
+}
+
+impl DaemonDump {
+    pub(crate) fn new(settings: &DaemonSettings, entry: Arc<CallEntry>) -> DaemonDump {
+        DaemonDump {
+            settings: Arc::new(settings.clone()),
+            entry,
+        }
+    }
+}
+
+impl StateDump for DaemonDump {
+    fn dump(&self) -> Value {
+        json!({
+            "daemon": self.settings.name,
+            "region": self.settings.region,
+            "availability_zone": self.settings.availability_zone,
+            "contracts": contracts(&self.entry),
+            "servers": servers(&self.entry),
+            "routes": routes(&self.entry),
+        })
+    }
+}
+
+fn contracts(entry: &CallEntry) -> Vec<Value> {
+    let mut specs = entry.contracts.list();
+    specs.sort_by(|a, b| a.customer.cmp(&b.customer));
+    let value = |spec: &Arc<agatehill_decide::contract::ContractSpec>| json!({ "customer": spec.customer, "revision": spec.revision });
+    specs.iter().map(value).collect()
+}
+
+fn servers(entry: &CallEntry) -> Vec<Value> {
+    let servers = entry.runner.gate.registry().list();
+    servers
+        .iter()
+        .map(|server| json!({ "announcement": server.announcement }))
+        .collect()
+}
+
+fn routes(entry: &CallEntry) -> Vec<Value> {
+    let table = entry.runner.routes.load();
+    let value = |(distance, view, signal): (
+        agatehill_decide::route::RouteDistance,
+        &Arc<agatehill_decide::route::ServerView>,
+        &agatehill_decide::route::ServerSignal,
+    )| {
+        json!({
+            "service": view.service,
+            "daemon": view.daemon,
+            "availability_zone": view.zone,
+            "region": view.region,
+            "forward": view.forward,
+            "backend": view.backend,
+            "state": view.state,
+            "slots": view.slots,
+            "distance": distance,
+            "in_flight": signal.in_flight(),
+        })
+    };
+    table.iter().map(value).collect()
+}
--- a/bin/daemon/src/main.rs
+++ b/bin/daemon/src/main.rs
@@ -1,3 +1,36 @@
-//! Placeholder.
+//! The daemon on every backend server host.
 
-fn main() {}
+mod cmd;
+mod dump;
+mod feed;
+mod members;
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+
+/// Takes calls, routes them and admits them at the backend servers on its host.
+#[derive(Debug, Parser)]
+#[command(name = "agatehill-daemon", version)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs the daemon until it is told to stop.
+    Serve(cmd::serve::Args),
+}
+
+fn main() -> ExitCode {
+    let result = match Args::parse().command {
+        Command::Serve(args) => cmd::serve::run(&args),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("agatehill-daemon: {report:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
