Add the harness of tests over real processes

Cause: failures have to be proved over real processes. Change: processes that end with their guard, a small HTTP client, waiting with a limit.

--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,1 +1,5 @@
-//! Harness for tests over real processes.
+//! Harness for tests over real processes: a folder, processes that end with it, an HTTP client.
+
+pub mod bed;
+pub mod client;
+pub mod process;
