Run a thin keeper: contract API, feed, dump, metrics, graceful stop

Cause: the whole path needs a process that accepts contracts and feeds them. Ruled out: gotham's own bind_server, which never returns.

--- /dev/null
+++ b/bin/keeper/src/cmd.rs
@@ -0,0 +1,3 @@
+//! One module a subcommand.
+
+pub(crate) mod serve;
--- /dev/null
+++ b/bin/keeper/src/cmd/serve.rs
@@ -0,0 +1,63 @@
+//! `agatehill-keeper serve`: runs the keeper until it is told to stop.
+
+use crate::hub::KeeperHub;
+use agatehill_config::KeeperSettings;
+use agatehill_operator::{contracts::contract_routes, inspect::inspect_routes};
+use agatehill_peer::keeper::KeeperServer;
+use agatehill_platform::{
+    drain::DrainSignal,
+    health::{self, ReadyFlag},
+    serve::HttpServer,
+};
+use eyre::WrapErr;
+use gotham::router::{Router, build_simple_router};
+use std::path::PathBuf;
+
+/// Runs the keeper until SIGTERM.
+///
+/// Prints `ready operator=ADDR peer=ADDR` once both addresses are listened on.
+#[derive(clap::Args, Debug)]
+pub(crate) struct Args {
+    /// Settings in TOML.
+    settings: PathBuf,
+}
+
+/// Runs the subcommand.
+pub(crate) fn run(args: Args) -> eyre::Result<()> {
+    let settings: KeeperSettings = agatehill_config::load(&args.settings)?;
+    agatehill_config::log::init(&settings.log)?;
+    let runtime = tokio::runtime::Runtime::new()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: KeeperSettings) -> eyre::Result<()> {
+    let drain = DrainSignal::open()?;
+    let ready = ReadyFlag::default();
+    let hub = KeeperHub::open(&settings)?;
+    let addr = settings.listen.peer;
+    let peers = KeeperServer::bind(addr, hub.clone())
+        .await
+        .wrap_err_with(|| format!("cannot listen on peer address {addr}"))?;
+    let addr = settings.listen.operator;
+    let router = operator_router(hub, ready.clone(), drain.clone());
+    let operators = HttpServer::bind(addr, router)
+        .await
+        .wrap_err_with(|| format!("cannot listen on operator address {addr}"))?;
+    ready.set(true);
+    println!(
+        "ready operator={} peer={}",
+        operators.local_addr(),
+        peers.local_addr()
+    );
+    drain.raised().await;
+    operators.stop().await;
+    Ok(())
+}
+
+fn operator_router(hub: KeeperHub, ready: ReadyFlag, drain: DrainSignal) -> Router {
+    build_simple_router(|route| {
+        contract_routes(route, hub.clone());
+        inspect_routes(route, hub);
+        health::add_routes(route, ready, drain);
+    })
+}
--- a/bin/keeper/src/main.rs
+++ b/bin/keeper/src/main.rs
@@ -1,3 +1,26 @@
-//! Placeholder.
+//! The keeper: replicated durable state of agatehill, on the hosts that have a disk.
 
-fn main() {}
+mod cmd;
+mod group;
+mod hub;
+
+use clap::{Parser, Subcommand};
+
+/// Keeps contracts and claims on disk, replicated over the keepers.
+#[derive(Debug, Parser)]
+#[command(name = "agatehill-keeper", version)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    Serve(cmd::serve::Args),
+}
+
+fn main() -> eyre::Result<()> {
+    match Args::parse().command {
+        Command::Serve(args) => cmd::serve::run(args),
+    }
+}
--- a/crates/operator/src/contracts.rs
+++ b/crates/operator/src/contracts.rs
@@ -256,10 +256,7 @@
             let detail = format!("a contract holds at most {CONTRACT_BYTES_MAX} bytes");
             problem(StatusCode::PAYLOAD_TOO_LARGE, detail)
         } else {
-            problem(
-                StatusCode::BAD_REQUEST,
-                format!("body was cut short: {e}"),
-            )
+            problem(StatusCode::BAD_REQUEST, format!("body was cut short: {e}"))
         }
     })?;
     let text = String::from_utf8(body.to_bytes().into());
--- a/crates/peer/src/keeper.rs
+++ b/crates/peer/src/keeper.rs
@@ -70,8 +70,8 @@
 
 impl std::error::Error for KeeperError {}
 
-pub use control::KeeperControlClient;
 use control::KeeperControl;
+pub use control::KeeperControlClient;
 
 /// What a keeper does for daemons and other keepers.
 pub trait KeeperService: Clone + Send + Sync + 'static {
@@ -95,13 +95,10 @@
 struct ControlAdapter<S>(S);
 
 impl<S: KeeperService> KeeperControl for ControlAdapter<S> {
-    async fn feed(
-        self,
-        _: Context,
-        after: u64,
-        wait_ms: u32,
-    ) -> Result<FeedPage, KeeperError> {
-        self.0.feed(after, Duration::from_millis(wait_ms.into())).await
+    async fn feed(self, _: Context, after: u64, wait_ms: u32) -> Result<FeedPage, KeeperError> {
+        self.0
+            .feed(after, Duration::from_millis(wait_ms.into()))
+            .await
     }
 
     async fn put_contract(
