--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,4 +1,5 @@
 //! What the system's own processes say to each other.
+//! What daemons and keepers say to each other.
 
 pub mod body;
 pub mod codec;
