Add the test bed and the first test of the whole path

Cause: the path must be shown over separate processes. Change: a bed of keepers, daemons and stand-in backend servers; one test of a call from caller to backend server and back. Ruled out: a cluster simulator; the bed starts the real binaries.

--- a/tests/src/client.rs
+++ b/tests/src/client.rs
@@ -26,7 +26,9 @@
 impl TestAnswer {
     /// Returns header `name`, empty when missing.
     pub fn header(&self, name: &str) -> &str {
-        self.headers.get(name).map_or("", |value| value.to_str().expect("headers are ASCII"))
+        self.headers
+            .get(name)
+            .map_or("", |value| value.to_str().expect("headers are ASCII"))
     }
 
     /// Returns the body as JSON.
@@ -43,7 +45,9 @@
 
 impl Default for TestClient {
     fn default() -> TestClient {
-        TestClient { client: Client::builder(TokioExecutor::new()).build_http() }
+        TestClient {
+            client: Client::builder(TokioExecutor::new()).build_http(),
+        }
     }
 }
 
@@ -57,15 +61,23 @@
         headers: &[(&str, &str)],
         body: impl Into<Bytes>,
     ) -> Option<TestAnswer> {
-        let mut builder = Request::builder().method(method).uri(format!("http://{addr}{path}"));
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(format!("http://{addr}{path}"));
         for (name, value) in headers {
             builder = builder.header(*name, *value);
         }
-        let req = builder.body(Full::new(body.into())).expect("the test's request is well formed");
+        let req = builder
+            .body(Full::new(body.into()))
+            .expect("the test's request is well formed");
         let call = async {
             let (parts, body) = self.client.request(req).await.ok()?.into_parts();
             let body = body.collect().await.ok()?.to_bytes();
-            Some(TestAnswer { status: parts.status, headers: parts.headers, body })
+            Some(TestAnswer {
+                status: parts.status,
+                headers: parts.headers,
+                body,
+            })
         };
         tokio::time::timeout(CALL_LIMIT, call).await.ok().flatten()
     }
@@ -84,7 +96,10 @@
 {
     let end = tokio::time::Instant::now() + limit;
     while !check().await {
-        assert!(tokio::time::Instant::now() < end, "not within {limit:?}: {what}");
+        assert!(
+            tokio::time::Instant::now() < end,
+            "not within {limit:?}: {what}"
+        );
         tokio::time::sleep(Duration::from_millis(25)).await;
     }
 }
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -45,12 +45,19 @@
             .stdout(Stdio::piped())
             .spawn()
             .unwrap_or_else(|e| panic!("cannot start {}: {e}", path.display()));
-        ProcessGuard { child, addresses: HashMap::new() }
+        ProcessGuard {
+            child,
+            addresses: HashMap::new(),
+        }
     }
 
     /// Waits for the `ready` line.
     pub fn wait_ready(&mut self) {
-        let stdout = self.child.stdout.take().expect("stdout is piped and read once");
+        let stdout = self
+            .child
+            .stdout
+            .take()
+            .expect("stdout is piped and read once");
         let (tx, rx) = mpsc::channel();
         thread::spawn(move || {
             // Reads on to the end, so that the process never blocks on a full pipe.
@@ -58,14 +65,18 @@
                 let _ = tx.send(line);
             }
         });
-        let line = rx.recv_timeout(READY_LIMIT).expect("the process says that it is ready");
+        let line = rx
+            .recv_timeout(READY_LIMIT)
+            .expect("the process says that it is ready");
         self.addresses = parse_ready(&line);
     }
 
     /// Returns the address that the process gave as `key`.
     pub fn addr(&self, key: &str) -> SocketAddr {
         let known = &self.addresses;
-        *known.get(key).unwrap_or_else(|| panic!("no address {key:?} in {known:?}"))
+        *known
+            .get(key)
+            .unwrap_or_else(|| panic!("no address {key:?} in {known:?}"))
     }
 
     /// Returns the process id.
@@ -111,11 +122,19 @@
 pub fn binary(name: &str) -> PathBuf {
     let test = std::env::current_exe().expect("a test knows its own path");
     let deps = test.parent().expect("tests lie in target/PROFILE/deps");
-    deps.parent().expect("tests lie in target/PROFILE/deps").join(name)
+    deps.parent()
+        .expect("tests lie in target/PROFILE/deps")
+        .join(name)
 }
 
 fn parse_ready(line: &str) -> HashMap<String, SocketAddr> {
-    let rest = line.strip_prefix("ready ").unwrap_or_else(|| panic!("not a ready line: {line:?}"));
-    let pairs = rest.split_whitespace().filter_map(|pair| pair.split_once('='));
-    pairs.filter_map(|(key, addr)| Some((key.to_owned(), addr.parse().ok()?))).collect()
+    let rest = line
+        .strip_prefix("ready ")
+        .unwrap_or_else(|| panic!("not a ready line: {line:?}"));
+    let pairs = rest
+        .split_whitespace()
+        .filter_map(|pair| pair.split_once('='));
+    pairs
+        .filter_map(|(key, addr)| Some((key.to_owned(), addr.parse().ok()?)))
+        .collect()
 }
--- /dev/null
+++ b/tests/tests/whole_path.rs
@@ -0,0 +1,43 @@
+//! One request end to end, over separate processes.
+
+use agatehill_tests::bed::{TestBed, ZONE};
+
+const CONTRACT: &str = r#"
+customer = "dansk"
+revision = 1
+calls_per_second = 4000
+calls_in_flight = 1200
+retries_per_request = 2
+remember_hours = 48
+
+[[operation]]
+service = "techreg"
+method = "GET"
+path = "/certificates/{id}"
+class = "critical"
+idempotent = true
+deadline_ms = 5000
+"#;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_reaches_the_backend_server_beside_its_daemon() {
+    let mut bed = TestBed::open(&[ZONE]);
+    let keepers = bed.start_keepers();
+    bed.put_contract(keepers[0].addr("operator"), "dansk", CONTRACT)
+        .await;
+    let spec = bed.add_daemon(ZONE);
+    let daemon = bed.start_daemon(&spec);
+    let _backend = bed.start_backend(&daemon, "techreg", &[]);
+    bed.served(&daemon, "dansk", "/call/techreg/certificates/7")
+        .await;
+
+    let headers = [("agatehill-customer", "dansk"), ("idempotency-key", "r-1")];
+    let addr = daemon.addr("caller");
+    let sent = bed
+        .client
+        .send("GET", addr, "/call/techreg/certificates/7", &headers, "")
+        .await;
+    let answer = sent.expect("an answer");
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.header("agatehill-outcome"), "answered");
+}
