--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,10 +4,19 @@
 //! global source. Time and random numbers come in as arguments and outputs are values, so that the
 //! daemons, the keepers, the property tests and the bench all drive the same code.
 
+pub mod claim;
 pub mod contract;
+pub mod contract_book;
+pub mod deadline;
 pub mod document;
+pub mod gate;
+pub mod level;
+pub mod limit;
 pub mod name;
 pub mod outcome;
 pub mod priority;
+pub mod quota;
+pub mod retry;
+pub mod route;
 pub mod state;
 pub mod time;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! What the system's own processes say to each other.
+//! What daemons and keepers say to each other.
+
+pub mod body;
+pub mod codec;
+pub mod forward;
+pub mod headers;
+pub mod keeper;
+pub mod keeper_client;
