Refuse contradictory contracts with line and key

Cause: a contract was only parsed; a deadline of 0, an unknown method or two operations that take the same requests went through, and the parser's message had no key path.

Change: ContractSpec::parse checks limits, methods, path templates, deadlines, remembered time and operations that an earlier one hides. Operations are ordered by service, so that a lookup reads only those of its service.

Ruled out: an index beside the operations; ordering the list gives the same lookup without a second structure.

--- a/crates/decide/src/contract.rs
+++ b/crates/decide/src/contract.rs
@@ -1,8 +1,16 @@
 //! Contracts: the one declaration a customer that every limit follows from.
 
-use crate::name::{CustomerName, ServiceName};
+mod check;
+mod template;
+
+pub use crate::document::DocumentError as ContractError;
+
+use crate::{
+    document,
+    name::{CustomerName, ServiceName},
+};
 use serde::{Deserialize, Serialize};
-use std::{collections::HashMap, fmt, sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 /// Importance of an operation under overload; `Background` is shed first, `Critical` last.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -57,23 +65,11 @@
     pub retries_per_request: u32,
     /// Hours for which a non-idempotent request is remembered.
     pub remember_hours: u32,
-    /// The operations that the customer may call.
+    /// The operations that the customer may call, ordered by service.
     #[serde(rename = "operation", default)]
     pub operations: Vec<OperationSpec>,
 }
 
-/// A contract text that was refused.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ContractError(pub String);
-
-impl fmt::Display for ContractError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-impl std::error::Error for ContractError {}
-
 impl ContractSpec {
     /// Parses a contract from TOML.
     ///
@@ -81,14 +77,19 @@
     ///
     /// Unknown keys, missing keys and contradictions, with line and key.
     pub fn parse(text: &str) -> Result<ContractSpec, ContractError> {
-        toml::from_str(text).map_err(|e| ContractError(e.to_string()))
+        let mut spec = document::parse(text, check::check)?;
+        spec.operations.sort_by(|a, b| a.service.cmp(&b.service));
+        Ok(spec)
     }
 
     /// Returns the operation that `method` and `path` (with its leading slash) name at `service`.
     pub fn operation(&self, service: &str, method: &str, path: &str) -> Option<&OperationSpec> {
-        self.operations
+        let before = |op: &OperationSpec| op.service.as_str() < service;
+        let start = self.operations.partition_point(before);
+        self.operations[start..]
             .iter()
-            .find(|op| op.matches(service, method, path))
+            .take_while(|op| op.service.as_str() == service)
+            .find(|op| op.matches(method, path))
     }
 }
 
@@ -98,8 +99,8 @@
         Duration::from_millis(self.deadline_ms)
     }
 
-    fn matches(&self, service: &str, method: &str, path: &str) -> bool {
-        self.service.as_str() == service && self.method == method && path_matches(&self.path, path)
+    fn matches(&self, method: &str, path: &str) -> bool {
+        self.method == method && template::matches(&self.path, path)
     }
 }
 
@@ -130,20 +131,3 @@
         self.specs.values()
     }
 }
-
-fn path_matches(template: &str, path: &str) -> bool {
-    let mut wanted = template.split('/');
-    let mut given = path.split('/');
-    loop {
-        match (wanted.next(), given.next()) {
-            (None, None) => return true,
-            (Some(want), Some(have)) if segment_matches(want, have) => {}
-            _ => return false,
-        }
-    }
-}
-
-fn segment_matches(want: &str, have: &str) -> bool {
-    let is_variable = want.starts_with('{') && want.ends_with('}');
-    want == have || (is_variable && !have.is_empty())
-}
--- /dev/null
+++ b/crates/decide/src/contract/check.rs
@@ -0,0 +1,99 @@
+//! Values of a contract that contradict each other.
+
+use super::{ContractSpec, OperationSpec, template};
+use crate::document::DocumentFault;
+use std::collections::HashMap;
+
+/// Methods that an operation may have.
+const METHODS: [&str; 7] = ["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"];
+
+/// Longest deadline, in milliseconds.
+const DEADLINE_MS_MAX: u64 = 3_600_000;
+
+/// Most retries of one request.
+const RETRIES_MAX: u32 = 100;
+
+/// Longest time that a request is remembered, in hours.
+const REMEMBER_HOURS_MAX: u32 = 24 * 366;
+
+/// Looks for values that contradict each other or can't be kept.
+pub(super) fn check(spec: &ContractSpec) -> Result<(), DocumentFault> {
+    check_limits(spec)?;
+    for (idx, operation) in spec.operations.iter().enumerate() {
+        let fault = |(key, reason)| DocumentFault::new(format!("operation[{idx}].{key}"), reason);
+        check_operation(operation).map_err(fault)?;
+    }
+    check_remembered(spec)?;
+    check_reached(spec)
+}
+
+fn check_limits(spec: &ContractSpec) -> Result<(), DocumentFault> {
+    let above_0 = "must be above 0";
+    if spec.revision == 0 {
+        return Err(DocumentFault::new("revision", above_0));
+    }
+    if spec.calls_per_second == 0 {
+        return Err(DocumentFault::new("calls_per_second", above_0));
+    }
+    if spec.calls_in_flight == 0 {
+        return Err(DocumentFault::new("calls_in_flight", above_0));
+    }
+    if spec.retries_per_request > RETRIES_MAX {
+        let reason = format!("must be at most {RETRIES_MAX}");
+        return Err(DocumentFault::new("retries_per_request", reason));
+    }
+    if spec.remember_hours > REMEMBER_HOURS_MAX {
+        let reason = format!("must be at most {REMEMBER_HOURS_MAX}");
+        return Err(DocumentFault::new("remember_hours", reason));
+    }
+    Ok(())
+}
+
+fn check_operation(operation: &OperationSpec) -> Result<(), (&'static str, String)> {
+    let OperationSpec {
+        method,
+        path,
+        deadline_ms,
+        ..
+    } = operation;
+    if !METHODS.contains(&method.as_str()) {
+        let reason = format!("method \"{method}\" is not one of {}", METHODS.join(", "));
+        return Err(("method", reason));
+    }
+    template::check(path).map_err(|reason| ("path", format!("\"{path}\": {reason}")))?;
+    if !(1..=DEADLINE_MS_MAX).contains(deadline_ms) {
+        let reason = format!("must be 1 to {DEADLINE_MS_MAX}");
+        return Err(("deadline_ms", reason));
+    }
+    Ok(())
+}
+
+fn check_remembered(spec: &ContractSpec) -> Result<(), DocumentFault> {
+    let is_harmful = |operation: &OperationSpec| !operation.idempotent;
+    match spec.operations.iter().position(is_harmful) {
+        Some(idx) if spec.remember_hours == 0 => {
+            let reason = format!("must be above 0, since operation[{idx}] is not idempotent");
+            Err(DocumentFault::new("remember_hours", reason))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Refuses an operation all of whose requests an earlier one takes.
+fn check_reached(spec: &ContractSpec) -> Result<(), DocumentFault> {
+    let mut earlier: HashMap<_, Vec<(usize, &str)>> = HashMap::new();
+    for (idx, operation) in spec.operations.iter().enumerate() {
+        let place = (&operation.service, &operation.method);
+        let templates = earlier.entry(place).or_default();
+        let cover = templates
+            .iter()
+            .find(|(_, path)| template::matches(path, &operation.path));
+        if let Some((first, path)) = cover {
+            let reason = format!("operation[{first}] with path \"{path}\" takes all its requests");
+            let key = format!("operation[{idx}].path");
+            return Err(DocumentFault::new(key, reason));
+        }
+        templates.push((idx, &operation.path));
+    }
+    Ok(())
+}
