Drive the gate from the calls at a server

Cause: the gate's first form only counted places. Change: ServerPlaces runs the gate's state machine for many tasks: places and waits are guards, a wait that is dropped leaves the queue, answers carry level and load. Ruled out: a task and channel a server (two more thread hops a call). Conclusion: admission, queue and levels act on every call.

--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -85,7 +85,7 @@
 }
 
 fn open_entry(settings: &DaemonSettings, clock: MonoClock) -> CallEntry {
-    let registry = Arc::new(ServerRegistry::open());
+    let registry = Arc::new(ServerRegistry::open(clock));
     let runner = AttemptRunner {
         daemon: settings.name.clone(),
         routes: RouteView::default(),
@@ -107,7 +107,7 @@
 ) -> eyre::Result<DaemonListeners> {
     let listen = settings.listen;
     let gate = &entry.runner.gate;
-    let announce = announce::router(gate.registry().clone(), gate.clock());
+    let announce = announce::router(gate.registry().clone());
     let operator = operator_router(dump, ready, drain);
     Ok(DaemonListeners {
         caller: HttpServer::bind(listen.caller, caller_router(entry.clone()))
--- a/bin/daemon/src/members.rs
+++ b/bin/daemon/src/members.rs
@@ -58,7 +58,7 @@
     let mut tick = tokio::time::interval(EXPIRE_INTERVAL);
     loop {
         tokio::select! {
-            _ = tick.tick() => registry.expire(runner.gate.clock().now()),
+            _ = tick.tick() => registry.expire(),
             _ = changes.changed() => {
                 refresh(&mut book, &place, &registry.list(), *left.borrow());
                 runner.routes.publish(book.snapshot());
--- a/crates/backend/src/announce.rs
+++ b/crates/backend/src/announce.rs
@@ -1,7 +1,7 @@
 //! `POST /announce`, by which backend servers make themselves known to the daemon on their host.
 
 use crate::registry::{ServerAnnouncement, ServerRegistry};
-use agatehill_platform::{clock::MonoClock, health::AssertNewHandler};
+use agatehill_platform::health::AssertNewHandler;
 use gotham::{
     handler::HandlerResult,
     helpers::http::{Body, response::create_response},
@@ -51,7 +51,7 @@
 }
 
 /// Returns the router of the announce listener.
-pub fn router(registry: Arc<ServerRegistry>, clock: MonoClock) -> Router {
+pub fn router(registry: Arc<ServerRegistry>) -> Router {
     build_simple_router(|route| {
         route
             .post("/announce")
@@ -59,21 +59,17 @@
                 let registry = registry.clone();
                 Ok(
                     move |state| -> std::pin::Pin<Box<gotham::handler::HandlerFuture>> {
-                        Box::pin(handle(state, registry, clock))
+                        Box::pin(handle(state, registry))
                     },
                 )
             }));
     })
 }
 
-async fn handle(
-    mut state: State,
-    registry: Arc<ServerRegistry>,
-    clock: MonoClock,
-) -> HandlerResult {
+async fn handle(mut state: State, registry: Arc<ServerRegistry>) -> HandlerResult {
     let (status, text) = match read(Body::take_from(&mut state)).await {
         Ok(announcement) => {
-            registry.announce(announcement, clock.now());
+            registry.announce(announcement);
             (StatusCode::NO_CONTENT, String::new())
         }
         Err(e) => (StatusCode::BAD_REQUEST, e.to_string()),
--- a/crates/backend/src/gate.rs
+++ b/crates/backend/src/gate.rs
@@ -2,10 +2,15 @@
 
 use crate::{
     client::{BackendClient, CallFailure},
-    held::{BodyGuard, HeldBody},
-    registry::{ServerAnnouncement, ServerRegistry, ServerStage},
+    held::HeldBody,
+    places::{PlaceGuard, ServerPlaces},
+    registry::ServerRegistry,
+};
+use agatehill_decide::{
+    gate::{GateCall, GateLoad, GateRefusal, RefusalReason, RunResult},
+    outcome::CallOutcome,
+    retry::spread_retry_after,
 };
-use agatehill_decide::{outcome::CallOutcome, priority::CallPriority, time::MonoTime};
 use agatehill_peer::{
     body::CallBody,
     forward::{FailureKind, ForwardHead, ForwardReport},
@@ -13,83 +18,16 @@
 use agatehill_platform::clock::MonoClock;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header::RETRY_AFTER};
 use http_body_util::BodyExt;
-use std::{
-    io,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU32, Ordering},
-    },
-    time::Duration,
-};
+use hyper::body::Incoming;
+use std::{io, sync::Arc, time::Duration};
 
 /// Time left to the caller, in milliseconds, as the backend server learns it.
 pub const DEADLINE_HEADER: HeaderName = HeaderName::from_static("agatehill-deadline-ms");
 
-/// Time after which a refused caller may ask again.
+/// Time after which a caller may ask again whose server was lost or refused by itself, before it
+/// is spread.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Admission of calls to one backend server.
-#[derive(Debug)]
-pub struct ServerPlaces {
-    slots: AtomicU32,
-    in_flight: AtomicU32,
-    is_leaving: AtomicBool,
-}
-
-impl ServerPlaces {
-    /// Opens the admission of a server that was announced at `_now`.
-    pub fn open(announcement: &ServerAnnouncement, _now: MonoTime) -> ServerPlaces {
-        ServerPlaces {
-            slots: AtomicU32::new(announcement.slots),
-            in_flight: AtomicU32::new(0),
-            is_leaving: AtomicBool::new(false),
-        }
-    }
-
-    /// Takes over slots and stage from a newer announcement.
-    pub fn set_announced(&self, announcement: &ServerAnnouncement, _now: MonoTime) {
-        self.slots.store(announcement.slots, Ordering::Relaxed);
-        let is_leaving = announcement.state == ServerStage::Leaving;
-        self.is_leaving.store(is_leaving, Ordering::Relaxed);
-    }
-
-    fn admit(self: &Arc<ServerPlaces>) -> Option<PlaceGuard> {
-        let slots = self.slots.load(Ordering::Relaxed);
-        let raise = |n: u32| (n < slots).then_some(n + 1);
-        if self.is_leaving.load(Ordering::Relaxed) {
-            return None;
-        }
-        self.in_flight
-            .fetch_update(Ordering::AcqRel, Ordering::Acquire, raise)
-            .ok()?;
-        Some(PlaceGuard {
-            places: self.clone(),
-        })
-    }
-
-    fn load(&self) -> u16 {
-        let in_flight = self.in_flight.load(Ordering::Relaxed);
-        let slots = self.slots.load(Ordering::Relaxed).max(1);
-        u16::try_from(u64::from(in_flight) * 1_000 / u64::from(slots)).unwrap_or(u16::MAX)
-    }
-}
-
-/// A place at a server; given back on drop.
-#[derive(Debug)]
-pub struct PlaceGuard {
-    places: Arc<ServerPlaces>,
-}
-
-impl Drop for PlaceGuard {
-    fn drop(&mut self) {
-        self.places.in_flight.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
-impl BodyGuard for PlaceGuard {
-    fn complete(&mut self) {}
-}
-
 /// What became of a call at the gate.
 #[derive(Debug)]
 pub struct GateAnswer {
@@ -129,42 +67,68 @@
 
     /// Admits the call `req` and runs it.
     pub async fn run(&self, head: &ForwardHead, req: Request<CallBody>) -> GateAnswer {
-        let Some(server) = head.server.and_then(|addr| self.registry.get(addr)) else {
-            return refuse(FailureKind::NoServer, CallOutcome::NotRun, 0);
-        };
-        if server.announcement.service != head.service {
-            return refuse(FailureKind::NoServer, CallOutcome::NotRun, 0);
-        }
-        let Some(place) = server.places.admit() else {
-            return refuse(FailureKind::Shed, CallOutcome::NotRun, server.places.load());
+        let found = head.server.and_then(|addr| self.registry.get(addr));
+        let Some(server) = found.filter(|server| server.announcement.service == head.service)
+        else {
+            return failed(FailureKind::NoServer, CallOutcome::NotRun, None);
         };
         let limit = Duration::from_millis(u64::from(head.deadline_ms));
-        let req = with_deadline(req, head.deadline_ms);
-        let load = server.places.load();
-        match tokio::time::timeout(limit, self.client.send(server.announcement.address, req)).await
-        {
-            Ok(Ok(response)) => answer(
-                response.map(|body| body.map_err(io::Error::other)),
-                place,
-                load,
+        let call = GateCall {
+            priority: head.priority,
+            deadline: self.clock.now() + limit,
+            is_nested: head.is_nested,
+        };
+        match server.places.admit(call).await {
+            Ok(place) => {
+                self.run_admitted(server.announcement.address, call, req, place)
+                    .await
+            }
+            Err(refusal) => refused(&refusal, server.places.load()),
+        }
+    }
+
+    async fn run_admitted(
+        &self,
+        addr: std::net::SocketAddr,
+        call: GateCall,
+        mut req: Request<CallBody>,
+        mut place: PlaceGuard,
+    ) -> GateAnswer {
+        let left = call.deadline.since(self.clock.now());
+        let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        req.headers_mut()
+            .insert(DEADLINE_HEADER, HeaderValue::from(millis));
+        match tokio::time::timeout(left, self.client.send(addr, req)).await {
+            Ok(Ok(response)) => answered(response, place),
+            Ok(Err(failure)) => {
+                place.set_result(RunResult::Lost);
+                let outcome = match failure {
+                    CallFailure::NotSent => CallOutcome::NotRun,
+                    CallFailure::Lost => CallOutcome::Unknown,
+                };
+                failed(FailureKind::Lost, outcome, Some(place.places()))
+            }
+            Err(_) => failed(
+                FailureKind::Deadline,
+                CallOutcome::Unknown,
+                Some(place.places()),
             ),
-            Ok(Err(CallFailure::NotSent)) => refuse(FailureKind::Lost, CallOutcome::NotRun, load),
-            Ok(Err(CallFailure::Lost)) => refuse(FailureKind::Lost, CallOutcome::Unknown, load),
-            Err(_) => refuse(FailureKind::Deadline, CallOutcome::Unknown, load),
         }
     }
 }
 
-fn answer<B>(response: Response<B>, place: PlaceGuard, load: u16) -> GateAnswer
-where
-    B: http_body::Body<Data = bytes::Bytes, Error = io::Error> + Send + Unpin + 'static,
-{
+fn answered(response: Response<Incoming>, mut place: PlaceGuard) -> GateAnswer {
     if is_shed(&response) {
-        return refuse(FailureKind::Shed, CallOutcome::NotRun, load);
+        place.set_result(RunResult::Shed);
+        return failed(FailureKind::Shed, CallOutcome::NotRun, Some(place.places()));
     }
-    let hold = |body| CallBody::Stream(HeldBody::new(body, place).boxed_unsync());
+    let report = report(CallOutcome::Answered, None, Some(place.places()));
+    let hold = |body: Incoming| {
+        let body = body.map_err(io::Error::other);
+        CallBody::Stream(HeldBody::new(body, place).boxed_unsync())
+    };
     GateAnswer {
-        report: report(CallOutcome::Answered, None, load),
+        report,
         response: response.map(hold),
     }
 }
@@ -175,27 +139,50 @@
         && response.headers().contains_key(RETRY_AFTER)
 }
 
-fn refuse(kind: FailureKind, outcome: CallOutcome, load: u16) -> GateAnswer {
+fn refused(refusal: &GateRefusal, load: GateLoad) -> GateAnswer {
+    let kind = match refusal.reason {
+        RefusalReason::Deadline => FailureKind::Deadline,
+        RefusalReason::Full | RefusalReason::Level => FailureKind::Shed,
+        RefusalReason::Leaving | RefusalReason::Starting => FailureKind::NoServer,
+    };
+    let mut report = report(CallOutcome::NotRun, Some(kind), None);
+    report.retry_after_ms = millis(spread_retry_after(refusal.retry_after, rand::random()));
+    report.load = load_permille(load);
+    report.level = load.level;
+    bodiless(report)
+}
+
+fn failed(kind: FailureKind, outcome: CallOutcome, places: Option<&ServerPlaces>) -> GateAnswer {
+    let mut report = report(outcome, Some(kind), places);
+    report.retry_after_ms = millis(spread_retry_after(RETRY_PAUSE, rand::random()));
+    bodiless(report)
+}
+
+fn report(
+    outcome: CallOutcome,
+    failure: Option<FailureKind>,
+    places: Option<&ServerPlaces>,
+) -> ForwardReport {
+    let mut report = ForwardReport::new(outcome, failure);
+    if let Some(load) = places.map(ServerPlaces::load) {
+        report.load = load_permille(load);
+        report.level = load.level;
+    }
+    report
+}
+
+fn bodiless(report: ForwardReport) -> GateAnswer {
     GateAnswer {
-        report: report(outcome, Some(kind), load),
+        report,
         response: Response::new(CallBody::empty()),
     }
 }
 
-fn report(outcome: CallOutcome, failure: Option<FailureKind>, load: u16) -> ForwardReport {
-    ForwardReport {
-        outcome,
-        failure,
-        retry_after_ms: failure.map_or(0, |_| RETRY_PAUSE.as_millis() as u32),
-        retries_used: 0,
-        is_final: false,
-        load,
-        level: CallPriority::LAST,
-    }
+fn load_permille(load: GateLoad) -> u16 {
+    let calls = u64::from(load.running) + u64::from(load.queued);
+    u16::try_from(calls * 1_000 / u64::from(load.limit.max(1))).unwrap_or(u16::MAX)
 }
 
-fn with_deadline(mut req: Request<CallBody>, deadline_ms: u32) -> Request<CallBody> {
-    req.headers_mut()
-        .insert(DEADLINE_HEADER, HeaderValue::from(deadline_ms));
-    req
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- /dev/null
+++ b/crates/backend/src/places.rs
@@ -0,0 +1,280 @@
+//! Admission of calls to one backend server: drives its [`ServerGate`] for many tasks.
+
+use crate::{
+    held::BodyGuard,
+    registry::{ServerAnnouncement, ServerStage},
+};
+use agatehill_decide::{
+    gate::{
+        GateCall, GateConfig, GateCounts, GateDecision, GateEvent, GateLoad, GateRefusal,
+        RunResult, ServerGate, ServerState, SlotKey, TicketKey,
+    },
+    time::MonoTime,
+};
+use agatehill_platform::clock::MonoClock;
+use slotmap::SecondaryMap;
+use std::{
+    sync::{Arc, Mutex, MutexGuard, Weak},
+    time::Duration,
+};
+use tokio::sync::oneshot;
+
+/// Time between two looks at what is due in a gate.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+type TicketSender = oneshot::Sender<Result<SlotKey, GateRefusal>>;
+type TicketReceiver = oneshot::Receiver<Result<SlotKey, GateRefusal>>;
+
+/// Admission of calls to one backend server.
+#[derive(Debug)]
+pub struct ServerPlaces {
+    clock: MonoClock,
+    state: Mutex<PlaceState>,
+}
+
+/// Held for a few hundred nanoseconds at a time; a decision needs the whole gate.
+#[derive(Debug)]
+struct PlaceState {
+    gate: ServerGate,
+    waiting: SecondaryMap<TicketKey, TicketSender>,
+}
+
+impl ServerPlaces {
+    /// Opens the admission of an announced server and spawns its upkeep.
+    pub fn spawn(announcement: &ServerAnnouncement, clock: MonoClock) -> Arc<ServerPlaces> {
+        let gate = ServerGate::new(GateConfig::default(), announcement.slots, clock.now());
+        let state = PlaceState {
+            gate,
+            waiting: SecondaryMap::new(),
+        };
+        let places = Arc::new(ServerPlaces {
+            clock,
+            state: Mutex::new(state),
+        });
+        tokio::spawn(poll_while_used(Arc::downgrade(&places)));
+        places
+    }
+
+    /// Takes over slots and stage from a newer announcement.
+    pub fn set_announced(&self, announcement: &ServerAnnouncement) {
+        let stage = match announcement.state {
+            ServerStage::Starting => ServerState::Starting,
+            ServerStage::Serving => ServerState::Serving,
+            ServerStage::Leaving => ServerState::Leaving,
+        };
+        let now = self.clock.now();
+        self.change(|gate| gate.announce(stage, announcement.slots, now));
+    }
+
+    /// Takes no new calls from now on, whatever the server announces.
+    pub fn close(&self) {
+        let now = self.clock.now();
+        self.change(|gate| gate.announce(ServerState::Leaving, 1, now));
+    }
+
+    /// Waits for a place for `call`.
+    ///
+    /// Dropping the future gives up the wait.
+    ///
+    /// # Errors
+    ///
+    /// The gate refuses the call.
+    pub async fn admit(
+        self: &Arc<ServerPlaces>,
+        call: GateCall,
+    ) -> Result<PlaceGuard, GateRefusal> {
+        match self.offer(call) {
+            GateOffer::Admitted(slot) => Ok(self.guard(slot)),
+            GateOffer::Refused(refusal) => Err(refusal),
+            GateOffer::Queued(ticket) => {
+                let slot = TicketGuard::wait(self, ticket).await?;
+                Ok(self.guard(slot))
+            }
+        }
+    }
+
+    /// Returns the gate's load and level.
+    pub fn load(&self) -> GateLoad {
+        self.lock().gate.load()
+    }
+
+    /// Returns what the gate has counted.
+    pub fn counts(&self) -> GateCounts {
+        self.lock().gate.counts()
+    }
+
+    fn offer(&self, call: GateCall) -> GateOffer {
+        let mut state = self.lock();
+        let offer = match state.gate.offer(call, self.clock.now()) {
+            GateDecision::Admit(slot) => GateOffer::Admitted(slot),
+            GateDecision::Refuse(refusal) => GateOffer::Refused(refusal),
+            GateDecision::Queue(ticket) => {
+                let (tx, rx) = oneshot::channel();
+                state.waiting.insert(ticket, tx);
+                GateOffer::Queued(QueuedTicket { ticket, rx })
+            }
+        };
+        state.dispatch(self.clock.now());
+        offer
+    }
+
+    fn guard(self: &Arc<ServerPlaces>, slot: SlotKey) -> PlaceGuard {
+        PlaceGuard {
+            places: self.clone(),
+            slot,
+            result: RunResult::Cancelled,
+            child_time: Duration::ZERO,
+        }
+    }
+
+    fn change(&self, change: impl FnOnce(&mut ServerGate)) {
+        let mut state = self.lock();
+        change(&mut state.gate);
+        state.dispatch(self.clock.now());
+    }
+
+    fn poll(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if state.gate.next_poll().is_some_and(|due| due <= now) {
+            state.gate.poll(now);
+            state.dispatch(now);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PlaceState> {
+        self.state.lock().expect("no holder of a gate panics")
+    }
+}
+
+impl PlaceState {
+    /// Tells the waiting calls what has become of them.
+    fn dispatch(&mut self, now: MonoTime) {
+        loop {
+            let events = self.gate.take_events();
+            if events.is_empty() {
+                return;
+            }
+            for event in events {
+                self.tell(event, now);
+            }
+        }
+    }
+
+    fn tell(&mut self, event: GateEvent, now: MonoTime) {
+        match event {
+            GateEvent::Admitted { ticket, slot } => {
+                let told = self
+                    .waiting
+                    .remove(ticket)
+                    .is_some_and(|tx| tx.send(Ok(slot)).is_ok());
+                if !told {
+                    self.gate
+                        .finish(slot, RunResult::Cancelled, Duration::ZERO, now);
+                }
+            }
+            GateEvent::Refused { ticket, refusal } => {
+                if let Some(tx) = self.waiting.remove(ticket) {
+                    // A caller that has gone away needs no refusal.
+                    let _ = tx.send(Err(refusal));
+                }
+            }
+        }
+    }
+}
+
+enum GateOffer {
+    Admitted(SlotKey),
+    Queued(QueuedTicket),
+    Refused(GateRefusal),
+}
+
+struct QueuedTicket {
+    ticket: TicketKey,
+    rx: TicketReceiver,
+}
+
+/// A call that waits; leaves the queue on drop.
+struct TicketGuard<'a> {
+    places: &'a ServerPlaces,
+    ticket: TicketKey,
+    rx: TicketReceiver,
+}
+
+impl TicketGuard<'_> {
+    async fn wait(places: &ServerPlaces, queued: QueuedTicket) -> Result<SlotKey, GateRefusal> {
+        let QueuedTicket { ticket, rx } = queued;
+        let mut guard = TicketGuard { places, ticket, rx };
+        let told = (&mut guard.rx).await;
+        told.expect("the gate tells every queued call how its wait ends")
+    }
+}
+
+impl Drop for TicketGuard<'_> {
+    fn drop(&mut self) {
+        let now = self.places.clock.now();
+        let mut state = self.places.lock();
+        state.waiting.remove(self.ticket);
+        state.gate.cancel(self.ticket);
+        if let Ok(Ok(slot)) = self.rx.try_recv() {
+            state
+                .gate
+                .finish(slot, RunResult::Cancelled, Duration::ZERO, now);
+        }
+        state.dispatch(now);
+    }
+}
+
+/// A place at a server; given back on drop.
+#[derive(Debug)]
+pub struct PlaceGuard {
+    places: Arc<ServerPlaces>,
+    slot: SlotKey,
+    result: RunResult,
+    child_time: Duration,
+}
+
+impl PlaceGuard {
+    /// Sets how the run ended; a place that is dropped without counts as cancelled.
+    pub fn set_result(&mut self, result: RunResult) {
+        self.result = result;
+    }
+
+    /// Returns the admission that the place belongs to.
+    pub fn places(&self) -> &ServerPlaces {
+        &self.places
+    }
+
+    /// Sets the time that the run has waited for its child calls.
+    pub fn set_child_time(&mut self, child_time: Duration) {
+        self.child_time = child_time;
+    }
+}
+
+impl BodyGuard for PlaceGuard {
+    fn complete(&mut self) {
+        self.result = RunResult::Answered;
+    }
+}
+
+impl Drop for PlaceGuard {
+    fn drop(&mut self) {
+        let now = self.places.clock.now();
+        let mut state = self.places.lock();
+        state
+            .gate
+            .finish(self.slot, self.result, self.child_time, now);
+        state.dispatch(now);
+    }
+}
+
+async fn poll_while_used(places: Weak<ServerPlaces>) {
+    let mut tick = tokio::time::interval(POLL_INTERVAL);
+    loop {
+        tick.tick().await;
+        let Some(places) = places.upgrade() else {
+            return;
+        };
+        places.poll();
+    }
+}
--- a/crates/backend/src/registry.rs
+++ b/crates/backend/src/registry.rs
@@ -1,7 +1,8 @@
 //! The backend servers that have announced themselves to this daemon.
 
-use crate::gate::ServerPlaces;
+use crate::places::ServerPlaces;
 use agatehill_decide::{name::ServiceName, time::MonoTime};
+use agatehill_platform::clock::MonoClock;
 use arc_swap::ArcSwap;
 use serde::{Deserialize, Serialize};
 use std::{
@@ -59,6 +60,7 @@
 /// The announced backend servers, read without locks on a call's path.
 #[derive(Debug)]
 pub struct ServerRegistry {
+    clock: MonoClock,
     servers: ArcSwap<ServerMap>,
     write: Mutex<()>,
     version: watch::Sender<u64>,
@@ -66,25 +68,27 @@
 
 impl ServerRegistry {
     /// Opens an empty registry.
-    pub fn open() -> ServerRegistry {
+    pub fn open(clock: MonoClock) -> ServerRegistry {
         ServerRegistry {
+            clock,
             servers: ArcSwap::default(),
             write: Mutex::new(()),
             version: watch::channel(0).0,
         }
     }
 
-    /// Takes in an announcement that came at `now`.
-    pub fn announce(&self, announcement: ServerAnnouncement, now: MonoTime) {
+    /// Takes in an announcement that has just come.
+    pub fn announce(&self, announcement: ServerAnnouncement) {
+        let now = self.clock.now();
         let _write = self.write.lock().expect("no holder of the registry panics");
         let mut map = ServerMap::clone(&self.servers.load());
         let old = map.get(&announcement.address);
         let is_same = old.is_some_and(|old| old.announcement == announcement);
         let places = match old {
             Some(old) if old.announcement.service == announcement.service => old.places.clone(),
-            _ => Arc::new(ServerPlaces::open(&announcement, now)),
+            _ => ServerPlaces::spawn(&announcement, self.clock),
         };
-        places.set_announced(&announcement, now);
+        places.set_announced(&announcement);
         let server = LocalServer {
             announcement,
             heard: now,
@@ -95,7 +99,8 @@
     }
 
     /// Drops every server that has been silent for [`ANNOUNCE_LIMIT`].
-    pub fn expire(&self, now: MonoTime) {
+    pub fn expire(&self) {
+        let now = self.clock.now();
         let _write = self.write.lock().expect("no holder of the registry panics");
         let mut map = ServerMap::clone(&self.servers.load());
         let before = map.len();
--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -5,7 +5,6 @@
 use agatehill_decide::{
     name::DaemonName,
     outcome::CallOutcome,
-    priority::CallPriority,
     route::{
         AnswerEvidence, RequestHash, RouteChoice, RouteQuery, RouteReach, RouteTarget, ServerKey,
     },
@@ -114,15 +113,9 @@
 
 /// Returns a report of a call that was refused before it ran.
 pub fn refusal(kind: FailureKind, retry_after: Duration) -> ForwardReport {
-    ForwardReport {
-        outcome: CallOutcome::NotRun,
-        failure: Some(kind),
-        retry_after_ms: u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX),
-        retries_used: 0,
-        is_final: false,
-        load: 0,
-        level: CallPriority::LAST,
-    }
+    let mut report = ForwardReport::new(CallOutcome::NotRun, Some(kind));
+    report.retry_after_ms = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
+    report
 }
 
 fn lost(outcome: CallOutcome) -> ForwardReport {
--- a/crates/caller/src/call.rs
+++ b/crates/caller/src/call.rs
@@ -23,6 +23,8 @@
     pub service: ServiceName,
     /// Priority of the chain.
     pub priority: CallPriority,
+    /// A backend server makes the call as part of a chain.
+    pub is_nested: bool,
     /// When the caller stops waiting.
     pub deadline: MonoTime,
     /// Retries that are left.
@@ -60,6 +62,7 @@
             request,
             chain,
             service: operation.service.clone(),
+            is_nested: false,
             deadline: now + asked.map_or(ceiling, |asked| asked.min(ceiling)),
             retries: spec.retries_per_request.saturating_sub(req.attempt),
             attempt: req.attempt,
@@ -75,6 +78,7 @@
             chain: head.chain,
             service: head.service.clone(),
             priority: head.priority,
+            is_nested: head.is_nested,
             deadline: now + Duration::from_millis(u64::from(head.deadline_ms)),
             retries: head.retries,
             attempt: head.attempt,
@@ -103,6 +107,7 @@
             service: self.service.clone(),
             server,
             priority: self.priority,
+            is_nested: self.is_nested,
             deadline_ms: u32::try_from(left).unwrap_or(u32::MAX),
             retries: self.retries,
             attempt: self.attempt,
--- a/crates/peer/src/forward.rs
+++ b/crates/peer/src/forward.rs
@@ -48,6 +48,8 @@
     pub server: Option<SocketAddr>,
     /// Priority of the chain.
     pub priority: CallPriority,
+    /// A backend server makes the call as part of a chain.
+    pub is_nested: bool,
     /// Time left to the caller, in milliseconds.
     pub deadline_ms: u32,
     /// Retries that the calls below may spend together.
@@ -96,6 +98,21 @@
     pub level: CallPriority,
 }
 
+impl ForwardReport {
+    /// Returns a report without a load, a level, retries or a time to come back.
+    pub fn new(outcome: CallOutcome, failure: Option<FailureKind>) -> ForwardReport {
+        ForwardReport {
+            outcome,
+            failure,
+            retry_after_ms: 0,
+            retries_used: 0,
+            is_final: false,
+            load: 0,
+            level: CallPriority::LAST,
+        }
+    }
+}
+
 /// A forward header that does not decode.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ForwardError {
