--- a/crates/decide/src/quota.rs
+++ b/crates/decide/src/quota.rs
@@ -174,10 +174,14 @@
 /// Token bucket whose rate may change.
 #[derive(Clone, Debug)]
 pub struct RateBucket {
-    tokens: f64,
+    /// In millionths of a call, so that a rate times microseconds needs no rounding.
+    tokens: u64,
     filled_at: MonoTime,
 }
 
+/// One call in the units of [`RateBucket`].
+const CALL_TOKENS: u64 = 1_000_000;
+
 impl RateBucket {
     /// Time of full rate that an unused bucket saves up.
     const BURST: Duration = Duration::from_millis(100);
@@ -196,22 +200,26 @@
     ///
     /// The time after which a call fits, [`crate::retry::RETRY_AFTER_MAX`] at a rate of zero.
     pub fn take(&mut self, rate: u32, now: MonoTime) -> Result<(), Duration> {
-        let refill = now.since(self.filled_at).as_secs_f64() * f64::from(rate);
-        self.tokens = (self.tokens + refill).min(burst_of(rate));
+        let refill = tokens_in(now.since(self.filled_at), rate);
+        self.tokens = self.tokens.saturating_add(refill).min(burst_of(rate));
         self.filled_at = now;
-        if self.tokens >= 1.0 {
-            self.tokens -= 1.0;
+        if self.tokens >= CALL_TOKENS {
+            self.tokens -= CALL_TOKENS;
             return Ok(());
         }
-        if rate == 0 {
-            return Err(crate::retry::RETRY_AFTER_MAX);
+        let missing = CALL_TOKENS - self.tokens;
+        match rate {
+            0 => Err(crate::retry::RETRY_AFTER_MAX),
+            rate => Err(Duration::from_micros(missing.div_ceil(u64::from(rate)))),
         }
-        Err(Duration::from_secs_f64(
-            (1.0 - self.tokens) / f64::from(rate),
-        ))
     }
 }
 
-fn burst_of(rate: u32) -> f64 {
-    (f64::from(rate) * RateBucket::BURST.as_secs_f64()).max(1.0)
+fn tokens_in(span: Duration, rate: u32) -> u64 {
+    let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+    micros.saturating_mul(u64::from(rate))
+}
+
+fn burst_of(rate: u32) -> u64 {
+    tokens_in(RateBucket::BURST, rate).max(CALL_TOKENS)
 }
--- /dev/null
+++ b/crates/decide/tests/gate.rs
@@ -0,0 +1,332 @@
+//! The gate over random schedules, and its decisions case by case.
+
+use agatehill_decide::{
+    contract::RequestClass,
+    gate::{
+        GateCall, GateConfig, GateDecision, GateEvent, QueueOrder, RefusalReason, RunResult,
+        ServerGate, ServerState, SlotKey, TicketKey,
+    },
+    limit::LimitPolicy,
+    priority::{CLASS_LEVELS, CallPriority},
+    time::MonoTime,
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rstest::rstest;
+use std::{collections::HashMap, time::Duration};
+
+const SLOTS: u32 = 4;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Offer {
+        priority: u16,
+        millis: u64,
+        is_nested: bool,
+    },
+    Finish {
+        pick: usize,
+        result: RunResult,
+    },
+    Cancel {
+        pick: usize,
+    },
+    Wait {
+        micros: u64,
+        is_polled: bool,
+    },
+    Announce {
+        state: ServerState,
+        slots: u32,
+    },
+}
+
+/// The gate beside a plain list of what runs and waits.
+struct GateModel {
+    gate: ServerGate,
+    now: MonoTime,
+    running: Vec<SlotKey>,
+    waiting: HashMap<TicketKey, GateCall>,
+    ended: usize,
+    queued: usize,
+    has_admitted: bool,
+}
+
+impl GateModel {
+    fn new(config: GateConfig) -> GateModel {
+        GateModel {
+            gate: ServerGate::new(config, SLOTS, MonoTime::ZERO),
+            now: MonoTime::ZERO,
+            running: Vec::new(),
+            waiting: HashMap::new(),
+            ended: 0,
+            queued: 0,
+            has_admitted: false,
+        }
+    }
+
+    fn apply(&mut self, step: &Step) {
+        self.has_admitted = false;
+        match *step {
+            Step::Offer {
+                priority,
+                millis,
+                is_nested,
+            } => {
+                let deadline = self.now + Duration::from_millis(millis);
+                let priority = CallPriority(priority);
+                self.offer(GateCall {
+                    priority,
+                    deadline,
+                    is_nested,
+                });
+            }
+            Step::Finish { pick, result } => self.finish(pick, result),
+            Step::Cancel { pick } => {
+                let mut tickets: Vec<_> = self.waiting.keys().copied().collect();
+                tickets.sort();
+                if let Some(ticket) = tickets.get(pick % tickets.len().max(1)) {
+                    self.gate.cancel(*ticket);
+                    self.waiting.remove(ticket);
+                    self.ended += 1;
+                }
+            }
+            Step::Wait { micros, is_polled } => {
+                self.now = self.now + Duration::from_micros(micros);
+                if is_polled {
+                    self.gate.poll(self.now);
+                }
+            }
+            Step::Announce { state, slots } => self.gate.announce(state, slots, self.now),
+        }
+        self.take_events();
+        self.check_load();
+    }
+
+    fn offer(&mut self, call: GateCall) {
+        let decision = self.gate.offer(call, self.now);
+        self.take_events();
+        match decision {
+            GateDecision::Admit(slot) => self.admit(slot, call),
+            GateDecision::Queue(ticket) => {
+                self.queued += 1;
+                assert!(self.waiting.insert(ticket, call).is_none());
+            }
+            GateDecision::Refuse(refusal) => {
+                let below = |c: &GateCall| c.priority > call.priority;
+                let yields =
+                    refusal.reason == RefusalReason::Full && self.waiting.values().any(below);
+                assert!(!yields, "refused while a less important call waits");
+            }
+        }
+    }
+
+    fn admit(&mut self, slot: SlotKey, call: GateCall) {
+        assert!(call.deadline > self.now, "admitted past its deadline");
+        assert_eq!(self.gate.state(), ServerState::Serving);
+        self.running.push(slot);
+        self.has_admitted = true;
+    }
+
+    fn finish(&mut self, pick: usize, result: RunResult) {
+        if self.running.is_empty() {
+            return;
+        }
+        let slot = self.running.swap_remove(pick % self.running.len());
+        self.gate.finish(slot, result, Duration::ZERO, self.now);
+    }
+
+    fn take_events(&mut self) {
+        for event in self.gate.take_events() {
+            let ticket = match event {
+                GateEvent::Admitted { ticket, .. } | GateEvent::Refused { ticket, .. } => ticket,
+            };
+            let call = self.waiting.remove(&ticket).expect("a ticket ends once");
+            self.ended += 1;
+            if let GateEvent::Admitted { slot, .. } = event {
+                let rank = call.priority.class();
+                let better = |c: &GateCall| c.priority.class() < rank;
+                assert!(!self.waiting.values().any(better), "a better class waits");
+                self.admit(slot, call);
+            }
+        }
+    }
+
+    fn check_load(&self) {
+        let load = self.gate.load();
+        assert_eq!(load.running as usize, self.running.len());
+        assert_eq!(load.queued as usize, self.waiting.len());
+        assert!(
+            !self.has_admitted || load.running <= load.limit,
+            "over its limit"
+        );
+    }
+
+    fn close(&mut self) {
+        self.gate.announce(ServerState::Leaving, SLOTS, self.now);
+        self.take_events();
+        assert!(self.waiting.is_empty());
+        assert_eq!(self.ended, self.queued);
+    }
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let result = prop_oneof![
+        6 => Just(RunResult::Answered),
+        1 => Just(RunResult::Shed),
+        1 => Just(RunResult::Failed),
+        1 => Just(RunResult::Lost),
+        1 => Just(RunResult::Cancelled),
+    ];
+    let state = prop_oneof![
+        1 => Just(ServerState::Starting),
+        8 => Just(ServerState::Serving),
+        1 => Just(ServerState::Leaving),
+    ];
+    let step = prop_oneof![
+        40 => (0..=CallPriority::LAST.0, 0u64..300, any::<bool>())
+            .prop_map(|(priority, millis, is_nested)| Step::Offer { priority, millis, is_nested }),
+        24 => (any::<usize>(), result).prop_map(|(pick, result)| Step::Finish { pick, result }),
+        2 => any::<usize>().prop_map(|pick| Step::Cancel { pick }),
+        24 => (0u64..30_000, any::<bool>()).prop_map(|(micros, is_polled)| Step::Wait { micros, is_polled }),
+        1 => (state, 1u32..8).prop_map(|(state, slots)| Step::Announce { state, slots }),
+    ];
+    proptest::collection::vec(step, 1..400)
+}
+
+fn config(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(51))]
+
+    #[test]
+    fn gate_keeps_its_promises(
+        steps in steps(),
+        order in prop_oneof![
+            Just(QueueOrder::Fifo),
+            Just(QueueOrder::Lifo),
+            Just(QueueOrder::EarliestDeadline),
+            Just(QueueOrder::Priority),
+        ],
+    ) {
+        let mut model = GateModel::new(GateConfig { order, ..GateConfig::default() });
+        for step in &steps {
+            model.apply(step);
+        }
+        model.close();
+    }
+}
+
+fn call(class: RequestClass, millis: u64, now: MonoTime) -> GateCall {
+    GateCall {
+        priority: CallPriority(class.rank() * CLASS_LEVELS),
+        deadline: now + Duration::from_millis(millis),
+        is_nested: false,
+    }
+}
+
+/// Returns a gate of one slot whose calls take 40 ms, with one call running.
+fn busy_gate() -> (ServerGate, MonoTime) {
+    let mut gate = ServerGate::new(GateConfig::default(), 1, MonoTime::ZERO);
+    let critical = call(RequestClass::Critical, 1_000, MonoTime::ZERO);
+    let GateDecision::Admit(slot) = gate.offer(critical, MonoTime::ZERO) else {
+        panic!("an idle gate admits");
+    };
+    let now = MonoTime::from_millis(40);
+    gate.finish(slot, RunResult::Answered, Duration::ZERO, now);
+    assert!(matches!(gate.offer(critical, now), GateDecision::Admit(_)));
+    (gate, now)
+}
+
+#[rstest]
+#[case::passed(RequestClass::Critical, 0, Some(RefusalReason::Deadline))]
+#[case::shorter_than_a_run(RequestClass::Critical, 39, Some(RefusalReason::Deadline))]
+#[case::shorter_than_wait_and_run(RequestClass::Critical, 79, Some(RefusalReason::Deadline))]
+#[case::enough(RequestClass::Background, 200, None)]
+fn call_that_cannot_finish_is_refused_at_once(
+    #[case] class: RequestClass,
+    #[case] millis: u64,
+    #[case] reason: Option<RefusalReason>,
+) {
+    let (mut gate, now) = busy_gate();
+    let refused = match gate.offer(call(class, millis, now), now) {
+        GateDecision::Refuse(refusal) => Some(refusal.reason),
+        GateDecision::Admit(_) | GateDecision::Queue(_) => None,
+    };
+    assert_eq!(refused, reason);
+}
+
+#[test]
+fn full_queue_gives_way_to_a_more_important_call() {
+    let (mut gate, now) = busy_gate();
+    for _ in 0..2 {
+        let background = call(RequestClass::Background, 1_000, now);
+        assert!(matches!(
+            gate.offer(background, now),
+            GateDecision::Queue(_)
+        ));
+    }
+    let normal = gate.offer(call(RequestClass::Background, 1_000, now), now);
+    assert!(matches!(normal, GateDecision::Refuse(r) if r.reason == RefusalReason::Full));
+    let critical = gate.offer(call(RequestClass::Critical, 1_000, now), now);
+    assert!(matches!(critical, GateDecision::Queue(_)));
+    let events = gate.take_events();
+    assert!(matches!(events[..], [GateEvent::Refused { .. }]));
+}
+
+/// A server that runs calls in `parallel` of them at once, whatever it announced, and takes 20 ms
+/// for each; offered more than it can do for `seconds`.
+fn limit_of_overstated_server(limit: LimitPolicy, slots: u32, parallel: u32) -> u32 {
+    let config = GateConfig {
+        limit,
+        ..GateConfig::default()
+    };
+    let mut gate = ServerGate::new(config, slots, MonoTime::ZERO);
+    let mut running: Vec<(MonoTime, SlotKey)> = Vec::new();
+    for tick in 0..20_000u64 {
+        let now = MonoTime::from_millis(tick);
+        let offers = if tick < 2_000 { tick % 4 / 3 } else { 4 };
+        for _ in 0..offers {
+            let offered = gate.offer(call(RequestClass::Critical, 2_000, now), now);
+            if let GateDecision::Admit(slot) = offered {
+                running.push((now, slot));
+            }
+        }
+        // The server works on the oldest `parallel` calls, each 1/20 done a millisecond.
+        let done = (running.len().min(parallel as usize) as u64 * (tick + 1) / 20)
+            - (running.len().min(parallel as usize) as u64 * tick / 20);
+        for _ in 0..done.min(running.len() as u64) {
+            let (_, slot) = running.remove(0);
+            gate.finish(slot, RunResult::Answered, Duration::ZERO, now);
+        }
+        for event in gate.take_events() {
+            if let GateEvent::Admitted { slot, .. } = event {
+                running.push((now, slot));
+            }
+        }
+    }
+    gate.load().limit
+}
+
+#[test]
+fn limit_finds_the_slots_of_a_server_that_overstates_them() {
+    let limit = limit_of_overstated_server(LimitPolicy::Knee, 80, 20);
+    assert!((20..=40).contains(&limit), "limit {limit}");
+}
+
+#[test]
+fn starting_server_gets_its_calls_by_and_by() {
+    let mut gate = ServerGate::new(GateConfig::default(), 50, MonoTime::ZERO);
+    gate.announce(ServerState::Starting, 50, MonoTime::ZERO);
+    let now = MonoTime::from_millis(1);
+    let early = gate.offer(call(RequestClass::Critical, 1_000, now), now);
+    assert!(matches!(early, GateDecision::Refuse(r) if r.reason == RefusalReason::Starting));
+    gate.announce(ServerState::Serving, 50, now);
+    assert!(gate.load().limit <= 10);
+}
