Add the chain index

Cause: instrumented backend servers propagate traceparent and nothing else, so a child call finds its parent's deadline, priority, customer and retry budget by trace-id on its host.

Change: ChainTable and, shared between threads, ChainIndex with a guard that forgets the request. Several requests of a chain in flight: earliest deadline, least important priority, smallest budget; different customers are ambiguous unless the call names its customer.

--- /dev/null
+++ b/crates/decide/src/chain.rs
@@ -0,0 +1,217 @@
+//! Call chains: what a request in flight on a host hands down to the calls that it makes.
+//!
+//! Backend servers propagate `traceparent` unasked, so a daemon finds the parent of a call among
+//! the requests in flight on its host by the trace-id. The table is generic over the chain's
+//! retry budget, a cheap handle that the children share.
+
+use crate::{
+    name::{ChainId, CustomerName},
+    priority::CallPriority,
+    time::MonoTime,
+};
+use slotmap::{SlotMap, new_key_type};
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+/// Number of tables that a [`ChainIndex`] spreads chains over, so that threads seldom wait.
+const SHARDS: usize = 16;
+
+new_key_type! {
+    /// Names a request in flight in one [`ChainTable`].
+    pub struct ParentKey;
+}
+
+/// What a request in flight hands down to its child calls.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ChainRecord<B> {
+    /// The chain that it belongs to.
+    pub chain: ChainId,
+    /// Whose contract applies to the whole chain.
+    pub customer: CustomerName,
+    /// The priority, decided at the root.
+    pub priority: CallPriority,
+    /// When the root's caller stops waiting.
+    pub deadline: MonoTime,
+    /// The retry budget of the chain.
+    pub budget: B,
+}
+
+/// A chain's retry budget, as far as choosing between two parents goes.
+pub trait ChainBudget: Clone {
+    /// Returns the retries that are left.
+    fn left(&self) -> u32;
+}
+
+/// Why a call has no parent on this host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ParentError {
+    /// No request of this chain is in flight: the call is a root.
+    Missing,
+    /// Requests of this chain are in flight for several customers, none of them the one named.
+    Ambiguous,
+}
+
+/// The requests in flight on a host, by chain.
+#[derive(Clone, Debug)]
+pub struct ChainTable<B> {
+    records: SlotMap<ParentKey, ChainRecord<B>>,
+    by_chain: HashMap<ChainId, Vec<ParentKey>>,
+}
+
+impl<B> Default for ChainTable<B> {
+    fn default() -> ChainTable<B> {
+        ChainTable {
+            records: SlotMap::with_key(),
+            by_chain: HashMap::new(),
+        }
+    }
+}
+
+impl<B: ChainBudget> ChainTable<B> {
+    /// Records a request that starts to run.
+    pub fn enter(&mut self, record: ChainRecord<B>) -> ParentKey {
+        let chain = record.chain;
+        let parent = self.records.insert(record);
+        self.by_chain.entry(chain).or_default().push(parent);
+        parent
+    }
+
+    /// Forgets a request that has ended.
+    pub fn leave(&mut self, parent: ParentKey) {
+        let Some(record) = self.records.remove(parent) else {
+            return;
+        };
+        let Some(parents) = self.by_chain.get_mut(&record.chain) else {
+            return;
+        };
+        parents.retain(|key| *key != parent);
+        if parents.is_empty() {
+            self.by_chain.remove(&record.chain);
+        }
+    }
+
+    /// Returns what a call of `chain` inherits.
+    ///
+    /// With several requests of the chain in flight the call may belong to any of them, so it gets
+    /// the earliest deadline, the least important priority and the smallest budget. `customer`,
+    /// where the call names one, leaves only the requests of that customer.
+    ///
+    /// # Errors
+    ///
+    /// [`ParentError`], if there is no parent or if they differ in customer.
+    pub fn parent(
+        &self,
+        chain: ChainId,
+        customer: Option<&CustomerName>,
+    ) -> Result<ChainRecord<B>, ParentError> {
+        let parents = self.by_chain.get(&chain).ok_or(ParentError::Missing)?;
+        let named = |record: &&ChainRecord<B>| customer.is_none_or(|name| *name == record.customer);
+        let mut records = parents.iter().map(|key| &self.records[*key]).filter(named);
+        let first = records.next().ok_or(ParentError::Ambiguous)?.clone();
+        records.try_fold(first, most_conservative)
+    }
+
+    /// Returns the number of requests in flight.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether no request is in flight.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
+
+fn most_conservative<B: ChainBudget>(
+    one: ChainRecord<B>,
+    other: &ChainRecord<B>,
+) -> Result<ChainRecord<B>, ParentError> {
+    if one.customer != other.customer {
+        return Err(ParentError::Ambiguous);
+    }
+    let budget = if other.budget.left() < one.budget.left() {
+        other.budget.clone()
+    } else {
+        one.budget
+    };
+    Ok(ChainRecord {
+        priority: one.priority.max(other.priority),
+        deadline: one.deadline.min(other.deadline),
+        budget,
+        ..one
+    })
+}
+
+/// The chains of a host, shared between threads.
+#[derive(Clone, Debug)]
+pub struct ChainIndex<B> {
+    shards: Arc<[Mutex<ChainTable<B>>; SHARDS]>,
+}
+
+impl<B: ChainBudget> Default for ChainIndex<B> {
+    fn default() -> ChainIndex<B> {
+        ChainIndex {
+            shards: Arc::new(std::array::from_fn(|_| Mutex::default())),
+        }
+    }
+}
+
+impl<B: ChainBudget> ChainIndex<B> {
+    /// Records a request that starts to run; dropping the guard forgets it.
+    pub fn enter(&self, record: ChainRecord<B>) -> ChainGuard<B> {
+        let chain = record.chain;
+        let parent = self.shard(chain).enter(record);
+        ChainGuard {
+            index: self.clone(),
+            chain,
+            parent,
+        }
+    }
+
+    /// Returns what a call of `chain` inherits; see [`ChainTable::parent`].
+    ///
+    /// # Errors
+    ///
+    /// [`ParentError`], if there is no parent or if they differ in customer.
+    pub fn parent(
+        &self,
+        chain: ChainId,
+        customer: Option<&CustomerName>,
+    ) -> Result<ChainRecord<B>, ParentError> {
+        self.shard(chain).parent(chain, customer)
+    }
+
+    /// Returns the number of requests in flight.
+    pub fn len(&self) -> usize {
+        self.shards.iter().map(|shard| lock(shard).len()).sum()
+    }
+
+    /// Returns whether no request is in flight.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn shard(&self, chain: ChainId) -> MutexGuard<'_, ChainTable<B>> {
+        lock(&self.shards[(chain.0 % SHARDS as u128) as usize])
+    }
+}
+
+/// A request in flight; dropping it ends the request's part in its chain.
+#[derive(Debug)]
+pub struct ChainGuard<B: ChainBudget> {
+    index: ChainIndex<B>,
+    chain: ChainId,
+    parent: ParentKey,
+}
+
+impl<B: ChainBudget> Drop for ChainGuard<B> {
+    fn drop(&mut self) {
+        self.index.shard(self.chain).leave(self.parent);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,6 +4,7 @@
 //! global source. Time and random numbers come in as arguments and outputs are values, so that the
 //! daemons, the keepers, the property tests and the bench all drive the same code.
 
+pub mod chain;
 pub mod claim;
 pub mod contract;
 pub mod name;
