Add the quarantine of requests that crash backend servers

Cause: a request that crashes every server that runs it is sent again by its caller.

Change: SuspectBook (strikes and clears, merged in any order) and ServerRuns (requests in flight at a server, with a lane for one suspect at a time). A suspect's strike is written ahead and told before it runs, and peers that run it answer with their own, so two second runs exclude each other.

Ruled out: the request id as fingerprint (a caller that sends the poison request under a new id would crash two more servers each time; frequent requests of equal content clear themselves by their answers); striking only after the crash (below); an empty server for each suspect (an upload in flight would hold it up for minutes).

--- a/crates/decide/src/claim/message.rs
+++ b/crates/decide/src/claim/message.rs
@@ -57,6 +57,11 @@
 pub struct RequestDigest([u8; 16]);
 
 impl RequestDigest {
+    /// Returns the bytes of the digest.
+    pub fn as_bytes(&self) -> &[u8; 16] {
+        &self.0
+    }
+
     /// Returns the digest of a request whose body begins with `prefix`.
     ///
     /// `prefix` is the whole body, or its first [`DIGEST_BODY_BYTES_MAX`] bytes when it is longer,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod name;
 pub mod outcome;
 pub mod priority;
+pub mod quarantine;
 pub mod state;
 pub mod time;
