--- a/crates/operator/src/contracts.rs
+++ b/crates/operator/src/contracts.rs
@@ -143,7 +143,7 @@
 async fn get_contract<S: ContractService>(service: S, state: State) -> (State, Response<Body>) {
     let answer = match path_customer(&state) {
         Ok(customer) => found(service.get(&customer), &customer),
-        Err(answer) => answer,
+        Err(fault) => fault.into(),
     };
     (state, answer)
 }
@@ -151,7 +151,7 @@
 async fn log_contract<S: ContractService>(service: S, state: State) -> (State, Response<Body>) {
     let answer = match path_customer(&state) {
         Ok(customer) => found(service.log(&customer), &customer),
-        Err(answer) => answer,
+        Err(fault) => fault.into(),
     };
     (state, answer)
 }
@@ -159,7 +159,7 @@
 async fn put_contract<S: ContractService>(service: S, mut state: State) -> (State, Response<Body>) {
     let answer = match read_put(&mut state).await {
         Ok((customer, text)) => run_put(service, customer, text).await,
-        Err(answer) => answer,
+        Err(fault) => fault.into(),
     };
     (state, answer)
 }
@@ -241,25 +241,46 @@
     }
 }
 
-fn path_customer(state: &State) -> Result<CustomerName, Response<Body>> {
+/// A request that can't be read.
+struct RequestFault {
+    status: StatusCode,
+    detail: String,
+}
+
+impl RequestFault {
+    fn bad(detail: impl Into<String>) -> RequestFault {
+        RequestFault {
+            status: StatusCode::BAD_REQUEST,
+            detail: detail.into(),
+        }
+    }
+}
+
+impl From<RequestFault> for Response<Body> {
+    fn from(fault: RequestFault) -> Response<Body> {
+        problem(fault.status, fault.detail)
+    }
+}
+
+fn path_customer(state: &State) -> Result<CustomerName, RequestFault> {
     let path = Uri::borrow_from(state).path();
     let name = path.split('/').nth(2).unwrap_or_default();
-    CustomerName::try_from(name).map_err(|e| problem(StatusCode::BAD_REQUEST, e.to_string()))
+    CustomerName::try_from(name).map_err(|e| RequestFault::bad(e.to_string()))
 }
 
-async fn read_put(state: &mut State) -> Result<(CustomerName, String), Response<Body>> {
+async fn read_put(state: &mut State) -> Result<(CustomerName, String), RequestFault> {
     let customer = path_customer(state)?;
     let body = Limited::new(Body::take_from(state), CONTRACT_BYTES_MAX);
     let body = body.collect().await.map_err(|e| {
-        let too_large = e.is::<http_body_util::LengthLimitError>();
-        if too_large {
-            let detail = format!("a contract holds at most {CONTRACT_BYTES_MAX} bytes");
-            problem(StatusCode::PAYLOAD_TOO_LARGE, detail)
-        } else {
-            problem(StatusCode::BAD_REQUEST, format!("body was cut short: {e}"))
+        if !e.is::<http_body_util::LengthLimitError>() {
+            return RequestFault::bad(format!("body was cut short: {e}"));
+        }
+        RequestFault {
+            status: StatusCode::PAYLOAD_TOO_LARGE,
+            detail: format!("a contract holds at most {CONTRACT_BYTES_MAX} bytes"),
         }
     })?;
     let text = String::from_utf8(body.to_bytes().into());
-    let text = text.map_err(|_| problem(StatusCode::BAD_REQUEST, "contract is not UTF-8"))?;
+    let text = text.map_err(|_| RequestFault::bad("contract is not UTF-8"))?;
     Ok((customer, text))
 }
