--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,10 +7,16 @@
 pub mod claim;
 pub mod contract;
 pub mod contract_book;
+pub mod deadline;
 pub mod document;
+pub mod gate;
+pub mod level;
+pub mod limit;
 pub mod name;
 pub mod outcome;
 pub mod priority;
+pub mod quota;
+pub mod retry;
 pub mod route;
 pub mod state;
 pub mod time;
