Add the operators' tool

Cause: contracts could only be put with a bare HTTP client.

Change: agatehill contract check, apply, get, list and log, dump, status and settings check. Apply reads files or folders, checks all of them before it sends anything, sends only what differs, and can be repeated after a lost answer. Exit codes: 0 done, 1 refused or disagreeing, 2 faulty command line or file, 3 no answer. Errors of the contract client no longer call every process a keeper.

A contract that breaks a rule reads: contract "a.toml": line 2: key "revision": must be above 0.

--- /dev/null
+++ b/bin/agatehill/src/cmd/settings.rs
@@ -0,0 +1,74 @@
+//! `agatehill settings`.
+
+use crate::{error::CommandError, output::CommandOutput};
+use agatehill_config::{DaemonSettings, KeeperSettings, SettingsKind};
+use clap::{Subcommand, ValueEnum};
+use std::path::{Path, PathBuf};
+
+#[derive(Debug, Subcommand)]
+pub(crate) enum Command {
+    /// Checks settings files of daemons and keepers.
+    Check(CheckArgs),
+}
+
+#[derive(clap::Args, Debug)]
+pub(crate) struct CheckArgs {
+    /// Settings files.
+    #[arg(required = true)]
+    files: Vec<PathBuf>,
+    /// Whose settings they are; told from each file when missing.
+    #[arg(long)]
+    kind: Option<Kind>,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
+enum Kind {
+    Daemon,
+    Keeper,
+}
+
+/// Runs the subcommand.
+pub(crate) fn run(command: Command) -> Result<CommandOutput, CommandError> {
+    let Command::Check(args) = command;
+    let mut lines = Vec::new();
+    let mut faults = Vec::new();
+    for file in &args.files {
+        match check(file, args.kind) {
+            Ok(line) => lines.push(line),
+            Err(error) => faults.push(error.to_string()),
+        }
+    }
+    if faults.is_empty() {
+        return Ok(CommandOutput::lines(lines));
+    }
+    Err(CommandError::Invalid(faults.join("\n")))
+}
+
+fn check(file: &Path, kind: Option<Kind>) -> Result<String, CommandError> {
+    let kind = match kind {
+        Some(kind) => kind.into(),
+        None => SettingsKind::of(file)?,
+    };
+    let shown = file.display();
+    match kind {
+        SettingsKind::Daemon => {
+            let settings: DaemonSettings = agatehill_config::load(file)?;
+            let zone = &settings.availability_zone;
+            Ok(format!("{shown}: daemon={} zone={zone}", settings.name))
+        }
+        SettingsKind::Keeper => {
+            let settings: KeeperSettings = agatehill_config::load(file)?;
+            let zone = &settings.availability_zone;
+            Ok(format!("{shown}: keeper={} zone={zone}", settings.name))
+        }
+    }
+}
+
+impl From<Kind> for SettingsKind {
+    fn from(kind: Kind) -> SettingsKind {
+        match kind {
+            Kind::Daemon => SettingsKind::Daemon,
+            Kind::Keeper => SettingsKind::Keeper,
+        }
+    }
+}
--- a/bin/agatehill/src/main.rs
+++ b/bin/agatehill/src/main.rs
@@ -1,3 +1,47 @@
-//! Placeholder.
+//! The operators' tool: contracts, settings and the state of processes.
 
-fn main() {}
+mod cmd;
+mod declaration;
+mod error;
+mod output;
+
+use crate::{error::CommandError, output::CommandOutput};
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+
+/// Drives agatehill by its contracts and shows what it does.
+///
+/// Exit codes: 0 done; 1 refused, a conflict, or processes that disagree; 2 a faulty command
+/// line, file or contract; 3 no answer, and what was sent may or may not be in force.
+#[derive(Debug, Parser)]
+#[command(name = "agatehill", version)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Checks, applies and shows contracts.
+    #[command(subcommand)]
+    Contract(cmd::contract::Command),
+    /// Prints the state of one daemon or keeper as JSON.
+    Dump(cmd::dump::Args),
+    /// Checks settings files.
+    #[command(subcommand)]
+    Settings(cmd::settings::Command),
+    /// Shows daemons and keepers and the contracts in force at each.
+    Status(cmd::status::Args),
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let done = match Args::parse().command {
+        Command::Contract(command) => cmd::contract::run(command).await,
+        Command::Dump(args) => cmd::dump::run(args).await,
+        Command::Settings(command) => cmd::settings::run(command),
+        Command::Status(args) => cmd::status::run(args).await,
+    };
+    done.and_then(CommandOutput::print)
+        .unwrap_or_else(CommandError::print)
+}
--- /dev/null
+++ b/bin/agatehill/tests/contract_apply.rs
@@ -0,0 +1,83 @@
+//! `agatehill contract apply`, `get`, `list` and `log` against a real keeper.
+
+mod support;
+
+use agatehill_tests::bed::{TestBed, ZONE, free_tcp};
+use support::{WorkDir, contract};
+
+#[test]
+fn only_what_differs_is_applied() {
+    let bed = TestBed::open(&[ZONE]);
+    let keepers = bed.start_keepers();
+    let keeper = keepers[0].addr("operator");
+    let dir = WorkDir::open();
+    dir.write("contracts/a.toml", &contract("dansk", 1, 10));
+    dir.write("contracts/b.toml", &contract("sutravan", 1, 10));
+
+    let dry = dir
+        .ask(keeper, "contract apply contracts --dry-run")
+        .printed(0);
+    assert!(
+        dry.starts_with("contracts/a.toml: differs customer=dansk revision=1\n"),
+        "{dry}"
+    );
+    let list = dir.ask(keeper, "contract list").printed(0);
+    assert_eq!(list, "", "a dry run applies nothing");
+
+    let first = dir.ask(keeper, "contract apply contracts").printed(0);
+    let wanted = "contracts/a.toml: accepted customer=dansk revision=1\n\
+                  contracts/b.toml: accepted customer=sutravan revision=1\n";
+    assert_eq!(first, wanted);
+
+    dir.write("contracts/b.toml", &contract("sutravan", 2, 20));
+    let second = dir.ask(keeper, "contract apply contracts").printed(0);
+    let wanted = "contracts/a.toml: unchanged customer=dansk revision=1\n\
+                  contracts/b.toml: accepted customer=sutravan revision=2\n";
+    assert_eq!(second, wanted);
+    let again = dir.ask(keeper, "contract apply contracts").printed(0);
+    assert_eq!(again.matches("unchanged").count(), 2, "{again}");
+
+    let text = dir.ask(keeper, "contract get sutravan").printed(0);
+    assert_eq!(text, contract("sutravan", 2, 20));
+    let log = dir.ask(keeper, "contract log sutravan").printed(0);
+    assert_eq!(log.lines().count(), 2, "{log}");
+    let list = dir.ask(keeper, "contract list").printed(0);
+    assert!(list.starts_with("customer=dansk revision=1 "), "{list}");
+}
+
+#[test]
+fn a_conflict_changes_nothing_and_the_others_are_applied() {
+    let bed = TestBed::open(&[ZONE]);
+    let keepers = bed.start_keepers();
+    let keeper = keepers[0].addr("operator");
+    let dir = WorkDir::open();
+    dir.write("old.toml", &contract("dansk", 1, 10));
+    dir.ask(keeper, "contract apply old.toml").printed(0);
+
+    dir.write("contracts/a.toml", &contract("dansk", 1, 99));
+    dir.write("contracts/b.toml", &contract("other", 5, 10));
+    dir.write("contracts/c.toml", &contract("sutravan", 1, 10));
+    let printed = dir.ask(keeper, "contract apply contracts").printed(1);
+    let wanted = "contracts/a.toml: refused customer=dansk revision=1: revision 1 is in force with another text\n\
+                  contracts/b.toml: refused customer=other revision=5: the next revision of customer \"other\" is 1\n\
+                  contracts/c.toml: accepted customer=sutravan revision=1\n";
+    assert_eq!(printed, wanted);
+    let text = dir.ask(keeper, "contract get dansk").printed(0);
+    assert_eq!(text, contract("dansk", 1, 10));
+    let missing = dir.ask(keeper, "contract get other").failed(1);
+    assert!(missing.contains("\"other\""), "{missing}");
+}
+
+#[test]
+fn no_answer_is_told_apart_from_a_refusal() {
+    let dir = WorkDir::open();
+    dir.write("a.toml", &contract("dansk", 1, 10));
+    let printed = dir.ask(free_tcp(), "contract apply a.toml").printed(3);
+    let wanted = "a.toml: unknown customer=dansk revision=1: no answer: 127.0.0.1:";
+    assert!(printed.starts_with(wanted), "{printed}");
+    let printed = dir.ask(free_tcp(), "contract list").failed(3);
+    assert!(
+        printed.starts_with("agatehill: no answer: 127.0.0.1:"),
+        "{printed}"
+    );
+}
--- /dev/null
+++ b/crates/config/src/kind.rs
@@ -0,0 +1,31 @@
+//! Whose settings a file holds.
+
+use crate::SettingsError;
+use std::{fs, path::Path};
+
+/// The programs that have settings.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SettingsKind {
+    /// `agatehill-daemon`.
+    Daemon,
+    /// `agatehill-keeper`.
+    Keeper,
+}
+
+impl SettingsKind {
+    /// Tells from the keys of the file at `path` whose settings it holds.
+    ///
+    /// # Errors
+    ///
+    /// A file that can't be read. One that is not TOML counts as a daemon's; loading it tells why.
+    pub fn of(path: &Path) -> Result<SettingsKind, SettingsError> {
+        let text = fs::read_to_string(path).map_err(|e| SettingsError::unreadable(path, e))?;
+        let table: toml::Table = toml::from_str(&text).unwrap_or_default();
+        let is_keeper = table.contains_key("data_dir") || table.contains_key("keeper");
+        if is_keeper {
+            Ok(SettingsKind::Keeper)
+        } else {
+            Ok(SettingsKind::Daemon)
+        }
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod daemon;
 pub mod keeper;
+pub mod kind;
 pub mod listen;
 pub mod log;
 
@@ -11,6 +12,7 @@
     daemon::{CallLimits, DaemonListen, DaemonSettings, SeedAddress},
     error::SettingsError,
     keeper::{KeeperListen, KeeperPeer, KeeperSettings},
+    kind::SettingsKind,
     log::LogSettings,
 };
 pub use agatehill_decide::document::DocumentFault as SettingsFault;
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -43,7 +43,7 @@
         match self {
             ClientError::Refused { detail, .. } => f.write_str(detail),
             ClientError::Conflict(report) => f.write_str(&report.detail),
-            ClientError::Unavailable(last) => write!(f, "no keeper answered: {last}"),
+            ClientError::Unavailable(last) => write!(f, "no answer: {last}"),
         }
     }
 }
@@ -168,9 +168,9 @@
             Ok::<_, hyper_util::client::legacy::Error>((status, body))
         };
         let answered = tokio::time::timeout(REQUEST_SPAN, exchange).await;
-        let answered = answered.map_err(|_| format!("keeper {addr} did not answer in time"))?;
-        let (status, body) = answered.map_err(|e| format!("keeper {addr}: {e}"))?;
-        let body = body.map_err(|e| format!("keeper {addr}: {e}"))?;
+        let answered = answered.map_err(|_| format!("{addr} did not answer in time"))?;
+        let (status, body) = answered.map_err(|e| format!("{addr}: {e}"))?;
+        let body = body.map_err(|e| format!("{addr}: {e}"))?;
         Ok((status, body.to_bytes()))
     }
 }
