--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -14,6 +14,7 @@
     routes::RouteView,
 };
 use agatehill_config::DaemonSettings;
+use agatehill_decide::retry::AttemptLedger;
 use agatehill_operator::inspect::inspect_routes;
 use agatehill_peer::{forward::ForwardClient, keeper_client::KeeperClient};
 use agatehill_platform::{
@@ -24,11 +25,20 @@
 };
 use eyre::WrapErr;
 use gotham::router::{Router, build_simple_router};
-use std::{path::PathBuf, sync::Arc, time::Duration};
+use std::{
+    path::PathBuf,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 /// Time for which a stopping daemon still takes calls while the others learn of it.
 const LEAVE_SPAN: Duration = Duration::from_millis(1_500);
 
+/// Request ids whose attempts are counted at most.
+const LEDGER_REQUESTS_MAX: usize = 1 << 16;
+/// Time for which the attempts of a request id are counted.
+const LEDGER_SPAN: Duration = Duration::from_secs(60);
+
 /// Arguments of the command.
 #[derive(Debug, clap::Args)]
 pub(crate) struct Args {
@@ -95,6 +105,10 @@
     CallEntry {
         contracts: ContractView::default(),
         runner,
+        attempts: Arc::new(Mutex::new(AttemptLedger::new(
+            LEDGER_REQUESTS_MAX,
+            LEDGER_SPAN,
+        ))),
         body_bytes_max: settings.limits.body_bytes_max,
     }
 }
--- /dev/null
+++ b/crates/backend/src/chain.rs
@@ -0,0 +1,99 @@
+//! What a call that runs at a backend server shares with the calls that the server makes.
+
+use agatehill_decide::{
+    chain::{ChainBudget, ChainGuard},
+    retry::{RetryBudget, RetryLease},
+};
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+/// The retry budget and the time in child calls of one running call.
+#[derive(Clone, Debug)]
+pub struct ChainHandle {
+    shared: Arc<ChainShared>,
+}
+
+#[derive(Debug)]
+struct ChainShared {
+    budget: Mutex<RetryBudget>,
+    child_micros: AtomicU64,
+}
+
+impl ChainHandle {
+    /// Opens the handle of a call that may spend `retries`.
+    pub fn open(retries: u32) -> ChainHandle {
+        let shared = ChainShared {
+            budget: Mutex::new(RetryBudget::of_lease(retries)),
+            child_micros: AtomicU64::new(0),
+        };
+        ChainHandle {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Leases retries to a child call that starts.
+    pub fn enter_child(&self) -> ChildLease {
+        ChildLease {
+            handle: self.clone(),
+            lease: Some(self.budget().lease()),
+        }
+    }
+
+    /// Returns the time that child calls have taken, those in parallel added up.
+    pub fn child_time(&self) -> Duration {
+        Duration::from_micros(self.shared.child_micros.load(Ordering::Relaxed))
+    }
+
+    fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.shared
+            .budget
+            .lock()
+            .expect("no holder of a budget panics")
+    }
+}
+
+impl ChainBudget for ChainHandle {
+    fn left(&self) -> u32 {
+        self.budget().left()
+    }
+}
+
+/// The retries leased to a child call; without [`ChildLease::end`] they count as spent.
+#[derive(Debug)]
+pub struct ChildLease {
+    handle: ChainHandle,
+    lease: Option<RetryLease>,
+}
+
+impl ChildLease {
+    /// Returns the number of retries leased.
+    pub fn tokens(&self) -> u32 {
+        self.lease.as_ref().map_or(0, RetryLease::tokens)
+    }
+
+    /// Ends the child call, which took `elapsed` and left `unused` retries.
+    pub fn end(mut self, unused: u32, elapsed: Duration) {
+        if let Some(lease) = self.lease.take() {
+            self.handle.budget().give_back(lease, unused);
+        }
+        let micros = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+        self.handle
+            .shared
+            .child_micros
+            .fetch_add(micros, Ordering::Relaxed);
+    }
+}
+
+/// A call that runs, as its child calls find it.
+#[derive(Debug)]
+pub struct RunningChain {
+    /// Shared with the child calls.
+    pub handle: ChainHandle,
+    /// Keeps the call in the index of running calls.
+    pub guard: ChainGuard<ChainHandle>,
+}
--- a/crates/backend/src/gate.rs
+++ b/crates/backend/src/gate.rs
@@ -1,12 +1,14 @@
 //! The gate beside a backend server: the one place where calls to it are admitted.
 
 use crate::{
+    chain::{ChainHandle, RunningChain},
     client::{BackendClient, CallFailure},
-    held::HeldBody,
-    places::{PlaceGuard, ServerPlaces},
+    held::{BodyGuard, HeldBody},
+    places::PlaceGuard,
     registry::ServerRegistry,
 };
 use agatehill_decide::{
+    chain::{ChainBudget, ChainIndex, ChainRecord},
     gate::{GateCall, GateLoad, GateRefusal, RefusalReason, RunResult},
     outcome::CallOutcome,
     retry::spread_retry_after,
@@ -42,6 +44,7 @@
 pub struct CallGate {
     registry: Arc<ServerRegistry>,
     client: BackendClient,
+    chains: ChainIndex<ChainHandle>,
     clock: MonoClock,
 }
 
@@ -51,6 +54,7 @@
         CallGate {
             registry,
             client: BackendClient::open(),
+            chains: ChainIndex::default(),
             clock,
         }
     }
@@ -60,6 +64,11 @@
         &self.registry
     }
 
+    /// Returns the calls that run at the servers, by chain.
+    pub fn chains(&self) -> &ChainIndex<ChainHandle> {
+        &self.chains
+    }
+
     /// Returns the clock that deadlines are counted on.
     pub fn clock(&self) -> MonoClock {
         self.clock
@@ -80,52 +89,92 @@
         };
         match server.places.admit(call).await {
             Ok(place) => {
-                self.run_admitted(server.announcement.address, call, req, place)
+                let run = self.enter(head, call, place);
+                self.run_admitted(server.announcement.address, call, req, run)
                     .await
             }
             Err(refusal) => refused(&refusal, server.places.load()),
         }
     }
 
+    fn enter(&self, head: &ForwardHead, call: GateCall, place: PlaceGuard) -> RunGuard {
+        let handle = ChainHandle::open(head.retries);
+        let guard = self.chains.enter(ChainRecord {
+            chain: head.chain,
+            customer: head.customer.clone(),
+            priority: head.priority,
+            deadline: call.deadline,
+            budget: handle.clone(),
+        });
+        RunGuard {
+            chain: RunningChain { handle, guard },
+            place,
+            retries: head.retries,
+        }
+    }
+
     async fn run_admitted(
         &self,
         addr: std::net::SocketAddr,
         call: GateCall,
         mut req: Request<CallBody>,
-        mut place: PlaceGuard,
+        mut run: RunGuard,
     ) -> GateAnswer {
         let left = call.deadline.since(self.clock.now());
         let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
         req.headers_mut()
             .insert(DEADLINE_HEADER, HeaderValue::from(millis));
         match tokio::time::timeout(left, self.client.send(addr, req)).await {
-            Ok(Ok(response)) => answered(response, place),
+            Ok(Ok(response)) => answered(response, run),
             Ok(Err(failure)) => {
-                place.set_result(RunResult::Lost);
+                run.place.set_result(RunResult::Lost);
                 let outcome = match failure {
                     CallFailure::NotSent => CallOutcome::NotRun,
                     CallFailure::Lost => CallOutcome::Unknown,
                 };
-                failed(FailureKind::Lost, outcome, Some(place.places()))
+                failed(FailureKind::Lost, outcome, Some(&run))
             }
-            Err(_) => failed(
-                FailureKind::Deadline,
-                CallOutcome::Unknown,
-                Some(place.places()),
-            ),
+            Err(_) => failed(FailureKind::Deadline, CallOutcome::Unknown, Some(&run)),
         }
     }
 }
 
-fn answered(response: Response<Incoming>, mut place: PlaceGuard) -> GateAnswer {
+/// A call that runs at a server; ends on drop.
+#[derive(Debug)]
+struct RunGuard {
+    chain: RunningChain,
+    place: PlaceGuard,
+    retries: u32,
+}
+
+impl RunGuard {
+    /// Returns the retries that are spent or still leased to child calls.
+    fn retries_used(&self) -> u32 {
+        self.retries.saturating_sub(self.chain.handle.left())
+    }
+}
+
+impl BodyGuard for RunGuard {
+    fn complete(&mut self) {
+        self.place.set_result(RunResult::Answered);
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.place.set_child_time(self.chain.handle.child_time());
+    }
+}
+
+fn answered(response: Response<Incoming>, mut run: RunGuard) -> GateAnswer {
     if is_shed(&response) {
-        place.set_result(RunResult::Shed);
-        return failed(FailureKind::Shed, CallOutcome::NotRun, Some(place.places()));
+        run.place.set_result(RunResult::Shed);
+        return failed(FailureKind::Shed, CallOutcome::NotRun, Some(&run));
     }
-    let report = report(CallOutcome::Answered, None, Some(place.places()));
+    let report = report(CallOutcome::Answered, None, Some(&run));
     let hold = |body: Incoming| {
         let body = body.map_err(io::Error::other);
-        CallBody::Stream(HeldBody::new(body, place).boxed_unsync())
+        CallBody::Stream(HeldBody::new(body, run).boxed_unsync())
     };
     GateAnswer {
         report,
@@ -152,8 +201,8 @@
     bodiless(report)
 }
 
-fn failed(kind: FailureKind, outcome: CallOutcome, places: Option<&ServerPlaces>) -> GateAnswer {
-    let mut report = report(outcome, Some(kind), places);
+fn failed(kind: FailureKind, outcome: CallOutcome, run: Option<&RunGuard>) -> GateAnswer {
+    let mut report = report(outcome, Some(kind), run);
     report.retry_after_ms = millis(spread_retry_after(RETRY_PAUSE, rand::random()));
     bodiless(report)
 }
@@ -161,12 +210,14 @@
 fn report(
     outcome: CallOutcome,
     failure: Option<FailureKind>,
-    places: Option<&ServerPlaces>,
+    run: Option<&RunGuard>,
 ) -> ForwardReport {
     let mut report = ForwardReport::new(outcome, failure);
-    if let Some(load) = places.map(ServerPlaces::load) {
+    if let Some(run) = run {
+        let load = run.place.places().load();
         report.load = load_permille(load);
         report.level = load.level;
+        report.retries_used = run.retries_used();
     }
     report
 }
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -1,6 +1,7 @@
 //! Towards the backend servers on this host: announcements, admission and the calls themselves.
 
 pub mod announce;
+pub mod chain;
 pub mod client;
 pub mod gate;
 pub mod held;
--- a/crates/backend/src/places.rs
+++ b/crates/backend/src/places.rs
@@ -1,9 +1,6 @@
 //! Admission of calls to one backend server: drives its [`ServerGate`] for many tasks.
 
-use crate::{
-    held::BodyGuard,
-    registry::{ServerAnnouncement, ServerStage},
-};
+use crate::registry::{ServerAnnouncement, ServerStage};
 use agatehill_decide::{
     gate::{
         GateCall, GateConfig, GateCounts, GateDecision, GateEvent, GateLoad, GateRefusal,
@@ -251,12 +248,6 @@
     }
 }
 
-impl BodyGuard for PlaceGuard {
-    fn complete(&mut self) {
-        self.result = RunResult::Answered;
-    }
-}
-
 impl Drop for PlaceGuard {
     fn drop(&mut self) {
         let now = self.places.clock.now();
--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -40,7 +40,7 @@
     /// Makes one attempt of `call` at a server that is not among `tried`, and adds it there.
     pub async fn run(
         &self,
-        call: &ActiveCall,
+        call: &mut ActiveCall,
         req: Request<CallBody>,
         reach: RouteReach,
         tried: &mut Vec<ServerKey>,
@@ -72,12 +72,13 @@
 
     async fn run_at(
         &self,
-        call: &ActiveCall,
+        call: &mut ActiveCall,
         req: Request<CallBody>,
         target: &RouteTarget,
     ) -> GateAnswer {
         let started = self.gate.clock().now();
-        let head = match call.head(target.view.backend, started) {
+        let lease = call.budget.lease();
+        let head = match call.head(target.view.backend, lease.tokens(), started) {
             Ok(head) => head,
             Err(kind) => return bodiless(refusal(kind, Duration::ZERO)),
         };
@@ -103,10 +104,10 @@
         let limit = Duration::from_millis(u64::from(head.deadline_ms));
         let sent = self.forward.send(target.forward(), head, req);
         match tokio::time::timeout(limit, sent).await {
-            Ok(Ok(response)) => forwarded_answer(response),
+            Ok(Ok(response)) => forwarded_answer(head, response),
             Ok(Err(ForwardFailure::NotSent)) => bodiless(lost(CallOutcome::NotRun)),
-            Ok(Err(ForwardFailure::Lost)) => bodiless(lost(CallOutcome::Unknown)),
-            Err(_) => bodiless(expired()),
+            Ok(Err(ForwardFailure::Lost)) => bodiless(unheard(head, FailureKind::Lost)),
+            Err(_) => bodiless(unheard(head, FailureKind::Deadline)),
         }
     }
 }
@@ -125,12 +126,11 @@
     }
 }
 
-fn expired() -> ForwardReport {
-    let report = refusal(FailureKind::Deadline, Duration::ZERO);
-    ForwardReport {
-        outcome: CallOutcome::Unknown,
-        ..report
-    }
+/// Returns a report of a call whose gate was not heard: it may have run and spent its retries.
+fn unheard(head: &ForwardHead, kind: FailureKind) -> ForwardReport {
+    let mut report = ForwardReport::new(CallOutcome::Unknown, Some(kind));
+    report.retries_used = head.retries;
+    report
 }
 
 fn bodiless(report: ForwardReport) -> GateAnswer {
@@ -141,7 +141,7 @@
 }
 
 /// Reads the answer of another daemon; one without a report may have run.
-fn forwarded_answer(response: Response<Incoming>) -> GateAnswer {
+fn forwarded_answer(head: &ForwardHead, response: Response<Incoming>) -> GateAnswer {
     match ForwardReport::try_from(response.headers()) {
         Ok(report) => {
             let stream =
@@ -151,7 +151,7 @@
                 response: response.map(stream),
             }
         }
-        Err(_) => bodiless(lost(CallOutcome::Unknown)),
+        Err(_) => bodiless(unheard(head, FailureKind::Lost)),
     }
 }
 
--- a/crates/caller/src/call.rs
+++ b/crates/caller/src/call.rs
@@ -1,17 +1,21 @@
 //! A call on its way through this daemon.
 
 use crate::{problem::CallProblem, request::CallerRequest};
+use agatehill_backend::chain::{ChainHandle, ChildLease};
 use agatehill_decide::{
+    chain::ChainRecord,
     contract::{ContractSpec, OperationSpec},
+    deadline::CallDeadline,
     name::{ChainId, CustomerName, RequestId, ServiceName},
     priority::CallPriority,
+    retry::RetryBudget,
     time::MonoTime,
 };
 use agatehill_peer::forward::{FailureKind, ForwardHead};
 use std::{net::SocketAddr, time::Duration};
 
 /// A call whose contract and chain are known.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct ActiveCall {
     /// The customer whose contract applies.
     pub customer: CustomerName,
@@ -26,9 +30,11 @@
     /// A backend server makes the call as part of a chain.
     pub is_nested: bool,
     /// When the caller stops waiting.
-    pub deadline: MonoTime,
+    pub deadline: CallDeadline,
     /// Retries that are left.
-    pub retries: u32,
+    pub budget: RetryBudget,
+    /// Retries leased from the call that a child call belongs to.
+    pub lease: Option<ChildLease>,
     /// The caller's own count of attempts.
     pub attempt: u32,
     /// Hours for which the run must be remembered; `None` when the operation is idempotent.
@@ -38,24 +44,21 @@
 impl ActiveCall {
     /// Begins the chain whose first call is `req`, an operation of `spec`.
     ///
-    /// `chain` names the chain when the caller did not.
+    /// `chain` names the chain when the caller did not, and `attempt` counts the caller's resends.
     ///
     /// # Errors
     ///
-    /// A non-idempotent operation needs the caller's request id.
+    /// A non-idempotent operation without a request id, or a resend past the contract's bound.
     pub fn root(
         req: &CallerRequest,
         spec: &ContractSpec,
         operation: &OperationSpec,
-        chain: ChainId,
+        (chain, attempt): (ChainId, u32),
         now: MonoTime,
     ) -> Result<ActiveCall, CallProblem> {
         let chain = req.chain.unwrap_or(chain);
         let request = request_id(req, operation, chain)?;
-        let ceiling = operation.deadline();
-        let asked = req
-            .deadline_ms
-            .map(|ms| Duration::from_millis(u64::from(ms)));
+        let asked = asked_time(req);
         Ok(ActiveCall {
             customer: spec.customer.clone(),
             priority: CallPriority::of(operation.class, &request),
@@ -63,9 +66,42 @@
             chain,
             service: operation.service.clone(),
             is_nested: false,
-            deadline: now + asked.map_or(ceiling, |asked| asked.min(ceiling)),
-            retries: spec.retries_per_request.saturating_sub(req.attempt),
-            attempt: req.attempt,
+            deadline: CallDeadline::at_root(asked, operation.deadline(), now),
+            budget: root_budget(spec, operation, attempt)?,
+            lease: None,
+            attempt,
+            remember_hours: (!operation.idempotent).then_some(spec.remember_hours),
+        })
+    }
+
+    /// Takes a call that a backend server makes on behalf of the running call `parent`.
+    ///
+    /// # Errors
+    ///
+    /// A non-idempotent operation without a request id.
+    pub fn child(
+        req: &CallerRequest,
+        spec: &ContractSpec,
+        operation: &OperationSpec,
+        parent: &ChainRecord<ChainHandle>,
+        now: MonoTime,
+    ) -> Result<ActiveCall, CallProblem> {
+        let request = request_id(req, operation, parent.chain)?;
+        let lease = parent.budget.enter_child();
+        let ceiling = CallDeadline::at_root(asked_time(req), operation.deadline(), now);
+        Ok(ActiveCall {
+            customer: spec.customer.clone(),
+            request,
+            chain: parent.chain,
+            service: operation.service.clone(),
+            priority: parent.priority,
+            is_nested: true,
+            deadline: CallDeadline::from(parent.deadline)
+                .child(None, now)
+                .min(ceiling),
+            budget: RetryBudget::of_lease(lease.tokens()),
+            lease: Some(lease),
+            attempt: 0,
             remember_hours: (!operation.idempotent).then_some(spec.remember_hours),
         })
     }
@@ -79,14 +115,15 @@
             service: head.service.clone(),
             priority: head.priority,
             is_nested: head.is_nested,
-            deadline: now + Duration::from_millis(u64::from(head.deadline_ms)),
-            retries: head.retries,
+            deadline: CallDeadline::from_wire(u64::from(head.deadline_ms), now),
+            budget: RetryBudget::of_lease(head.retries),
+            lease: None,
             attempt: head.attempt,
             remember_hours: head.remember_hours,
         }
     }
 
-    /// Returns what the gate of `server` needs to know.
+    /// Returns what the gate of `server` needs to know of an attempt that may spend `retries`.
     ///
     /// # Errors
     ///
@@ -94,12 +131,10 @@
     pub fn head(
         &self,
         server: Option<SocketAddr>,
+        retries: u32,
         now: MonoTime,
     ) -> Result<ForwardHead, FailureKind> {
-        let left = self.deadline.since(now).as_millis();
-        if left == 0 {
-            return Err(FailureKind::Deadline);
-        }
+        let left = self.deadline.to_wire(now).ok_or(FailureKind::Deadline)?;
         Ok(ForwardHead {
             customer: self.customer.clone(),
             request: self.request.clone(),
@@ -109,18 +144,46 @@
             priority: self.priority,
             is_nested: self.is_nested,
             deadline_ms: u32::try_from(left).unwrap_or(u32::MAX),
-            retries: self.retries,
+            retries,
             attempt: self.attempt,
             remember_hours: self.remember_hours,
         })
     }
 
+    /// Ends the call, which began at `started`, and gives back the retries that it did not spend.
+    pub fn end(self, started: MonoTime, now: MonoTime) {
+        if let Some(lease) = self.lease {
+            lease.end(self.budget.left(), now.since(started));
+        }
+    }
+
     /// Returns whether running the operation twice does no harm.
     pub fn is_idempotent(&self) -> bool {
         self.remember_hours.is_none()
     }
 }
 
+fn asked_time(req: &CallerRequest) -> Option<Duration> {
+    req.deadline_ms
+        .map(|ms| Duration::from_millis(u64::from(ms)))
+}
+
+/// Returns the budget of the caller's attempt number `attempt`.
+///
+/// A non-idempotent request may be sent again past the bound: its claim lets it run once, so that
+/// the caller can still learn its outcome.
+fn root_budget(
+    spec: &ContractSpec,
+    operation: &OperationSpec,
+    attempt: u32,
+) -> Result<RetryBudget, CallProblem> {
+    match RetryBudget::of_attempt(spec.retries_per_request, attempt) {
+        Ok(budget) => Ok(budget),
+        Err(_) if !operation.idempotent => Ok(RetryBudget::of_lease(0)),
+        Err(e) => Err(CallProblem::AttemptsSpent(e)),
+    }
+}
+
 fn request_id(
     req: &CallerRequest,
     operation: &OperationSpec,
--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -8,9 +8,15 @@
     request::{CallerRequest, KEY_HEADER, TRACE_HEADER},
     trace,
 };
-use agatehill_backend::gate::GateAnswer;
+use agatehill_backend::{chain::ChainHandle, gate::GateAnswer};
 use agatehill_decide::{
-    contract::OperationSpec, name::ChainId, outcome::CallOutcome, route::RouteReach,
+    chain::ChainRecord,
+    contract::{ContractSpec, OperationSpec},
+    name::{ChainId, CustomerName},
+    outcome::CallOutcome,
+    retry::{AttemptLedger, TryEnd},
+    route::{RequestHash, RouteReach},
+    time::MonoTime,
 };
 use agatehill_peer::{
     body::CallBody,
@@ -20,6 +26,7 @@
 use gotham::helpers::http::Body;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
+use std::sync::{Arc, Mutex};
 
 /// Takes calls from callers and from other daemons.
 #[derive(Clone, Debug)]
@@ -28,6 +35,8 @@
     pub contracts: ContractView,
     /// Makes the attempts.
     pub runner: AttemptRunner,
+    /// Counts the resends of callers that do not.
+    pub attempts: Arc<Mutex<AttemptLedger>>,
     /// Largest request body, in bytes.
     pub body_bytes_max: u64,
 }
@@ -76,18 +85,58 @@
     }
 
     fn begin(&self, head: &CallerRequest, method: &Method) -> Result<ActiveCall, CallProblem> {
-        let customer = head.customer.as_ref().ok_or(CallProblem::CustomerMissing)?;
+        let customer = self.customer(head)?;
         let unknown = || CallProblem::UnknownCustomer(customer.clone());
-        let spec = self.contracts.get(customer).ok_or_else(unknown)?;
+        let spec = self.contracts.get(&customer).ok_or_else(unknown)?;
         let operation = operation_of(&spec, head, method)?;
+        self.begin_known(head, &spec, operation)
+    }
+
+    /// Returns the customer that `head` names or that its chain belongs to.
+    fn customer(&self, head: &CallerRequest) -> Result<CustomerName, CallProblem> {
+        if let Some(customer) = &head.customer {
+            return Ok(customer.clone());
+        }
+        let parent = self.parent(head).ok_or(CallProblem::CustomerMissing)?;
+        Ok(parent.customer)
+    }
+
+    fn begin_known(
+        &self,
+        head: &CallerRequest,
+        spec: &ContractSpec,
+        operation: &OperationSpec,
+    ) -> Result<ActiveCall, CallProblem> {
+        let now = self.runner.gate.clock().now();
+        if let Some(parent) = self.parent(head) {
+            return ActiveCall::child(head, spec, operation, &parent, now);
+        }
         let chain = ChainId(rand::random::<u128>().max(1));
-        ActiveCall::root(
-            head,
-            &spec,
-            operation,
-            chain,
-            self.runner.gate.clock().now(),
-        )
+        let attempt = self.attempt_number(head, &spec.customer, now);
+        ActiveCall::root(head, spec, operation, (chain, attempt), now)
+    }
+
+    /// Returns the running call that `head` is made for, if it runs on this host.
+    fn parent(&self, head: &CallerRequest) -> Option<ChainRecord<ChainHandle>> {
+        let chain = head.chain?;
+        self.runner
+            .gate
+            .chains()
+            .parent(chain, head.customer.as_ref())
+            .ok()
+    }
+
+    /// Returns the caller's attempt number, counted up when the caller repeats one.
+    fn attempt_number(&self, head: &CallerRequest, customer: &CustomerName, now: MonoTime) -> u32 {
+        let Some(request) = &head.request else {
+            return head.attempt;
+        };
+        let hash = RequestHash::of(customer, request).0;
+        let mut ledger = self
+            .attempts
+            .lock()
+            .expect("no holder of the ledger panics");
+        ledger.number(hash, head.attempt, now)
     }
 
     async fn read_body(&self, body: Body) -> Result<CallBody, CallProblem> {
@@ -107,24 +156,23 @@
         req: Request<CallBody>,
         reach: RouteReach,
     ) -> GateAnswer {
+        let started = self.runner.gate.clock().now();
+        let retries = call.budget.left();
         let mut tried = Vec::new();
         let mut next = Some(req);
         let mut outcome = CallOutcome::NotRun;
-        let mut used = 0;
         loop {
             let req = next.take().expect("a further attempt has a request");
             next = try_clone(&req);
-            let mut answer = self.runner.run(&call, req, reach, &mut tried).await;
+            let mut answer = self.runner.run(&mut call, req, reach, &mut tried).await;
             outcome = outcome.combine(answer.report.outcome);
-            used += answer.report.retries_used;
-            call.retries = call.retries.saturating_sub(answer.report.retries_used);
-            if next.is_none() || !may_retry(&call, &answer) {
+            let is_last = next.is_none() || !may_retry(&call, &answer);
+            if is_last || !call.budget.spend() {
                 answer.report.outcome = outcome;
-                answer.report.retries_used = used;
+                answer.report.retries_used = retries.saturating_sub(call.budget.left());
+                call.end(started, self.runner.gate.clock().now());
                 return answer;
             }
-            call.retries -= 1;
-            used += 1;
         }
     }
 }
@@ -138,7 +186,7 @@
 }
 
 fn operation_of<'a>(
-    spec: &'a agatehill_decide::contract::ContractSpec,
+    spec: &'a ContractSpec,
     head: &CallerRequest,
     method: &Method,
 ) -> Result<&'a OperationSpec, CallProblem> {
@@ -178,9 +226,12 @@
     let Some(kind) = answer.report.failure else {
         return false;
     };
-    let is_safe = call.is_idempotent() || answer.report.outcome == CallOutcome::NotRun;
-    let is_useful = matches!(kind, FailureKind::Lost | FailureKind::Shed);
-    is_safe && is_useful && !answer.report.is_final && call.retries > 0
+    let end = TryEnd {
+        outcome: answer.report.outcome,
+        given_up: answer.report.is_final,
+        idempotent: call.is_idempotent(),
+    };
+    matches!(kind, FailureKind::Lost | FailureKind::Shed) && end.may_retry()
 }
 
 fn try_clone(req: &Request<CallBody>) -> Option<Request<CallBody>> {
--- a/crates/caller/src/problem.rs
+++ b/crates/caller/src/problem.rs
@@ -1,6 +1,6 @@
 //! Refusals and failures, as problem details (RFC 9457).
 
-use agatehill_decide::{name::CustomerName, outcome::CallOutcome};
+use agatehill_decide::{name::CustomerName, outcome::CallOutcome, retry::AttemptError};
 use agatehill_peer::{
     body::CallBody,
     forward::{FailureKind, ForwardReport},
@@ -21,6 +21,8 @@
 /// Why a caller gets no answer from a backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CallProblem {
+    /// A resend past the contract's bound.
+    AttemptsSpent(AttemptError),
     /// The request's body is larger than the daemon passes on.
     BodyTooLarge {
         /// The limit, in bytes.
@@ -79,6 +81,7 @@
     /// Returns the HTTP status.
     pub fn status(&self) -> StatusCode {
         match self {
+            CallProblem::AttemptsSpent(_) => StatusCode::TOO_MANY_REQUESTS,
             CallProblem::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             CallProblem::CustomerMissing | CallProblem::KeyMissing | CallProblem::Malformed(_) => {
                 StatusCode::BAD_REQUEST
@@ -133,6 +136,7 @@
 
     fn slug(&self) -> &'static str {
         match self {
+            CallProblem::AttemptsSpent(_) => "attempts-spent",
             CallProblem::BodyTooLarge { .. } => "body-too-large",
             CallProblem::CustomerMissing => "customer-missing",
             CallProblem::KeyMissing => "key-missing",
@@ -147,6 +151,7 @@
 impl fmt::Display for CallProblem {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            CallProblem::AttemptsSpent(e) => e.fmt(f),
             CallProblem::BodyTooLarge { limit } => {
                 write!(f, "the body is larger than {limit} bytes")
             }
--- a/crates/decide/src/deadline.rs
+++ b/crates/decide/src/deadline.rs
@@ -58,3 +58,9 @@
         self.0
     }
 }
+
+impl From<MonoTime> for CallDeadline {
+    fn from(at: MonoTime) -> CallDeadline {
+        CallDeadline(at)
+    }
+}
