Keep the key of a queued call that yields until its event is taken

Change: the new call is taken in first. The model in the property test files tickets as a driver does. Ruled out: asking drivers to take the events before they look at the decision. Conclusion: drivers that are written the obvious way are right.

--- a/crates/decide/src/gate.rs
+++ b/crates/decide/src/gate.rs
@@ -375,14 +375,23 @@
             self.window.is_short = true;
             return Err(RefusalReason::Deadline);
         }
-        if self.expected_wait(self.queue.len()) > self.config.wait_max {
-            self.window.is_short = true;
-            let Some(ticket) = self.queue.last_below(call.priority) else {
-                return Err(RefusalReason::Full);
-            };
-            self.refuse_ticket(ticket, RefusalReason::Full);
+        let yielding = match self.expected_wait(self.queue.len()) > self.config.wait_max {
+            true => Some(self.yielding(call.priority)?),
+            false => None,
+        };
+        // Taken in first, so that the key of the call that yields is not used again while its
+        // event is still to be taken.
+        let ticket = self.queue.push(call, now);
+        if let Some(yielding) = yielding {
+            self.refuse_ticket(yielding, RefusalReason::Full);
         }
-        Ok(GateDecision::Queue(self.queue.push(call, now)))
+        Ok(GateDecision::Queue(ticket))
+    }
+
+    /// Returns the queued call that gives way to one of `priority` at a full queue.
+    fn yielding(&mut self, priority: CallPriority) -> Result<TicketKey, RefusalReason> {
+        self.window.is_short = true;
+        self.queue.last_below(priority).ok_or(RefusalReason::Full)
     }
 
     fn has_room(&self) -> bool {
--- a/crates/decide/tests/gate.rs
+++ b/crates/decide/tests/gate.rs
@@ -12,7 +12,8 @@
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 use rstest::rstest;
-use std::{collections::HashMap, time::Duration};
+use slotmap::SecondaryMap;
+use std::time::Duration;
 
 const SLOTS: u32 = 4;
 
@@ -45,7 +46,7 @@
     gate: ServerGate,
     now: MonoTime,
     running: Vec<SlotKey>,
-    waiting: HashMap<TicketKey, GateCall>,
+    waiting: SecondaryMap<TicketKey, GateCall>,
     ended: usize,
     queued: usize,
     has_admitted: bool,
@@ -57,7 +58,7 @@
             gate: ServerGate::new(config, SLOTS, MonoTime::ZERO),
             now: MonoTime::ZERO,
             running: Vec::new(),
-            waiting: HashMap::new(),
+            waiting: SecondaryMap::new(),
             ended: 0,
             queued: 0,
             has_admitted: false,
@@ -82,11 +83,11 @@
             }
             Step::Finish { pick, result } => self.finish(pick, result),
             Step::Cancel { pick } => {
-                let mut tickets: Vec<_> = self.waiting.keys().copied().collect();
+                let mut tickets: Vec<_> = self.waiting.keys().collect();
                 tickets.sort();
                 if let Some(ticket) = tickets.get(pick % tickets.len().max(1)) {
                     self.gate.cancel(*ticket);
-                    self.waiting.remove(ticket);
+                    self.waiting.remove(*ticket);
                     self.ended += 1;
                 }
             }
@@ -104,7 +105,6 @@
 
     fn offer(&mut self, call: GateCall) {
         let decision = self.gate.offer(call, self.now);
-        self.take_events();
         match decision {
             GateDecision::Admit(slot) => self.admit(slot, call),
             GateDecision::Queue(ticket) => {
@@ -140,7 +140,7 @@
             let ticket = match event {
                 GateEvent::Admitted { ticket, .. } | GateEvent::Refused { ticket, .. } => ticket,
             };
-            let call = self.waiting.remove(&ticket).expect("a ticket ends once");
+            let call = self.waiting.remove(ticket).expect("a ticket ends once");
             self.ended += 1;
             if let GateEvent::Admitted { slot, .. } = event {
                 let rank = call.priority.class();
