--- /dev/null
+++ b/crates/backend/src/gate.rs
@@ -0,0 +1,239 @@
+//! The gate beside a backend server: the one place where calls to it are admitted.
+
+use crate::{
+    chain::{ChainHandle, RunningChain},
+    client::{BackendClient, CallFailure},
+    held::{BodyGuard, HeldBody},
+    places::PlaceGuard,
+    registry::ServerRegistry,
+};
+use agatehill_decide::{
+    chain::{ChainBudget, ChainIndex, ChainRecord},
+    gate::{GateCall, GateLoad, GateRefusal, RefusalReason, RunResult},
+    outcome::CallOutcome,
+    retry::spread_retry_after,
+};
+use agatehill_peer::{
+    body::CallBody,
+    forward::{FailureKind, ForwardHead, ForwardReport},
+};
+use agatehill_platform::clock::MonoClock;
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header::RETRY_AFTER};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::{io, sync::Arc, time::Duration};
+
+/// Time left to the caller, in milliseconds, as the backend server learns it.
+pub const DEADLINE_HEADER: HeaderName = HeaderName::from_static("agatehill-deadline-ms");
+
+/// Time after which a caller may ask again whose server was lost or refused by itself, before it
+/// is spread.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// What became of a call at the gate.
+#[derive(Debug)]
+pub struct GateAnswer {
+    /// What the daemon that forwarded the call learns.
+    pub report: ForwardReport,
+    /// The backend server's answer; empty when there is none.
+    pub response: Response<CallBody>,
+}
+
+/// Admits calls and runs them at the backend servers on this host.
+#[derive(Clone, Debug)]
+pub struct CallGate {
+    registry: Arc<ServerRegistry>,
+    client: BackendClient,
+    chains: ChainIndex<ChainHandle>,
+    clock: MonoClock,
+}
+
+impl CallGate {
+    /// Opens the gate of the servers in `registry`.
+    pub fn open(registry: Arc<ServerRegistry>, clock: MonoClock) -> CallGate {
+        CallGate {
+            registry,
+            client: BackendClient::open(),
+            chains: ChainIndex::default(),
+            clock,
+        }
+    }
+
+    /// Returns the servers that the gate admits to.
+    pub fn registry(&self) -> &Arc<ServerRegistry> {
+        &self.registry
+    }
+
+    /// Returns the calls that run at the servers, by chain.
+    pub fn chains(&self) -> &ChainIndex<ChainHandle> {
+        &self.chains
+    }
+
+    /// Returns the clock that deadlines are counted on.
+    pub fn clock(&self) -> MonoClock {
+        self.clock
+    }
+
+    /// Admits the call `req` and runs it.
+    pub async fn run(&self, head: &ForwardHead, req: Request<CallBody>) -> GateAnswer {
+        let found = head.server.and_then(|addr| self.registry.get(addr));
+        let Some(server) = found.filter(|server| server.announcement.service == head.service)
+        else {
+            return failed(FailureKind::NoServer, CallOutcome::NotRun, None);
+        };
+        let limit = Duration::from_millis(u64::from(head.deadline_ms));
+        let call = GateCall {
+            priority: head.priority,
+            deadline: self.clock.now() + limit,
+            is_nested: head.is_nested,
+        };
+        match server.places.admit(call).await {
+            Ok(place) => {
+                let run = self.enter(head, call, place);
+                self.run_admitted(server.announcement.address, call, req, run)
+                    .await
+            }
+            Err(refusal) => refused(&refusal, server.places.load()),
+        }
+    }
+
+    fn enter(&self, head: &ForwardHead, call: GateCall, place: PlaceGuard) -> RunGuard {
+        let handle = ChainHandle::open(head.retries);
+        let guard = self.chains.enter(ChainRecord {
+            chain: head.chain,
+            customer: head.customer.clone(),
+            priority: head.priority,
+            deadline: call.deadline,
+            budget: handle.clone(),
+        });
+        RunGuard {
+            chain: RunningChain { handle, guard },
+            place,
+            retries: head.retries,
+        }
+    }
+
+    async fn run_admitted(
+        &self,
+        addr: std::net::SocketAddr,
+        call: GateCall,
+        mut req: Request<CallBody>,
+        mut run: RunGuard,
+    ) -> GateAnswer {
+        let left = call.deadline.since(self.clock.now());
+        let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        req.headers_mut()
+            .insert(DEADLINE_HEADER, HeaderValue::from(millis));
+        match tokio::time::timeout(left, self.client.send(addr, req)).await {
+            Ok(Ok(response)) => answered(response, run),
+            Ok(Err(failure)) => {
+                run.place.set_result(RunResult::Lost);
+                let outcome = match failure {
+                    CallFailure::NotSent => CallOutcome::NotRun,
+                    CallFailure::Lost => CallOutcome::Unknown,
+                };
+                failed(FailureKind::Lost, outcome, Some(&run))
+            }
+            Err(_) => failed(FailureKind::Deadline, CallOutcome::Unknown, Some(&run)),
+        }
+    }
+}
+
+/// A call that runs at a server; ends on drop.
+#[derive(Debug)]
+struct RunGuard {
+    chain: RunningChain,
+    place: PlaceGuard,
+    retries: u32,
+}
+
+impl RunGuard {
+    /// Returns the retries that are spent or still leased to child calls.
+    fn retries_used(&self) -> u32 {
+        self.retries.saturating_sub(self.chain.handle.left())
+    }
+}
+
+impl BodyGuard for RunGuard {
+    fn complete(&mut self) {
+        self.place.set_result(RunResult::Answered);
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.place.set_child_time(self.chain.handle.child_time());
+    }
+}
+
+fn answered(response: Response<Incoming>, mut run: RunGuard) -> GateAnswer {
+    if is_shed(&response) {
+        run.place.set_result(RunResult::Shed);
+        return failed(FailureKind::Shed, CallOutcome::NotRun, Some(&run));
+    }
+    let report = report(CallOutcome::Answered, None, Some(&run));
+    let hold = |body: Incoming| {
+        let body = body.map_err(io::Error::other);
+        CallBody::Stream(HeldBody::new(body, run).boxed_unsync())
+    };
+    GateAnswer {
+        report,
+        response: response.map(hold),
+    }
+}
+
+/// Returns whether a backend server refused the call before its work.
+fn is_shed<B>(response: &Response<B>) -> bool {
+    response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && response.headers().contains_key(RETRY_AFTER)
+}
+
+fn refused(refusal: &GateRefusal, load: GateLoad) -> GateAnswer {
+    let kind = match refusal.reason {
+        RefusalReason::Deadline => FailureKind::Deadline,
+        RefusalReason::Full | RefusalReason::Level => FailureKind::Shed,
+        RefusalReason::Leaving | RefusalReason::Starting => FailureKind::NoServer,
+    };
+    let mut report = report(CallOutcome::NotRun, Some(kind), None);
+    report.retry_after_ms = millis(spread_retry_after(refusal.retry_after, rand::random()));
+    report.load = load_permille(load);
+    report.level = load.level;
+    bodiless(report)
+}
+
+fn failed(kind: FailureKind, outcome: CallOutcome, run: Option<&RunGuard>) -> GateAnswer {
+    let mut report = report(outcome, Some(kind), run);
+    report.retry_after_ms = millis(spread_retry_after(RETRY_PAUSE, rand::random()));
+    bodiless(report)
+}
+
+fn report(
+    outcome: CallOutcome,
+    failure: Option<FailureKind>,
+    run: Option<&RunGuard>,
+) -> ForwardReport {
+    let mut report = ForwardReport::new(outcome, failure);
+    if let Some(run) = run {
+        let load = run.place.places().load();
+        report.load = load_permille(load);
+        report.level = load.level;
+        report.retries_used = run.retries_used();
+    }
+    report
+}
+
+fn bodiless(report: ForwardReport) -> GateAnswer {
+    GateAnswer {
+        report,
+        response: Response::new(CallBody::empty()),
+    }
+}
+
+fn load_permille(load: GateLoad) -> u16 {
+    let calls = u64::from(load.running) + u64::from(load.queued);
+    u16::try_from(calls * 1_000 / u64::from(load.limit.max(1))).unwrap_or(u16::MAX)
+}
+
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
