--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,14 +7,13 @@
 pub mod chain;
 pub mod claim;
 pub mod contract;
-mod hash;
-pub mod member;
 pub mod contract_book;
 pub mod deadline;
 pub mod document;
 pub mod gate;
 pub mod level;
 pub mod limit;
+pub mod member;
 pub mod name;
 pub mod outcome;
 pub mod priority;
@@ -24,3 +23,5 @@
 pub mod route;
 pub mod state;
 pub mod time;
+
+mod hash;
