Replace a silent connection between daemons and learn what became of the attempt

Cause: a pooled HTTP/1.1 connection can go silent for good; the call would wait until its deadline and its outcome stay unknown. The gate's answer binds: an attempt that it does not know is refused should it arrive later.

--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -5,7 +5,7 @@
 //! Exits with 0 after a graceful stop and with 1 when it can't start.
 
 use crate::{dump::DaemonDump, feed::ContractFeed, members::MemberTable};
-use agatehill_backend::{announce, gate::CallGate, registry::ServerRegistry};
+use agatehill_backend::{announce, gate::CallGate, inquiry::AttemptLog, registry::ServerRegistry};
 use agatehill_caller::{
     attempt::AttemptRunner,
     contracts::ContractView,
@@ -16,7 +16,7 @@
 use agatehill_config::DaemonSettings;
 use agatehill_decide::retry::AttemptLedger;
 use agatehill_operator::inspect::inspect_routes;
-use agatehill_peer::{forward::ForwardClient, keeper_client::KeeperClient};
+use agatehill_peer::{forward_client::ForwardClient, keeper_client::KeeperClient};
 use agatehill_platform::{
     clock::MonoClock,
     drain::DrainSignal,
@@ -105,6 +105,7 @@
     CallEntry {
         contracts: ContractView::default(),
         runner,
+        log: AttemptLog::open(clock),
         attempts: Arc::new(Mutex::new(AttemptLedger::new(
             LEDGER_REQUESTS_MAX,
             LEDGER_SPAN,
--- /dev/null
+++ b/crates/backend/src/inquiry.rs
@@ -0,0 +1,58 @@
+//! The attempts that this gate was sent, for daemons that ask after them.
+
+use crate::held::BodyGuard;
+use agatehill_decide::inquiry::{AttemptId, InquiryAnswer, InquiryTable};
+use agatehill_platform::clock::MonoClock;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+/// The attempts that this gate was sent, shared between threads.
+#[derive(Clone, Debug)]
+pub struct AttemptLog {
+    table: Arc<Mutex<InquiryTable>>,
+    clock: MonoClock,
+}
+
+impl AttemptLog {
+    /// Opens an empty log.
+    pub fn open(clock: MonoClock) -> AttemptLog {
+        AttemptLog {
+            table: Arc::default(),
+            clock,
+        }
+    }
+
+    /// Records an attempt that has come; `None` when it may not run.
+    pub fn begin(&self, id: AttemptId) -> Option<AttemptGuard> {
+        let may_run = self.lock().begin(id, self.clock.now());
+        may_run.then(|| AttemptGuard {
+            log: self.clone(),
+            id,
+        })
+    }
+
+    /// Returns what has become of an attempt.
+    pub fn ask(&self, id: AttemptId) -> InquiryAnswer {
+        self.lock().ask(id, self.clock.now())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, InquiryTable> {
+        self.table.lock().expect("no holder of the log panics")
+    }
+}
+
+/// An attempt that waits or runs; ends on drop.
+#[derive(Debug)]
+pub struct AttemptGuard {
+    log: AttemptLog,
+    id: AttemptId,
+}
+
+impl BodyGuard for AttemptGuard {
+    fn complete(&mut self) {}
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        self.log.lock().end(self.id, self.log.clock.now());
+    }
+}
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod client;
 pub mod gate;
 pub mod held;
+pub mod inquiry;
 pub mod places;
 pub mod registry;
--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -11,7 +11,8 @@
 };
 use agatehill_peer::{
     body::CallBody,
-    forward::{FailureKind, ForwardClient, ForwardFailure, ForwardHead, ForwardReport},
+    forward::{FailureKind, ForwardHead, ForwardReport},
+    forward_client::{ForwardClient, ForwardFailure},
 };
 use http::{Request, Response};
 use http_body_util::BodyExt;
@@ -133,7 +134,8 @@
     report
 }
 
-fn bodiless(report: ForwardReport) -> GateAnswer {
+/// Returns an answer that is only a report.
+pub fn bodiless(report: ForwardReport) -> GateAnswer {
     GateAnswer {
         report,
         response: Response::new(CallBody::empty()),
--- a/crates/caller/src/call.rs
+++ b/crates/caller/src/call.rs
@@ -6,6 +6,7 @@
     chain::ChainRecord,
     contract::{ContractSpec, OperationSpec},
     deadline::CallDeadline,
+    inquiry::AttemptId,
     name::{ChainId, CustomerName, RequestId, ServiceName},
     priority::CallPriority,
     retry::RetryBudget,
@@ -136,6 +137,7 @@
     ) -> Result<ForwardHead, FailureKind> {
         let left = self.deadline.to_wire(now).ok_or(FailureKind::Deadline)?;
         Ok(ForwardHead {
+            id: AttemptId(rand::random()),
             customer: self.customer.clone(),
             request: self.request.clone(),
             chain: self.chain,
--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -1,14 +1,19 @@
 //! The path of a call through the daemon that took it.
 
 use crate::{
-    attempt::AttemptRunner,
+    attempt::{AttemptRunner, bodiless},
     call::ActiveCall,
     contracts::ContractView,
     problem::{CallProblem, OUTCOME_HEADER},
     request::{CallerRequest, KEY_HEADER, TRACE_HEADER},
     trace,
 };
-use agatehill_backend::{chain::ChainHandle, gate::GateAnswer};
+use agatehill_backend::{
+    chain::ChainHandle,
+    gate::GateAnswer,
+    held::HeldBody,
+    inquiry::{AttemptGuard, AttemptLog},
+};
 use agatehill_decide::{
     chain::ChainRecord,
     contract::{ContractSpec, OperationSpec},
@@ -20,7 +25,10 @@
 };
 use agatehill_peer::{
     body::CallBody,
-    forward::{FailureKind, ForwardHead, REPORT_HEADER},
+    forward::{
+        ASK_HEADER, FailureKind, ForwardError, ForwardHead, ForwardReport, REPORT_HEADER,
+        answer_value, asked_attempt,
+    },
     headers::strip_hop,
 };
 use gotham::helpers::http::Body;
@@ -35,6 +43,8 @@
     pub contracts: ContractView,
     /// Makes the attempts.
     pub runner: AttemptRunner,
+    /// The attempts that other daemons have sent.
+    pub log: AttemptLog,
     /// Counts the resends of callers that do not.
     pub attempts: Arc<Mutex<AttemptLedger>>,
     /// Largest request body, in bytes.
@@ -50,12 +60,23 @@
         }
     }
 
-    /// Runs a call that another daemon forwarded and returns its answer with the report.
+    /// Runs a call that another daemon forwarded and returns its answer with the report, or tells
+    /// what has become of an earlier one.
     pub async fn forwarded(&self, req: Request<Body>) -> Response<CallBody> {
-        match self.try_forwarded(req).await {
-            Ok(answer) => with_report(answer),
-            Err(problem) => problem.response(),
-        }
+        let result = if req.headers().contains_key(ASK_HEADER) {
+            self.asked(req.headers())
+        } else {
+            self.try_forwarded(req).await
+        };
+        result.unwrap_or_else(|problem| problem.response())
+    }
+
+    fn asked(&self, headers: &HeaderMap) -> Result<Response<CallBody>, CallProblem> {
+        let id = asked_attempt(headers).map_err(malformed)?;
+        let answer = answer_value(self.log.ask(id));
+        let mut response = Response::new(CallBody::empty());
+        response.headers_mut().insert(ASK_HEADER, answer);
+        Ok(response)
     }
 
     async fn try_call(&self, req: Request<Body>) -> Result<Response<CallBody>, CallProblem> {
@@ -69,18 +90,30 @@
         finish(answer)
     }
 
-    async fn try_forwarded(&self, req: Request<Body>) -> Result<GateAnswer, CallProblem> {
+    async fn try_forwarded(&self, req: Request<Body>) -> Result<Response<CallBody>, CallProblem> {
+        let head = ForwardHead::try_from(req.headers()).map_err(malformed)?;
+        let Some(guard) = self.log.begin(head.id) else {
+            // Its sender has counted it as not run.
+            let report = ForwardReport::new(CallOutcome::NotRun, Some(FailureKind::Lost));
+            return Ok(with_report(bodiless(report), None));
+        };
+        let answer = self.run_forwarded(&head, req).await?;
+        Ok(with_report(answer, Some(guard)))
+    }
+
+    async fn run_forwarded(
+        &self,
+        head: &ForwardHead,
+        req: Request<Body>,
+    ) -> Result<GateAnswer, CallProblem> {
         let (mut parts, body) = req.into_parts();
-        let wrong =
-            |e: agatehill_peer::forward::ForwardError| CallProblem::Malformed(e.to_string());
-        let head = ForwardHead::try_from(&parts.headers).map_err(wrong)?;
         strip_hop(&mut parts.headers);
         let body = self.read_body(body).await?;
         let req = Request::from_parts(parts, body);
         if head.server.is_some() {
-            return Ok(self.runner.gate.run(&head, req).await);
+            return Ok(self.runner.gate.run(head, req).await);
         }
-        let call = ActiveCall::forwarded(&head, self.runner.gate.clock().now());
+        let call = ActiveCall::forwarded(head, self.runner.gate.clock().now());
         Ok(self.attempts(call, req, RouteReach::LOCAL).await)
     }
 
@@ -254,7 +287,8 @@
     Ok(response)
 }
 
-fn with_report(answer: GateAnswer) -> Response<CallBody> {
+/// Returns the answer for the daemon that forwarded the call; `guard` is held until its end.
+fn with_report(answer: GateAnswer, guard: Option<AttemptGuard>) -> Response<CallBody> {
     let GateAnswer {
         report,
         mut response,
@@ -266,5 +300,16 @@
     response
         .headers_mut()
         .insert(REPORT_HEADER, (&report).into());
-    response
+    match guard {
+        Some(guard) => response.map(|body| hold(body, guard)),
+        None => response,
+    }
+}
+
+fn hold(body: CallBody, guard: AttemptGuard) -> CallBody {
+    CallBody::Stream(HeldBody::new(body, guard).boxed_unsync())
+}
+
+fn malformed(e: ForwardError) -> CallProblem {
+    CallProblem::Malformed(e.to_string())
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod deadline;
 pub mod document;
 pub mod gate;
+pub mod inquiry;
 pub mod level;
 pub mod limit;
 pub mod member;
--- a/crates/peer/src/forward.rs
+++ b/crates/peer/src/forward.rs
@@ -4,38 +4,28 @@
 //! each other besides the call itself travels in one request and one answer header, each a
 //! postcard value in hexadecimal digits.
 
-use crate::body::CallBody;
 use agatehill_decide::{
+    inquiry::{AttemptId, InquiryAnswer},
     name::{ChainId, CustomerName, RequestId, ServiceName},
     outcome::CallOutcome,
     priority::CallPriority,
 };
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, Uri};
-use hyper::body::Incoming;
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::{TokioExecutor, TokioTimer},
-};
+use http::{HeaderMap, HeaderName, HeaderValue, Uri};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr};
 
 /// Carries a [`ForwardHead`].
 pub const HEAD_HEADER: HeaderName = HeaderName::from_static("agatehill-forward");
+/// Asks what has become of an attempt; holds its [`AttemptId`] in hexadecimal digits.
+pub const ASK_HEADER: HeaderName = HeaderName::from_static("agatehill-ask");
 /// Carries a [`ForwardReport`].
 pub const REPORT_HEADER: HeaderName = HeaderName::from_static("agatehill-report");
 
-/// Time after which an unused pooled connection is closed.
-const IDLE_LIMIT: Duration = Duration::from_secs(20);
-/// Time to open a connection to another host.
-const CONNECT_LIMIT: Duration = Duration::from_millis(500);
-/// Time without acknowledged data after which a connection counts as silent.
-const SILENCE_LIMIT: Duration = Duration::from_secs(3);
-/// Idle connections kept to one host.
-const IDLE_PER_HOST_MAX: usize = 64;
-
 /// What the gate needs to know about a forwarded call.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ForwardHead {
+    /// Names this attempt.
+    pub id: AttemptId,
     /// The customer whose contract applies.
     pub customer: CustomerName,
     /// The request that the call belongs to.
@@ -156,60 +146,6 @@
     }
 }
 
-/// How a forwarded call failed on its way.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ForwardFailure {
-    /// The call was never sent.
-    NotSent,
-    /// The call was sent and its answer did not come.
-    Lost,
-}
-
-/// Sends calls to the gates of other daemons.
-#[derive(Clone, Debug)]
-pub struct ForwardClient {
-    client: Client<HttpConnector, CallBody>,
-}
-
-impl ForwardClient {
-    /// Opens a client with an empty connection pool.
-    pub fn open() -> ForwardClient {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_LIMIT));
-        connector.set_keepalive(Some(SILENCE_LIMIT));
-        connector.set_tcp_user_timeout(Some(SILENCE_LIMIT));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_LIMIT)
-            .pool_max_idle_per_host(IDLE_PER_HOST_MAX)
-            .build(connector);
-        ForwardClient { client }
-    }
-
-    /// Sends `req` with `head` to the daemon whose forward port is `addr`.
-    ///
-    /// # Errors
-    ///
-    /// No answer came; the failure tells whether the call was sent.
-    pub async fn send(
-        &self,
-        addr: SocketAddr,
-        head: &ForwardHead,
-        mut req: Request<CallBody>,
-    ) -> Result<Response<Incoming>, ForwardFailure> {
-        req.headers_mut().insert(HEAD_HEADER, head.into());
-        *req.uri_mut() = absolute_uri(addr, req.uri());
-        self.client.request(req).await.map_err(|e| {
-            if e.is_connect() {
-                ForwardFailure::NotSent
-            } else {
-                ForwardFailure::Lost
-            }
-        })
-    }
-}
-
 /// Returns `uri`'s path and query at host `addr`.
 pub fn absolute_uri(addr: SocketAddr, uri: &Uri) -> Uri {
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
@@ -221,6 +157,34 @@
         .expect("a socket address and a parsed path make a URI")
 }
 
+/// Returns the header value that asks for the attempt `id`.
+pub fn ask_value(id: AttemptId) -> HeaderValue {
+    encode(&id)
+}
+
+/// Returns the attempt that `headers` ask for.
+///
+/// # Errors
+///
+/// The header is missing or malformed.
+pub fn asked_attempt(headers: &HeaderMap) -> Result<AttemptId, ForwardError> {
+    decode(headers, ASK_HEADER)
+}
+
+/// Returns the header value that answers a question.
+pub fn answer_value(answer: InquiryAnswer) -> HeaderValue {
+    encode(&answer)
+}
+
+/// Returns the answer that `headers` hold.
+///
+/// # Errors
+///
+/// The header is missing or malformed.
+pub fn answered_inquiry(headers: &HeaderMap) -> Result<InquiryAnswer, ForwardError> {
+    decode(headers, ASK_HEADER)
+}
+
 fn encode<T: Serialize>(value: &T) -> HeaderValue {
     let bytes = postcard::to_allocvec(value).expect("forward types always encode");
     HeaderValue::try_from(hex::encode(bytes)).expect("hexadecimal digits make a header value")
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod body;
 pub mod codec;
 pub mod forward;
+pub mod forward_client;
 pub mod headers;
 pub mod keeper;
 pub mod keeper_client;
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod bed;
 pub mod client;
 pub mod process;
+pub mod relay;
--- /dev/null
+++ b/tests/src/relay.rs
@@ -0,0 +1,105 @@
+//! A TCP relay whose open connections can go silent for good while new ones work.
+
+use std::net::SocketAddr;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+};
+
+/// Bytes passed on at a time.
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// What the relay loses on the connections that are open when it is told to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RelayLoss {
+    /// Bytes in both directions.
+    Both,
+    /// Bytes of the answers only.
+    Answers,
+}
+
+/// A running relay.
+#[derive(Debug)]
+pub struct TcpRelay {
+    local: SocketAddr,
+    /// Number of the newest connection that is silent, and what it loses.
+    silent: watch::Sender<Option<RelayLoss>>,
+}
+
+impl TcpRelay {
+    /// Binds a free port and relays to `target`.
+    pub async fn bind(target: SocketAddr) -> TcpRelay {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let local = listener.local_addr().expect("a bound address");
+        let (silent, _) = watch::channel(None);
+        let losses = silent.clone();
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                let Ok(far) = TcpStream::connect(target).await else {
+                    continue;
+                };
+                relay(near, far, losses.subscribe());
+            }
+        });
+        TcpRelay { local, silent }
+    }
+
+    /// Returns the address to connect to.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.local
+    }
+
+    /// Makes all open connections silent for good; new ones work.
+    pub fn silence(&self, loss: RelayLoss) {
+        self.silent.send_replace(Some(loss));
+    }
+}
+
+fn relay(near: TcpStream, far: TcpStream, mut losses: watch::Receiver<Option<RelayLoss>>) {
+    let _ = near.set_nodelay(true);
+    let _ = far.set_nodelay(true);
+    let (near_rdr, near_wtr) = near.into_split();
+    let (far_rdr, far_wtr) = far.into_split();
+    // What was lost before this connection opened concerns older ones.
+    losses.mark_unchanged();
+    tokio::spawn(pass(near_rdr, far_wtr, losses.clone(), &[RelayLoss::Both]));
+    tokio::spawn(pass(
+        far_rdr,
+        near_wtr,
+        losses,
+        &[RelayLoss::Both, RelayLoss::Answers],
+    ));
+}
+
+/// Passes bytes on until a loss among `lost_by` is told; then drops them.
+async fn pass(
+    mut rdr: OwnedReadHalf,
+    mut wtr: OwnedWriteHalf,
+    mut losses: watch::Receiver<Option<RelayLoss>>,
+    lost_by: &'static [RelayLoss],
+) {
+    let mut buf = vec![0; CHUNK_BYTES];
+    let mut is_silent = false;
+    loop {
+        tokio::select! {
+            changed = losses.changed(), if !is_silent => {
+                let loss = *losses.borrow();
+                is_silent = changed.is_ok() && loss.is_some_and(|loss| lost_by.contains(&loss));
+            }
+            read = rdr.read(&mut buf) => match read {
+                Ok(n) if n > 0 => {
+                    if !is_silent && wtr.write_all(&buf[..n]).await.is_err() {
+                        return;
+                    }
+                }
+                // A silent connection tells neither end that the other has closed.
+                _ if is_silent => std::future::pending().await,
+                _ => return,
+            }
+        }
+    }
+}
