Add the replicated log and its schedules of faults

Cause: contracts and claims must survive kills, lost disks, cuts and freezes. Formation needs every listed keeper with an empty disk; the promise to a founder is durable. Ruled out: replacing the old incarnation by the new one in one change, which is safe only if the old disk is certainly gone; a leader lease by clock, which a freeze breaks.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod outcome;
 pub mod priority;
 pub mod quota;
+pub mod replica;
 pub mod retry;
 pub mod route;
 pub mod state;
--- /dev/null
+++ b/crates/decide/src/replica/elect.rs
@@ -0,0 +1,171 @@
+//! Elections: a probe first, then a vote in a new term.
+
+use super::{
+    lead::LeaderState,
+    message::{EntryPayload, LogEntry, MemberKey, ReplicaMessage},
+    node::{ReplicaNode, ReplicaOutput, ReplicaRole},
+};
+use std::{collections::BTreeSet, time::Duration};
+
+/// Votes gathered so far.
+#[derive(Debug)]
+pub(super) struct ElectionState {
+    pre: bool,
+    granted: BTreeSet<MemberKey>,
+}
+
+impl ReplicaNode {
+    pub(super) fn restart_election_timer(&mut self) {
+        let span = self.settings.election;
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX).max(1);
+        let extra = Duration::from_micros(self.random % micros);
+        self.election_at = self.now + span + extra;
+    }
+
+    pub(super) fn tick_election(&mut self) {
+        if self.now < self.election_at {
+            return;
+        }
+        self.leader = None;
+        self.restart_election_timer();
+        if self.config().contains(&self.settings.key) {
+            self.campaign(true);
+        }
+    }
+
+    pub(super) fn on_vote_ask(&mut self, from: MemberKey, pre: bool, term: u64, last: (u64, u64)) {
+        let granted = if pre {
+            term > self.hard.term && !self.hears_leader() && self.is_current(last)
+        } else {
+            self.observe_term(term);
+            self.grant_vote(&from, term, last)
+        };
+        let term = if granted { term } else { self.hard.term };
+        self.send(from.name, ReplicaMessage::VoteReply { pre, term, granted });
+    }
+
+    pub(super) fn on_vote_reply(&mut self, from: MemberKey, pre: bool, term: u64, granted: bool) {
+        if !granted {
+            return self.observe_term(term);
+        }
+        let asked = self.hard.term + u64::from(pre);
+        if term != asked || !self.config().contains(&from) {
+            return;
+        }
+        let ReplicaRole::Candidate(election) = &mut self.role else {
+            return;
+        };
+        if election.pre == pre {
+            election.granted.insert(from);
+            self.count_votes();
+        }
+    }
+
+    /// Becomes a follower of a newer term.
+    pub(super) fn observe_term(&mut self, term: u64) {
+        if term <= self.hard.term {
+            return;
+        }
+        self.hard.term = term;
+        self.hard.vote = None;
+        self.leader = None;
+        self.persist_hard();
+        self.follow();
+    }
+
+    /// Gives up leading or campaigning.
+    pub(super) fn follow(&mut self) {
+        if self.is_forming() {
+            return;
+        }
+        self.drop_tokens();
+        if self.is_leader() {
+            self.leader = None;
+        }
+        if !matches!(self.role, ReplicaRole::Follower) {
+            self.role = ReplicaRole::Follower;
+            self.restart_election_timer();
+        }
+    }
+
+    fn campaign(&mut self, pre: bool) {
+        let mut term = self.hard.term + 1;
+        if !pre {
+            self.hard.term = term;
+            self.hard.vote = Some(self.settings.key.clone());
+            self.persist_hard();
+            term = self.hard.term;
+        }
+        self.role = ReplicaRole::Candidate(ElectionState {
+            pre,
+            granted: [self.settings.key.clone()].into(),
+        });
+        let ask = ReplicaMessage::VoteAsk {
+            pre,
+            term,
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        };
+        for voter in self.config().voters.clone() {
+            if voter != self.settings.key {
+                self.send(voter.name, ask.clone());
+            }
+        }
+        self.count_votes();
+    }
+
+    fn count_votes(&mut self) {
+        let ReplicaRole::Candidate(election) = &self.role else {
+            return;
+        };
+        let config = self.config();
+        let votes = election.granted.iter();
+        let votes = votes.filter(|key| config.contains(key)).count();
+        if votes < config.quorum() {
+            return;
+        }
+        if election.pre {
+            self.campaign(false);
+        } else {
+            self.lead();
+        }
+    }
+
+    fn lead(&mut self) {
+        let term = self.hard.term;
+        let first = LogEntry {
+            index: self.log.last_index() + 1,
+            term,
+            payload: EntryPayload::Empty,
+        };
+        let leader = LeaderState::new(first.index, self.others(), self.now);
+        self.role = ReplicaRole::Leader(leader);
+        self.leader = Some(self.settings.key.name.clone());
+        self.out.push(ReplicaOutput::Lead { term });
+        self.append_own(vec![first]);
+    }
+
+    fn grant_vote(&mut self, from: &MemberKey, term: u64, last: (u64, u64)) -> bool {
+        let free = self.hard.vote.as_ref().is_none_or(|vote| vote == from);
+        if term != self.hard.term || !free || !self.is_current(last) {
+            return false;
+        }
+        if self.hard.vote.is_none() {
+            self.hard.vote = Some(from.clone());
+            self.persist_hard();
+        }
+        self.restart_election_timer();
+        true
+    }
+
+    /// Returns whether a log that ends with `last` (term, index) holds all that this one may have
+    /// acknowledged.
+    fn is_current(&self, last: (u64, u64)) -> bool {
+        last >= (self.log.last_term(), self.log.last_index())
+    }
+
+    fn hears_leader(&self) -> bool {
+        let recent = |at| self.now.since(at) < self.settings.election;
+        self.is_leader() || self.heard_at.is_some_and(recent)
+    }
+}
--- /dev/null
+++ b/crates/decide/src/replica/follow.rs
@@ -0,0 +1,100 @@
+//! The follower's side of replication.
+
+use super::{
+    message::{AppendResult, LogEntry, MemberKey, ReplicaMessage, ReplicaSnapshot},
+    node::{ReplicaNode, ReplicaOutput, ReplicaRole},
+};
+
+impl ReplicaNode {
+    pub(super) fn on_append(
+        &mut self,
+        from: MemberKey,
+        term: u64,
+        prev: (u64, u64),
+        entries: Vec<LogEntry>,
+        commit: u64,
+    ) {
+        if self.is_forming() {
+            // Nothing to append to; the leader answers with a snapshot.
+            self.observe_term(term);
+            return self.reply_append(from, AppendResult::Mismatch(0));
+        }
+        if !self.accept_leader(&from, term) {
+            return self.reply_append(from, AppendResult::Mismatch(0));
+        }
+        let (prev_index, prev_term) = prev;
+        if prev_index >= self.commit && self.log.term(prev_index) != Some(prev_term) {
+            let hint = self
+                .log
+                .term_start(prev_index)
+                .min(self.log.last_index() + 1);
+            return self.reply_append(from, AppendResult::Mismatch(hint));
+        }
+        let matched = prev_index + entries.len() as u64;
+        self.append_new(entries);
+        let commit = commit.min(matched);
+        if commit > self.commit {
+            self.commit = commit;
+        }
+        self.reply_append(from, AppendResult::Matched(matched));
+        self.apply_committed();
+    }
+
+    pub(super) fn on_install(&mut self, from: MemberKey, term: u64, snapshot: ReplicaSnapshot) {
+        if self.is_forming() {
+            if term < self.hard.term || !self.may_follow(&from) {
+                return;
+            }
+            self.role = ReplicaRole::Follower;
+        }
+        if !self.accept_leader(&from, term) {
+            return self.reply_append(from, AppendResult::Mismatch(0));
+        }
+        let index = snapshot.meta.index;
+        if index > self.commit {
+            self.log.install(snapshot.clone());
+            self.commit = index;
+            self.applied = index;
+            self.persist_whole();
+            self.out.push(ReplicaOutput::Restore(snapshot));
+        }
+        self.reply_append(from, AppendResult::Matched(index));
+    }
+
+    fn accept_leader(&mut self, from: &MemberKey, term: u64) -> bool {
+        if term < self.hard.term {
+            return false;
+        }
+        self.observe_term(term);
+        self.follow();
+        self.leader = Some(from.name.clone());
+        self.heard_at = Some(self.now);
+        self.restart_election_timer();
+        true
+    }
+
+    /// Appends the entries that are new here, in place of any that contradict them.
+    fn append_new(&mut self, entries: Vec<LogEntry>) {
+        let is_known = |entry: &LogEntry| {
+            entry.index <= self.commit || self.log.term(entry.index) == Some(entry.term)
+        };
+        let known = entries.iter().take_while(|entry| is_known(entry)).count();
+        let new: Vec<_> = entries.into_iter().skip(known).collect();
+        let Some(first) = new.first() else { return };
+        assert!(
+            first.index > self.commit,
+            "a committed entry must not be replaced"
+        );
+        self.log.truncate(first.index);
+        self.persisted = self.persisted.min(self.log.last_index());
+        for entry in &new {
+            self.log.push(entry.clone());
+        }
+        self.persist_entries(new);
+    }
+
+    fn reply_append(&mut self, to: MemberKey, result: AppendResult) {
+        let term = self.hard.term;
+        self.send(to.name, ReplicaMessage::AppendReply { term, result });
+    }
+}
--- /dev/null
+++ b/crates/decide/src/replica/lead.rs
@@ -0,0 +1,327 @@
+//! The leader's side of replication, and the replacement of voters that lost their disk.
+
+use super::{
+    message::{AppendResult, EntryPayload, GroupConfig, LogEntry, MemberKey, ReplicaMessage},
+    node::{ReplicaNode, ReplicaOutput, ReplicaRole},
+};
+use crate::{
+    name::{Incarnation, KeeperName},
+    time::MonoTime,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+/// Size of commands after which a message takes no further entry, in bytes.
+const APPEND_BYTES: usize = 1 << 20;
+/// Heartbeats after which a snapshot without an answer is sent again.
+const INSTALL_HEARTBEATS: u32 = 50;
+
+/// What a leader knows.
+#[derive(Debug)]
+pub(super) struct LeaderState {
+    /// The first entry of its term.
+    first_index: u64,
+    followers: BTreeMap<KeeperName, FollowerProgress>,
+    /// Tokens of commands in flight, by index.
+    tokens: BTreeMap<u64, u64>,
+    heartbeat_at: MonoTime,
+}
+
+/// How far a follower's log is known to agree.
+#[derive(Debug)]
+struct FollowerProgress {
+    incarnation: Option<Incarnation>,
+    /// Incarnations whose disk is lost; late messages of theirs are ignored.
+    lost: BTreeSet<Incarnation>,
+    next: u64,
+    matched: u64,
+    heard_at: MonoTime,
+    /// Until when a snapshot is on its way.
+    install_until: Option<MonoTime>,
+}
+
+impl LeaderState {
+    pub(super) fn new(first_index: u64, others: Vec<KeeperName>, now: MonoTime) -> LeaderState {
+        let progress = |name| {
+            let progress = FollowerProgress {
+                incarnation: None,
+                lost: BTreeSet::new(),
+                next: first_index,
+                matched: 0,
+                heard_at: now,
+                install_until: None,
+            };
+            (name, progress)
+        };
+        LeaderState {
+            first_index,
+            followers: others.into_iter().map(progress).collect(),
+            tokens: BTreeMap::new(),
+            heartbeat_at: now,
+        }
+    }
+
+    /// Returns how far `voter` is known to agree.
+    fn matched(&self, voter: &MemberKey) -> u64 {
+        let progress = self.followers.get(&voter.name);
+        let progress = progress.filter(|p| p.incarnation == Some(voter.incarnation));
+        progress.map_or(0, |p| p.matched)
+    }
+}
+
+impl FollowerProgress {
+    /// Takes note of the sender's incarnation; returns whether its message counts.
+    fn observe(&mut self, incarnation: Incarnation, now: MonoTime) -> bool {
+        if self.lost.contains(&incarnation) {
+            return false;
+        }
+        if let Some(old) = self.incarnation.filter(|old| *old != incarnation) {
+            self.lost.insert(old);
+            self.matched = 0;
+            self.install_until = None;
+        }
+        self.incarnation = Some(incarnation);
+        self.heard_at = now;
+        true
+    }
+}
+
+impl ReplicaNode {
+    pub(super) fn propose(&mut self, commands: Vec<(u64, Arc<[u8]>)>) {
+        let start = self.log.last_index() + 1;
+        let term = self.hard.term;
+        let ReplicaRole::Leader(leader) = &mut self.role else {
+            return self.refuse(commands);
+        };
+        let mut entries = Vec::with_capacity(commands.len());
+        for (index, (token, command)) in (start..).zip(commands) {
+            leader.tokens.insert(index, token);
+            entries.push(LogEntry {
+                index,
+                term,
+                payload: EntryPayload::Command(command),
+            });
+        }
+        self.append_own(entries);
+    }
+
+    /// Appends the leader's own entries; followers get them while they are being written here.
+    pub(super) fn append_own(&mut self, entries: Vec<LogEntry>) {
+        for entry in &entries {
+            self.log.push(entry.clone());
+        }
+        self.replicate_all();
+        self.persist_entries(entries);
+    }
+
+    pub(super) fn tick_leading(&mut self) {
+        if !self.has_quorum() {
+            // Cut off: stop taking commands that can't be committed.
+            return self.follow();
+        }
+        let (now, heartbeat) = (self.now, self.settings.heartbeat);
+        let ReplicaRole::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if now < leader.heartbeat_at {
+            return;
+        }
+        leader.heartbeat_at = now + heartbeat;
+        for name in self.others() {
+            self.replicate(&name, true);
+        }
+        self.repair_voters();
+    }
+
+    pub(super) fn on_append_reply(&mut self, from: MemberKey, term: u64, result: AppendResult) {
+        if term > self.hard.term {
+            return self.observe_term(term);
+        }
+        let (now, last) = (self.now, self.log.last_index());
+        let ReplicaRole::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = leader.followers.get_mut(&from.name) else {
+            return;
+        };
+        if !progress.observe(from.incarnation, now) {
+            return;
+        }
+        let mut more = false;
+        match result {
+            // An answer to an earlier term's leader says nothing about this one's log.
+            _ if term < self.hard.term => {}
+            AppendResult::Matched(index) if index <= last => {
+                progress.matched = progress.matched.max(index);
+                progress.next = match progress.install_until.take() {
+                    Some(_) => index + 1,
+                    None => progress.next.max(index + 1),
+                };
+                more = progress.next <= last;
+            }
+            AppendResult::Matched(_) => {}
+            AppendResult::Mismatch(hint) => {
+                let next = hint.max(progress.matched + 1);
+                more = next < progress.next;
+                progress.next = next.min(progress.next);
+            }
+        }
+        self.advance_commit();
+        if more {
+            self.replicate(&from.name, false);
+        }
+    }
+
+    /// Commits what a majority of the voters holds, if it is of this term.
+    pub(super) fn advance_commit(&mut self) {
+        let ReplicaRole::Leader(leader) = &self.role else {
+            return;
+        };
+        let config = self.config();
+        let matched = |voter: &MemberKey| {
+            if *voter == self.settings.key {
+                self.persisted
+            } else {
+                leader.matched(voter)
+            }
+        };
+        let mut agreed: Vec<_> = config.voters.iter().map(matched).collect();
+        agreed.sort_unstable_by(|a, b| b.cmp(a));
+        let Some(&index) = agreed.get(config.quorum() - 1) else {
+            return;
+        };
+        if index > self.commit && self.log.term(index) == Some(self.hard.term) {
+            self.commit = index;
+            self.apply_committed();
+        }
+    }
+
+    pub(super) fn take_token(&mut self, entry: &LogEntry) -> Option<u64> {
+        match &mut self.role {
+            ReplicaRole::Leader(leader) => leader.tokens.remove(&entry.index),
+            _ => None,
+        }
+    }
+
+    pub(super) fn drop_tokens(&mut self) {
+        let ReplicaRole::Leader(leader) = &mut self.role else {
+            return;
+        };
+        for token in std::mem::take(&mut leader.tokens).into_values() {
+            self.out.push(ReplicaOutput::Dropped { token });
+        }
+    }
+
+    fn refuse(&mut self, commands: Vec<(u64, Arc<[u8]>)>) {
+        for (token, _) in commands {
+            let leader = self.leader.clone();
+            self.out.push(ReplicaOutput::Refused { token, leader });
+        }
+    }
+
+    fn replicate_all(&mut self) {
+        for name in self.others() {
+            self.replicate(&name, false);
+        }
+    }
+
+    /// Sends `name` what it lacks; an empty message only if `always`.
+    fn replicate(&mut self, name: &KeeperName, always: bool) {
+        let (now, last, term) = (self.now, self.log.last_index(), self.hard.term);
+        let install_span = self.settings.heartbeat * INSTALL_HEARTBEATS;
+        let ReplicaRole::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = leader.followers.get_mut(name) else {
+            return;
+        };
+        let installing = progress.install_until.is_some_and(|until| now < until);
+        let idle = progress.next > last || installing;
+        if idle && !always {
+            return;
+        }
+        if installing {
+            progress.next = last + 1;
+        }
+        let prev_index = progress.next.max(1) - 1;
+        let Some(prev_term) = self.log.term(prev_index) else {
+            let snapshot = self.log.snapshot().clone();
+            progress.next = snapshot.meta.index + 1;
+            progress.install_until = Some(now + install_span);
+            return self.send(name.clone(), ReplicaMessage::Install { term, snapshot });
+        };
+        let entries = self.log.page(prev_index + 1, APPEND_BYTES);
+        progress.next = prev_index + 1 + entries.len() as u64;
+        let append = ReplicaMessage::Append {
+            term,
+            prev_index,
+            prev_term,
+            entries,
+            commit: self.commit,
+        };
+        self.send(name.clone(), append);
+    }
+
+    fn has_quorum(&self) -> bool {
+        let ReplicaRole::Leader(leader) = &self.role else {
+            return false;
+        };
+        let span = self.settings.election;
+        let hears = |voter: &&MemberKey| {
+            let progress = leader.followers.get(&voter.name);
+            **voter == self.settings.key
+                || progress.is_some_and(|p| self.now.since(p.heard_at) < span)
+        };
+        let config = self.config();
+        config.voters.iter().filter(hears).count() >= config.quorum()
+    }
+
+    /// Replaces one voter that came back without its disk: out first, in when that is committed.
+    fn repair_voters(&mut self) {
+        let ReplicaRole::Leader(leader) = &self.role else {
+            return;
+        };
+        let (config_index, config) = self.log.config();
+        if self.commit < config_index.max(leader.first_index) {
+            return;
+        }
+        let names = self.settings.voters.iter();
+        let Some(config) = names
+            .filter_map(|name| self.repair(leader, config, name))
+            .next()
+        else {
+            return;
+        };
+        let entry = LogEntry {
+            index: self.log.last_index() + 1,
+            term: self.hard.term,
+            payload: EntryPayload::Config(config),
+        };
+        self.append_own(vec![entry]);
+    }
+
+    /// Returns the next configuration on the way to the present incarnation of `name`.
+    fn repair(
+        &self,
+        leader: &LeaderState,
+        config: &GroupConfig,
+        name: &KeeperName,
+    ) -> Option<GroupConfig> {
+        let progress = leader.followers.get(name)?;
+        let key = MemberKey {
+            name: name.clone(),
+            incarnation: progress.incarnation?,
+        };
+        let fresh = self.now.since(progress.heard_at) < self.settings.election;
+        let caught_up = progress.matched >= self.commit;
+        if config.contains(&key) || !fresh || !caught_up {
+            return None;
+        }
+        if config.voter(name).is_some() {
+            return Some(config.without(name));
+        }
+        Some(config.with(key))
+    }
+}
--- /dev/null
+++ b/crates/decide/src/replica/node.rs
@@ -0,0 +1,379 @@
+//! One replica of one group: its inputs, its outputs and its roles.
+
+use super::{
+    elect::ElectionState,
+    form::FormationState,
+    lead::LeaderState,
+    log::ReplicaLog,
+    message::{
+        GroupConfig, HardState, LogEntry, MemberKey, ReplicaEnvelope, ReplicaMessage,
+        ReplicaSnapshot, SnapshotMeta,
+    },
+};
+use crate::{name::KeeperName, time::MonoTime};
+use serde::Serialize;
+use std::{sync::Arc, time::Duration};
+
+/// What a replica is told when it starts.
+#[derive(Clone, Debug)]
+pub struct ReplicaSettings {
+    /// The group.
+    pub group: u16,
+    /// This keeper and its disk.
+    pub key: MemberKey,
+    /// All keepers, this one included.
+    pub keepers: Vec<KeeperName>,
+    /// Those of them that vote.
+    pub voters: Vec<KeeperName>,
+    /// Time between two messages of a leader to each other replica.
+    pub heartbeat: Duration,
+    /// Shortest time without a leader before an election; the longest is twice as long.
+    pub election: Duration,
+}
+
+/// What a replica finds on its disk when it starts.
+#[derive(Clone, Debug, Default)]
+pub struct RecoveredState {
+    /// Term, vote and promise.
+    pub hard: HardState,
+    /// The snapshot, if there is one.
+    pub snapshot: Option<ReplicaSnapshot>,
+    /// The entries after it.
+    pub entries: Vec<LogEntry>,
+}
+
+/// What a driver tells a replica.
+#[derive(Clone, Debug)]
+pub enum ReplicaInput {
+    /// A message of another replica.
+    Message(ReplicaEnvelope),
+    /// Time has passed; at least a few times in a heartbeat.
+    Tick,
+    /// Commands to be replicated, each with a token that comes back with its fate.
+    Propose(Vec<(u64, Arc<[u8]>)>),
+    /// All outputs so far are durable.
+    Persisted,
+    /// The state after the entry `index`, which was applied, serialised.
+    Compact {
+        /// The last entry that the state covers.
+        index: u64,
+        /// The state.
+        data: Arc<[u8]>,
+    },
+}
+
+/// What must be durable before later outputs are carried out.
+#[derive(Clone, Debug, Default)]
+pub struct PersistBatch {
+    /// Term, vote and promise, if they have changed.
+    pub hard: Option<HardState>,
+    /// A snapshot; with one, `entries` is the whole log after it.
+    pub snapshot: Option<ReplicaSnapshot>,
+    /// Entries to append; the first takes the place of its index and all after it.
+    pub entries: Vec<LogEntry>,
+}
+
+/// What a driver is to do.
+#[derive(Clone, Debug)]
+pub enum ReplicaOutput {
+    /// Send a message; it may get lost.
+    Send(ReplicaEnvelope),
+    /// Write and sync.
+    Persist(PersistBatch),
+    /// Apply a committed entry; `token` is set if it was proposed here.
+    Apply {
+        /// The entry.
+        entry: LogEntry,
+        /// The token that the command was proposed with.
+        token: Option<u64>,
+    },
+    /// Replace the state.
+    Restore(ReplicaSnapshot),
+    /// A command was not proposed: another keeper leads.
+    Refused {
+        /// The token that the command was proposed with.
+        token: u64,
+        /// The leader, when known.
+        leader: Option<KeeperName>,
+    },
+    /// A command was proposed but its fate will not be known here.
+    Dropped {
+        /// The token that the command was proposed with.
+        token: u64,
+    },
+    /// This replica leads from now on.
+    Lead {
+        /// Its term.
+        term: u64,
+    },
+}
+
+/// What a replica is at the moment, for dumps.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct ReplicaStatus {
+    /// `leader`, `candidate`, `follower` or `forming`.
+    pub role: &'static str,
+    /// The latest term.
+    pub term: u64,
+    /// The keeper that leads, when known.
+    pub leader: Option<KeeperName>,
+    /// The last entry.
+    pub last_index: u64,
+    /// The last committed entry.
+    pub commit: u64,
+    /// The last entry that the snapshot covers.
+    pub snapshot: u64,
+    /// The voters.
+    pub voters: Vec<String>,
+}
+
+/// What a replica does at the moment.
+#[derive(Debug)]
+pub(super) enum ReplicaRole {
+    Forming(FormationState),
+    Follower,
+    Candidate(ElectionState),
+    Leader(LeaderState),
+}
+
+/// One replica of one group.
+#[derive(Debug)]
+pub struct ReplicaNode {
+    pub(super) settings: ReplicaSettings,
+    pub(super) hard: HardState,
+    pub(super) log: ReplicaLog,
+    pub(super) role: ReplicaRole,
+    pub(super) leader: Option<KeeperName>,
+    pub(super) commit: u64,
+    pub(super) applied: u64,
+    /// The last entry that is durable here.
+    pub(super) persisted: u64,
+    /// When a leader was last heard of.
+    pub(super) heard_at: Option<MonoTime>,
+    pub(super) election_at: MonoTime,
+    pub(super) now: MonoTime,
+    pub(super) random: u64,
+    pub(super) out: Vec<ReplicaOutput>,
+}
+
+impl ReplicaNode {
+    /// Returns a replica that goes on from what its disk holds.
+    pub fn open(
+        settings: ReplicaSettings,
+        recovered: RecoveredState,
+        now: MonoTime,
+        random: u64,
+    ) -> ReplicaNode {
+        let formed = recovered.snapshot.is_some();
+        let empty = || ReplicaSnapshot {
+            meta: SnapshotMeta::default(),
+            data: Arc::new([]),
+        };
+        let snapshot = recovered.snapshot.unwrap_or_else(empty);
+        let start = snapshot.meta.index;
+        let log = ReplicaLog::new(snapshot, recovered.entries);
+        let role = if formed {
+            ReplicaRole::Follower
+        } else {
+            ReplicaRole::Forming(FormationState::default())
+        };
+        let mut node = ReplicaNode {
+            settings,
+            hard: recovered.hard,
+            persisted: log.last_index(),
+            log,
+            role,
+            leader: None,
+            commit: start,
+            applied: start,
+            heard_at: None,
+            election_at: MonoTime::ZERO,
+            now,
+            random,
+            out: Vec::new(),
+        };
+        node.restart_election_timer();
+        node
+    }
+
+    /// Takes one input at time `now` and returns what is to be done, in order.
+    pub fn step(&mut self, input: ReplicaInput, now: MonoTime, random: u64) -> Vec<ReplicaOutput> {
+        self.now = now;
+        self.random = random;
+        match input {
+            ReplicaInput::Message(envelope) => self.receive(envelope),
+            ReplicaInput::Tick => self.tick(),
+            ReplicaInput::Propose(commands) => self.propose(commands),
+            ReplicaInput::Persisted => self.note_persisted(),
+            ReplicaInput::Compact { index, data } => self.compact(index, data),
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Returns whether this replica leads, as far as it knows.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, ReplicaRole::Leader(_))
+    }
+
+    /// Returns the keeper that leads, as far as this replica knows.
+    pub fn leader(&self) -> Option<&KeeperName> {
+        self.leader.as_ref()
+    }
+
+    /// Returns the number of entries that a snapshot would free.
+    pub fn entries_since_snapshot(&self) -> u64 {
+        self.applied - self.log.snapshot().meta.index
+    }
+
+    /// Returns the latest configuration.
+    pub fn config(&self) -> &GroupConfig {
+        self.log.config().1
+    }
+
+    /// Returns what this replica is at the moment.
+    pub fn status(&self) -> ReplicaStatus {
+        let role = match self.role {
+            ReplicaRole::Forming(_) => "forming",
+            ReplicaRole::Follower => "follower",
+            ReplicaRole::Candidate(_) => "candidate",
+            ReplicaRole::Leader(_) => "leader",
+        };
+        ReplicaStatus {
+            role,
+            term: self.hard.term,
+            leader: self.leader.clone(),
+            last_index: self.log.last_index(),
+            commit: self.commit,
+            snapshot: self.log.snapshot().meta.index,
+            voters: self
+                .config()
+                .voters
+                .iter()
+                .map(MemberKey::to_string)
+                .collect(),
+        }
+    }
+
+    fn receive(&mut self, envelope: ReplicaEnvelope) {
+        let ReplicaEnvelope { from, message, .. } = envelope;
+        match message {
+            ReplicaMessage::Probe => self.on_probe(from),
+            ReplicaMessage::Hello { founder } => self.on_hello(from, founder),
+            ReplicaMessage::Form(snapshot) => self.on_form(from, snapshot),
+            // Without a configuration there is nobody to vote for.
+            ReplicaMessage::VoteAsk { .. } if self.is_forming() => {}
+            ReplicaMessage::VoteAsk {
+                pre,
+                term,
+                last_index,
+                last_term,
+            } => self.on_vote_ask(from, pre, term, (last_term, last_index)),
+            ReplicaMessage::VoteReply { pre, term, granted } => {
+                self.on_vote_reply(from, pre, term, granted);
+            }
+            ReplicaMessage::Append {
+                term,
+                prev_index,
+                prev_term,
+                entries,
+                commit,
+            } => self.on_append(from, term, (prev_index, prev_term), entries, commit),
+            ReplicaMessage::Install { term, snapshot } => self.on_install(from, term, snapshot),
+            ReplicaMessage::AppendReply { term, result } => {
+                self.on_append_reply(from, term, result)
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        match self.role {
+            ReplicaRole::Forming(_) => self.tick_forming(),
+            ReplicaRole::Leader(_) => self.tick_leading(),
+            ReplicaRole::Follower | ReplicaRole::Candidate(_) => self.tick_election(),
+        }
+    }
+
+    fn note_persisted(&mut self) {
+        self.persisted = self.log.last_index();
+        self.advance_commit();
+    }
+
+    fn compact(&mut self, index: u64, data: Arc<[u8]>) {
+        let old = self.log.snapshot().meta.index;
+        if index <= old || index > self.applied {
+            return;
+        }
+        let term = self.log.term(index).expect("applied entries are held");
+        let meta = SnapshotMeta {
+            index,
+            term,
+            config: self.log.config_at(index).clone(),
+        };
+        self.log.compact(ReplicaSnapshot { meta, data });
+        self.persist_whole();
+    }
+
+    /// Applies what is committed.
+    pub(super) fn apply_committed(&mut self) {
+        while self.applied < self.commit {
+            self.applied += 1;
+            let entry = self.log.get(self.applied);
+            let entry = entry.expect("committed entries are held").clone();
+            let token = self.take_token(&entry);
+            self.out.push(ReplicaOutput::Apply { entry, token });
+        }
+    }
+
+    pub(super) fn is_forming(&self) -> bool {
+        matches!(self.role, ReplicaRole::Forming(_))
+    }
+
+    pub(super) fn send(&mut self, to: KeeperName, message: ReplicaMessage) {
+        let envelope = ReplicaEnvelope {
+            group: self.settings.group,
+            from: self.settings.key.clone(),
+            to,
+            message,
+        };
+        self.out.push(ReplicaOutput::Send(envelope));
+    }
+
+    pub(super) fn broadcast(&mut self, message: &ReplicaMessage) {
+        for name in self.others() {
+            self.send(name, message.clone());
+        }
+    }
+
+    pub(super) fn others(&self) -> Vec<KeeperName> {
+        let keepers = self.settings.keepers.iter();
+        keepers
+            .filter(|name| **name != self.settings.key.name)
+            .cloned()
+            .collect()
+    }
+
+    pub(super) fn persist_hard(&mut self) {
+        self.out.push(ReplicaOutput::Persist(PersistBatch {
+            hard: Some(self.hard.clone()),
+            ..PersistBatch::default()
+        }));
+    }
+
+    pub(super) fn persist_entries(&mut self, entries: Vec<LogEntry>) {
+        self.out.push(ReplicaOutput::Persist(PersistBatch {
+            entries,
+            ..PersistBatch::default()
+        }));
+    }
+
+    /// Persists the snapshot, the log after it and the hard state.
+    pub(super) fn persist_whole(&mut self) {
+        let snapshot = self.log.snapshot().clone();
+        let entries = self.log.tail(snapshot.meta.index + 1);
+        self.out.push(ReplicaOutput::Persist(PersistBatch {
+            hard: Some(self.hard.clone()),
+            snapshot: Some(snapshot),
+            entries,
+        }));
+    }
+}
