Add the data folder of a keeper

Cause: nothing may be acknowledged that a kill, a torn write or a full disk can take back. Each record says how much of the file was synced when it was written: a record that can't be read is cut off only if it passes the end of the file or holds an unwritten unit and no later record says that it had been synced. Everything else is damage: the keeper doesn't start, and returns with a new incarnation once the folder is removed. Ruled out: cutting the log at the first bad checksum, which drops acknowledged entries after a flipped byte; treating every bad tail as damage, which loses a whole group to one power failure. A disk that shortens a synced file at a record's border is not noticed.

--- a/crates/decide/tests/replica.rs
+++ b/crates/decide/tests/replica.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 const CASES: u32 = 60;
+/// Time in which the voters must have replaced a lost disk.
+const REPAIR_SPAN: Duration = Duration::from_secs(5);
 
 fn check_schedule(settings: BedSettings) {
     let mut bed = ReplicaBed::open(settings);
@@ -61,10 +63,9 @@
         bed.run(Duration::from_secs(3), false);
         for round in 0..6 {
             bed.lose_disk(round % voters);
-            while !bed.is_whole() {
-                bed.run(Duration::from_millis(10), false);
-            }
+            bed.run_until_whole(REPAIR_SPAN);
         }
+        assert!(bed.is_whole(), "the voters were not replaced");
         bed.quiet(Duration::from_secs(5));
         bed.check_converged();
     }
--- a/crates/decide/tests/replica_bed/mod.rs
+++ b/crates/decide/tests/replica_bed/mod.rs
@@ -109,6 +109,14 @@
         }
     }
 
+    /// Runs without faults until the voters are whole, at most `span`.
+    pub(crate) fn run_until_whole(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end && !self.is_whole() {
+            self.run(TICK, false);
+        }
+    }
+
     /// Runs `span` of virtual time without faults and operators.
     pub(crate) fn quiet(&mut self, span: Duration) {
         let end = self.now + span;
--- /dev/null
+++ b/crates/store/src/error.rs
@@ -0,0 +1,63 @@
+//! Errors of the data folder.
+
+use std::{fmt, io, path::PathBuf};
+
+/// Why the data folder can't be used.
+#[derive(Debug)]
+pub enum StoreError {
+    /// The operating system refused.
+    Io {
+        /// The file or folder.
+        path: PathBuf,
+        /// What it answered.
+        cause: io::Error,
+    },
+    /// Data that were synced have changed.
+    Damaged {
+        /// The file.
+        path: PathBuf,
+        /// Where in the file, in bytes.
+        offset: u64,
+    },
+    /// The folder belongs to another keeper.
+    Foreign {
+        /// The folder.
+        path: PathBuf,
+        /// The keeper that it belongs to.
+        owner: String,
+    },
+    /// Another process uses the folder.
+    Locked {
+        /// The folder.
+        path: PathBuf,
+    },
+}
+
+impl StoreError {
+    pub(crate) fn io(path: impl Into<PathBuf>) -> impl FnOnce(io::Error) -> StoreError {
+        let path = path.into();
+        move |cause| StoreError::Io { path, cause }
+    }
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StoreError::Io { path, cause } => write!(f, "{}: {cause}", path.display()),
+            StoreError::Damaged { path, offset } => write!(
+                f,
+                "{}: damaged at byte {offset}; remove the data folder to start over as a keeper \
+                 that has lost its disk",
+                path.display()
+            ),
+            StoreError::Foreign { path, owner } => {
+                write!(f, "{} belongs to keeper \"{owner}\"", path.display())
+            }
+            StoreError::Locked { path } => {
+                write!(f, "{} is used by another process", path.display())
+            }
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
--- /dev/null
+++ b/crates/store/src/group.rs
@@ -0,0 +1,266 @@
+//! The files of one group: its log and its snapshot.
+
+use crate::{
+    DiskFile, LogFile, ScanEnd, StoreError,
+    frame::{push_record, scan_records},
+};
+use agatehill_decide::replica::{
+    HardState, LogEntry, PersistBatch, RecoveredState, ReplicaSnapshot,
+};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::{
+    fs::{self, File, OpenOptions},
+    io,
+    path::{Path, PathBuf},
+};
+
+/// One record of the log.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+enum LogRecord {
+    /// Term, vote and promise.
+    Hard(HardState),
+    /// An entry, in place of its index and all after it.
+    Entry(LogEntry),
+}
+
+/// The open files of one group.
+#[derive(Debug)]
+pub struct GroupStore<F = DiskFile> {
+    folder: PathBuf,
+    log: F,
+    /// Length of the log that is durable, in bytes.
+    synced: u64,
+    /// Records that are not durable yet.
+    pending: Vec<u8>,
+}
+
+impl GroupStore<DiskFile> {
+    /// Opens the group in `folder`, made if it is missing, and returns what it holds.
+    ///
+    /// # Errors
+    ///
+    /// The files can't be read or written, or are damaged.
+    pub fn open(folder: &Path) -> Result<(GroupStore, RecoveredState), StoreError> {
+        fs::create_dir_all(folder).map_err(StoreError::io(folder))?;
+        let path = folder.join("log");
+        let snapshot = read_whole::<ReplicaSnapshot>(&folder.join("snapshot"))?;
+        let (records, len) = read_log(&path)?;
+        let log = open_log(&path)?;
+        log.set_len(len).map_err(StoreError::io(&path))?;
+        log.sync_all().map_err(StoreError::io(&path))?;
+        sync_folder(folder)?;
+        let store = GroupStore::with_file(folder, DiskFile(log), len);
+        Ok((store, recover(snapshot, records)))
+    }
+
+    /// Replaces snapshot and log; durable on return.
+    ///
+    /// The snapshot comes first: a log that is older than the snapshot is whole with it, the other
+    /// way round entries would be missing.
+    ///
+    /// # Errors
+    ///
+    /// The disk is full or broken; the call may be repeated.
+    pub fn replace(
+        &mut self,
+        snapshot: &ReplicaSnapshot,
+        hard: &HardState,
+        entries: &[LogEntry],
+    ) -> Result<(), StoreError> {
+        replace_file(&self.folder.join("snapshot"), snapshot)?;
+        let mut buf = Vec::new();
+        push_codec(&mut buf, 0, &LogRecord::Hard(hard.clone()));
+        for entry in entries {
+            push_codec(&mut buf, 0, &LogRecord::Entry(entry.clone()));
+        }
+        let path = self.folder.join("log");
+        replace_bytes(&path, &buf)?;
+        self.log = DiskFile(open_log(&path)?);
+        self.synced = buf.len() as u64;
+        self.pending.clear();
+        Ok(())
+    }
+
+    /// Writes `batch`; durable on return.
+    ///
+    /// # Errors
+    ///
+    /// The disk is full or broken; the call may be repeated.
+    pub fn persist(&mut self, batch: &PersistBatch) -> Result<(), StoreError> {
+        if let (Some(snapshot), Some(hard)) = (&batch.snapshot, &batch.hard) {
+            return self.replace(snapshot, hard, &batch.entries);
+        }
+        self.push(batch);
+        self.sync()
+    }
+}
+
+impl<F: LogFile> GroupStore<F> {
+    /// Returns a store whose log is `log`, of which `synced` bytes are durable.
+    pub fn with_file(folder: &Path, log: F, synced: u64) -> GroupStore<F> {
+        GroupStore {
+            folder: folder.to_owned(),
+            log,
+            synced,
+            pending: Vec::new(),
+        }
+    }
+
+    /// Adds the records of `batch`, which holds no snapshot, to those of the next sync.
+    pub fn push(&mut self, batch: &PersistBatch) {
+        if let Some(hard) = &batch.hard {
+            let record = LogRecord::Hard(hard.clone());
+            push_codec(&mut self.pending, self.synced, &record);
+        }
+        for entry in &batch.entries {
+            let record = LogRecord::Entry(entry.clone());
+            push_codec(&mut self.pending, self.synced, &record);
+        }
+    }
+
+    /// Makes all records durable.
+    ///
+    /// # Errors
+    ///
+    /// The disk is full or broken. The records are still pending and the call may be repeated: it
+    /// writes them anew, because a sync that failed says nothing about the pages written before.
+    pub fn sync(&mut self) -> Result<(), StoreError> {
+        if self.pending.is_empty() {
+            return Ok(());
+        }
+        match self.write_pending() {
+            Ok(()) => {
+                self.synced += self.pending.len() as u64;
+                self.pending.clear();
+                Ok(())
+            }
+            Err(cause) => {
+                // If this fails as well, the cut of the next call counts.
+                let _ = self.log.cut(self.synced);
+                let path = self.folder.join("log");
+                Err(StoreError::Io { path, cause })
+            }
+        }
+    }
+
+    fn write_pending(&mut self) -> io::Result<()> {
+        self.log.cut(self.synced)?;
+        self.log.append(&self.pending)?;
+        self.log.sync()
+    }
+}
+
+/// Reads the log; returns its records and the length up to which it is whole.
+fn read_log(path: &Path) -> Result<(Vec<LogRecord>, u64), StoreError> {
+    let file = match fs::read(path) {
+        Ok(file) => file,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok((Vec::new(), 0)),
+        Err(cause) => return Err(StoreError::io(path)(cause)),
+    };
+    let scan = scan_records(&file);
+    let damaged = |offset| StoreError::Damaged {
+        path: path.to_owned(),
+        offset,
+    };
+    if scan.end == ScanEnd::Damaged {
+        return Err(damaged(scan.len));
+    }
+    let records: Result<_, _> = scan
+        .payloads
+        .iter()
+        .map(|p| postcard::from_bytes(p))
+        .collect();
+    let records = records.map_err(|_| damaged(0))?;
+    Ok((records, scan.len))
+}
+
+fn recover(snapshot: Option<ReplicaSnapshot>, records: Vec<LogRecord>) -> RecoveredState {
+    let mut hard = HardState::default();
+    let mut entries: Vec<LogEntry> = Vec::new();
+    for record in records {
+        match record {
+            LogRecord::Hard(state) => hard = state,
+            LogRecord::Entry(entry) => {
+                let keep = entries.partition_point(|old| old.index < entry.index);
+                entries.truncate(keep);
+                entries.push(entry);
+            }
+        }
+    }
+    if let Some(snapshot) = &snapshot {
+        keep_after(snapshot, &mut entries);
+        hard.term = hard.term.max(snapshot.meta.term);
+    }
+    RecoveredState {
+        hard,
+        snapshot,
+        entries,
+    }
+}
+
+/// Drops the entries that `snapshot` covers, and all if they don't continue it.
+fn keep_after(snapshot: &ReplicaSnapshot, entries: &mut Vec<LogEntry>) {
+    let meta = &snapshot.meta;
+    let contradicts = |entry: &LogEntry| entry.index == meta.index && entry.term != meta.term;
+    let starts_late = entries.first().is_some_and(|e| e.index > meta.index + 1);
+    if starts_late || entries.iter().any(contradicts) {
+        entries.clear();
+    }
+    entries.retain(|entry| entry.index > meta.index);
+}
+
+fn push_codec(buf: &mut Vec<u8>, synced: u64, record: &LogRecord) {
+    let payload = postcard::to_stdvec(record).expect("records are serialisable");
+    push_record(buf, synced, &payload);
+}
+
+fn open_log(path: &Path) -> Result<File, StoreError> {
+    let mut options = OpenOptions::new();
+    options.create(true).append(true);
+    options.open(path).map_err(StoreError::io(path))
+}
+
+/// Reads a file that holds one record; `None` if there is no such file.
+pub(crate) fn read_whole<T: DeserializeOwned>(path: &Path) -> Result<Option<T>, StoreError> {
+    let file = match fs::read(path) {
+        Ok(file) => file,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(cause) => return Err(StoreError::io(path)(cause)),
+    };
+    let scan = scan_records(&file);
+    let parsed = match (scan.payloads.as_slice(), scan.end) {
+        ([payload], ScanEnd::Clean) => postcard::from_bytes(payload).ok(),
+        _ => None,
+    };
+    // The file was renamed into place after its sync, so it can't be torn.
+    let damaged = || StoreError::Damaged {
+        path: path.to_owned(),
+        offset: scan.len,
+    };
+    parsed.ok_or_else(damaged).map(Some)
+}
+
+/// Puts a file with one record in place of the one at `path`; durable on return.
+pub(crate) fn replace_file<T: Serialize>(path: &Path, value: &T) -> Result<(), StoreError> {
+    let payload = postcard::to_stdvec(value).expect("records are serialisable");
+    let mut buf = Vec::new();
+    push_record(&mut buf, 0, &payload);
+    replace_bytes(path, &buf)
+}
+
+fn replace_bytes(path: &Path, buf: &[u8]) -> Result<(), StoreError> {
+    let new = path.with_extension("new");
+    let write = || {
+        fs::write(&new, buf)?;
+        File::open(&new)?.sync_all()?;
+        fs::rename(&new, path)
+    };
+    write().map_err(StoreError::io(&new))?;
+    let folder = path.parent().expect("files lie in a folder");
+    sync_folder(folder)
+}
+
+fn sync_folder(folder: &Path) -> Result<(), StoreError> {
+    let sync = || File::open(folder)?.sync_all();
+    sync().map_err(StoreError::io(folder))
+}
--- /dev/null
+++ b/crates/store/tests/group_store.rs
@@ -0,0 +1,275 @@
+//! The data folder under faults of the disk.
+
+use agatehill_decide::{
+    name::{Incarnation, KeeperName},
+    replica::{
+        EntryPayload, GroupConfig, HardState, LogEntry, PersistBatch, RecoveredState,
+        ReplicaSnapshot, SnapshotMeta,
+    },
+};
+use agatehill_store::{GroupStore, LogFile, StoreError, StoreIdentity};
+use rstest::rstest;
+use std::{fs, io, path::Path};
+use tempfile::TempDir;
+
+const RECORD_BYTES: usize = 700;
+
+fn entry(index: u64) -> LogEntry {
+    let byte = index as u8 | 0x80;
+    LogEntry {
+        index,
+        term: 1,
+        payload: EntryPayload::Command(vec![byte; RECORD_BYTES].into()),
+    }
+}
+
+fn batch(entries: impl IntoIterator<Item = u64>) -> PersistBatch {
+    PersistBatch {
+        entries: entries.into_iter().map(entry).collect(),
+        ..PersistBatch::default()
+    }
+}
+
+fn snapshot(index: u64) -> ReplicaSnapshot {
+    let meta = SnapshotMeta {
+        index,
+        term: 1,
+        config: GroupConfig::default(),
+    };
+    ReplicaSnapshot {
+        meta,
+        data: vec![7; 100].into(),
+    }
+}
+
+/// Makes a folder in which each entry was synced on its own; returns the log's length after each.
+fn filled(folder: &Path, count: u64) -> Vec<usize> {
+    let (mut store, _) = GroupStore::open(folder).unwrap();
+    let mut ends = Vec::new();
+    for index in 1..=count {
+        store.persist(&batch([index])).unwrap();
+        ends.push(fs::metadata(folder.join("log")).unwrap().len() as usize);
+    }
+    ends
+}
+
+fn open(folder: &Path) -> Result<RecoveredState, StoreError> {
+    GroupStore::open(folder).map(|(_, recovered)| recovered)
+}
+
+fn indexes(recovered: &RecoveredState) -> Vec<u64> {
+    recovered.entries.iter().map(|e| e.index).collect()
+}
+
+#[test]
+fn a_torn_last_record_is_cut_at_every_byte() {
+    let dir = TempDir::new().unwrap();
+    let ends = filled(dir.path(), 3);
+    let log = fs::read(dir.path().join("log")).unwrap();
+    for len in ends[1]..ends[2] {
+        fs::write(dir.path().join("log"), &log[..len]).unwrap();
+        let recovered = open(dir.path()).unwrap();
+        assert_eq!(indexes(&recovered), [1, 2], "cut at byte {len}");
+        let left = fs::metadata(dir.path().join("log")).unwrap().len();
+        assert_eq!(left as usize, ends[1], "the torn bytes are gone");
+    }
+}
+
+#[rstest]
+#[case::all_of_it(0, usize::MAX)]
+#[case::first_sector(0, 1_024)]
+#[case::last_sector(1_024, usize::MAX)]
+fn unwritten_sectors_of_the_last_record_are_cut(#[case] from: usize, #[case] to: usize) {
+    let dir = TempDir::new().unwrap();
+    let ends = filled(dir.path(), 2);
+    let mut log = fs::read(dir.path().join("log")).unwrap();
+    let range = from.max(ends[0])..to.min(ends[1]);
+    log[range].fill(0);
+    fs::write(dir.path().join("log"), &log).unwrap();
+    assert_eq!(indexes(&open(dir.path()).unwrap()), [1]);
+}
+
+#[test]
+fn a_flipped_bit_in_any_synced_byte_is_found() {
+    let dir = TempDir::new().unwrap();
+    filled(dir.path(), 3);
+    let log = fs::read(dir.path().join("log")).unwrap();
+    for at in 0..log.len() {
+        let mut bad = log.clone();
+        bad[at] ^= 1 << (at % 8);
+        fs::write(dir.path().join("log"), &bad).unwrap();
+        let opened = open(dir.path());
+        assert!(
+            matches!(opened, Err(StoreError::Damaged { .. })),
+            "byte {at}: {opened:?}"
+        );
+    }
+}
+
+#[test]
+fn zeroed_sectors_of_records_synced_before_later_ones_are_found() {
+    let dir = TempDir::new().unwrap();
+    let ends = filled(dir.path(), 4);
+    let log = fs::read(dir.path().join("log")).unwrap();
+    for start in (0..ends[2] - 512).step_by(512) {
+        let mut bad = log.clone();
+        bad[start..start + 512].fill(0);
+        fs::write(dir.path().join("log"), &bad).unwrap();
+        let opened = open(dir.path());
+        assert!(
+            matches!(opened, Err(StoreError::Damaged { .. })),
+            "bytes from {start}: {opened:?}"
+        );
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum SnapshotFault {
+    None,
+    /// The new file is there, whole or in part, but was not renamed.
+    BeforeRename,
+    /// The snapshot is in place, the log is still the old one.
+    BeforeLog,
+}
+
+#[rstest]
+#[case::none(SnapshotFault::None, 3, &[4])]
+#[case::before_rename(SnapshotFault::BeforeRename, 0, &[1, 2, 3, 4])]
+#[case::before_log(SnapshotFault::BeforeLog, 3, &[4])]
+fn a_snapshot_is_replaced_whole_or_not_at_all(
+    #[case] fault: SnapshotFault,
+    #[case] index: u64,
+    #[case] entries: &[u64],
+) {
+    let dir = TempDir::new().unwrap();
+    filled(dir.path(), 4);
+    let old = fs::read(dir.path().join("log")).unwrap();
+    let (mut store, _) = GroupStore::open(dir.path()).unwrap();
+    let hard = HardState {
+        term: 1,
+        ..HardState::default()
+    };
+    store.replace(&snapshot(3), &hard, &[entry(4)]).unwrap();
+    drop(store);
+    let path = dir.path().join("snapshot");
+    match fault {
+        SnapshotFault::None => {}
+        SnapshotFault::BeforeRename => {
+            let whole = fs::read(&path).unwrap();
+            fs::remove_file(&path).unwrap();
+            fs::write(dir.path().join("snapshot.new"), &whole[..50]).unwrap();
+            fs::write(dir.path().join("log"), &old).unwrap();
+        }
+        SnapshotFault::BeforeLog => fs::write(dir.path().join("log"), &old).unwrap(),
+    }
+    let recovered = open(dir.path()).unwrap();
+    assert_eq!(
+        recovered.snapshot.as_ref().map_or(0, |s| s.meta.index),
+        index
+    );
+    assert_eq!(indexes(&recovered), entries);
+}
+
+#[test]
+fn a_damaged_snapshot_is_found_at_every_byte() {
+    let dir = TempDir::new().unwrap();
+    let (mut store, _) = GroupStore::open(dir.path()).unwrap();
+    store
+        .replace(&snapshot(3), &HardState::default(), &[])
+        .unwrap();
+    let path = dir.path().join("snapshot");
+    let whole = fs::read(&path).unwrap();
+    for at in 0..whole.len() {
+        let mut bad = whole.clone();
+        bad[at] ^= 0x10;
+        fs::write(&path, &bad).unwrap();
+        let flipped = open(dir.path());
+        assert!(flipped.is_err(), "flipped byte {at}");
+        fs::write(&path, &whole[..at]).unwrap();
+        assert!(open(dir.path()).is_err(), "cut at byte {at}");
+    }
+}
+
+/// A file on a disk with little room, that loses what was not synced.
+#[derive(Default)]
+struct FullFile {
+    data: Vec<u8>,
+    room: usize,
+    sync_fails: bool,
+}
+
+impl LogFile for &mut FullFile {
+    fn append(&mut self, buf: &[u8]) -> io::Result<()> {
+        let fits = buf.len().min(self.room - self.data.len());
+        self.data.extend_from_slice(&buf[..fits]);
+        if fits < buf.len() {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        Ok(())
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        if self.sync_fails {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        Ok(())
+    }
+
+    fn cut(&mut self, len: u64) -> io::Result<()> {
+        self.data.truncate(len as usize);
+        Ok(())
+    }
+}
+
+#[rstest]
+#[case::append_fails_at_once(0, false)]
+#[case::append_fails_half_way(RECORD_BYTES + 200, false)]
+#[case::sync_fails(100_000, true)]
+fn a_full_disk_acknowledges_nothing_and_spoils_nothing(
+    #[case] room_left: usize,
+    #[case] sync_fails: bool,
+) {
+    let dir = TempDir::new().unwrap();
+    let mut file = FullFile {
+        room: 100_000,
+        ..FullFile::default()
+    };
+    let mut store = GroupStore::with_file(dir.path(), &mut file, 0);
+    store.push(&batch([1]));
+    store.sync().unwrap();
+    drop(store);
+    let whole = file.data.clone();
+    file.room = whole.len() + room_left;
+    file.sync_fails = sync_fails;
+    let mut store = GroupStore::with_file(dir.path(), &mut file, whole.len() as u64);
+    store.push(&batch([2, 3]));
+    assert!(store.sync().is_err());
+    assert!(store.sync().is_err(), "nothing is pretended on a retry");
+    drop(store);
+    assert_eq!(file.data, whole, "what was synced is untouched");
+    file.room = 100_000;
+    file.sync_fails = false;
+    let mut store = GroupStore::with_file(dir.path(), &mut file, whole.len() as u64);
+    store.push(&batch([2, 3]));
+    store.sync().unwrap();
+    drop(store);
+    fs::write(dir.path().join("log"), &file.data).unwrap();
+    assert_eq!(indexes(&open(dir.path()).unwrap()), [1, 2, 3]);
+}
+
+#[test]
+fn a_folder_keeps_its_incarnation_and_its_owner() {
+    let dir = TempDir::new().unwrap();
+    let name = |text| KeeperName::try_from(text).unwrap();
+    let open = |keeper, fresh| StoreIdentity::open(dir.path(), &name(keeper), Incarnation(fresh));
+    let first = open("keeper-1", 5).unwrap();
+    let twice = open("keeper-1", 6);
+    assert!(matches!(twice, Err(StoreError::Locked { .. })), "{twice:?}");
+    drop(first);
+    assert_eq!(open("keeper-1", 6).unwrap().incarnation(), Incarnation(5));
+    let other = open("keeper-2", 7);
+    assert!(
+        matches!(other, Err(StoreError::Foreign { .. })),
+        "{other:?}"
+    );
+}
