Replicate contracts and claims over the keepers

Cause: the thin keeper held its contracts in memory. Change: one thread a group drives a ReplicaNode: it writes and syncs before it sends or applies what depends on it, batches what has come in meanwhile, and says nothing while the disk takes no writes. Messages between keepers go through a queue a peer with a short time limit, so that a silent connection is replaced before a leader is. Any keeper takes any request and passes it on to the one that leads. Claims run in groups of their own; the leader ages them by its monotonic clock. Ruled out: clients that follow hints to the leader; with 12,000 daemons a few voters would hold all connections, while a keeper in the zone can pass requests on over one.

--- /dev/null
+++ b/bin/keeper/src/driver.rs
@@ -0,0 +1,320 @@
+//! Carries out what a replica decides: syncs, sends, applies, in that order.
+
+use crate::{
+    group::{GroupEvent, GroupShared, GroupState, ProposeError},
+    outbox::PeerOutbox,
+};
+use agatehill_decide::{
+    replica::{
+        EntryPayload, LogEntry, PersistBatch, ReplicaInput, ReplicaNode, ReplicaOutput,
+        ReplicaSnapshot,
+    },
+    state::ReplicatedState,
+};
+use agatehill_platform::clock::MonoClock;
+use agatehill_store::GroupStore;
+use metrics::{counter, gauge};
+use spdlog::{info, warn};
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        mpsc::{Receiver, RecvTimeoutError},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+use tokio::sync::oneshot;
+
+/// Time between two ticks of a replica.
+const TICK_SPAN: Duration = Duration::from_millis(20);
+/// Most events that are handled with one sync.
+const BATCH_EVENTS: usize = 1_024;
+/// Entries after a snapshot before the next one.
+const SNAPSHOT_ENTRIES: u64 = 512;
+/// Size of the log, in snapshots, before the next one.
+const SNAPSHOT_RATIO: u64 = 2;
+/// Time between two attempts to write to a full disk.
+const DISK_PAUSE: Duration = Duration::from_millis(500);
+/// Time between two commands that age a state.
+const AGE_SPAN: Duration = Duration::from_secs(10);
+
+type ReplySender<S> = oneshot::Sender<Result<<S as ReplicatedState>::Reply, ProposeError>>;
+
+/// The thread of one group.
+pub(crate) struct GroupDriver<S: GroupState> {
+    node: ReplicaNode,
+    store: GroupStore,
+    clock: MonoClock,
+    outbox: PeerOutbox,
+    shared: Arc<GroupShared<S>>,
+    proposals: HashMap<u64, ReplySender<S>>,
+    next_token: u64,
+    /// The last entry that the state covers.
+    applied: u64,
+    snapshot_bytes: u64,
+    log_bytes: u64,
+    /// When the state was last aged, while this keeper leads.
+    aged_at: Option<Instant>,
+}
+
+impl<S: GroupState> GroupDriver<S> {
+    pub(crate) fn new(
+        node: ReplicaNode,
+        store: GroupStore,
+        clock: MonoClock,
+        outbox: PeerOutbox,
+        shared: Arc<GroupShared<S>>,
+    ) -> GroupDriver<S> {
+        GroupDriver {
+            node,
+            store,
+            clock,
+            outbox,
+            shared,
+            proposals: HashMap::new(),
+            next_token: 0,
+            applied: 0,
+            snapshot_bytes: 0,
+            log_bytes: 0,
+            aged_at: None,
+        }
+    }
+
+    /// Runs until the last handle is dropped.
+    pub(crate) fn run(
+        mut self,
+        snapshot: Option<ReplicaSnapshot>,
+        inbox: &Receiver<GroupEvent<S::Reply>>,
+    ) {
+        if let Some(snapshot) = snapshot {
+            self.restore(&snapshot);
+        }
+        loop {
+            let mut events = Vec::new();
+            match inbox.recv_timeout(TICK_SPAN) {
+                Ok(event) => events.push(event),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            events.extend(inbox.try_iter().take(BATCH_EVENTS));
+            self.turn(events);
+        }
+    }
+
+    fn turn(&mut self, events: Vec<GroupEvent<S::Reply>>) {
+        let mut outputs = self.step(ReplicaInput::Tick);
+        let mut commands = Vec::new();
+        for event in events {
+            match event {
+                GroupEvent::Message(envelope) => {
+                    outputs.extend(self.step(ReplicaInput::Message(envelope)));
+                }
+                GroupEvent::Propose { command, reply } => {
+                    let token = self.new_token();
+                    self.proposals.insert(token, reply);
+                    commands.push((token, command));
+                }
+            }
+        }
+        if let Some(command) = self.age() {
+            commands.push((self.new_token(), command));
+        }
+        if !commands.is_empty() {
+            outputs.extend(self.step(ReplicaInput::Propose(commands)));
+        }
+        while !outputs.is_empty() {
+            self.carry_out(outputs);
+            outputs = self.step(ReplicaInput::Persisted);
+        }
+        self.snapshot_if_due();
+        self.publish();
+    }
+
+    fn step(&mut self, input: ReplicaInput) -> Vec<ReplicaOutput> {
+        self.node.step(input, self.clock.now(), rand::random())
+    }
+
+    fn carry_out(&mut self, outputs: Vec<ReplicaOutput>) {
+        let mut dirty = false;
+        for output in outputs {
+            if let ReplicaOutput::Persist(batch) = output {
+                dirty = self.write(batch);
+                continue;
+            }
+            if std::mem::take(&mut dirty) {
+                self.sync();
+            }
+            self.carry_out_synced(output);
+        }
+        if dirty {
+            self.sync();
+        }
+    }
+
+    fn carry_out_synced(&mut self, output: ReplicaOutput) {
+        match output {
+            ReplicaOutput::Persist(_) => unreachable!("persisted before"),
+            ReplicaOutput::Send(envelope) => self.outbox.send(envelope),
+            ReplicaOutput::Restore(snapshot) => self.restore(&snapshot),
+            ReplicaOutput::Apply { entry, token } => self.apply(entry, token),
+            ReplicaOutput::Refused { token, leader } => {
+                self.settle(token, Err(ProposeError::NotLeader(leader)));
+            }
+            ReplicaOutput::Dropped { token } => self.settle(token, Err(ProposeError::Unknown)),
+            ReplicaOutput::Lead { term } => {
+                self.aged_at = None;
+                info!("group leads", kv: { group = self.group(), term });
+            }
+        }
+    }
+
+    /// Writes `batch`; returns whether a sync has to follow.
+    fn write(&mut self, batch: PersistBatch) -> bool {
+        if batch.snapshot.is_none() {
+            self.log_bytes += batch_bytes(&batch);
+            self.store.push(&batch);
+            return true;
+        }
+        self.log_bytes = batch_bytes(&batch);
+        self.until_done(|store| store.persist(&batch));
+        false
+    }
+
+    fn sync(&mut self) {
+        let start = Instant::now();
+        self.until_done(GroupStore::sync);
+        counter!("agatehill_log_syncs").increment(1);
+        gauge!("agatehill_log_sync_seconds").set(start.elapsed().as_secs_f64());
+    }
+
+    /// Repeats a write until the disk takes it: until then this replica says nothing.
+    fn until_done(
+        &mut self,
+        mut write: impl FnMut(&mut GroupStore) -> Result<(), agatehill_store::StoreError>,
+    ) {
+        let mut failing = false;
+        while let Err(error) = write(&mut self.store) {
+            if !failing {
+                warn!("disk takes no writes", kv: { error = error.to_string() });
+            }
+            failing = true;
+            gauge!("agatehill_disk_failing", "group" => self.group().to_string()).set(1.0);
+            thread::sleep(DISK_PAUSE);
+        }
+        if failing {
+            info!("disk takes writes again");
+            gauge!("agatehill_disk_failing", "group" => self.group().to_string()).set(0.0);
+        }
+    }
+
+    fn apply(&mut self, entry: LogEntry, token: Option<u64>) {
+        self.applied = entry.index;
+        if let EntryPayload::Command(command) = &entry.payload {
+            let command = postcard::from_bytes(command).expect("commands were serialised here");
+            let state = self.shared.state.write();
+            let mut state = state.expect("no holder of the lock panics");
+            let reply = state.apply(entry.index, command);
+            drop(state);
+            if let Some(token) = token {
+                self.settle(token, Ok(reply));
+            }
+        }
+        if let EntryPayload::Config(config) = &entry.payload {
+            let voters: Vec<_> = config.voters.iter().map(ToString::to_string).collect();
+            info!("voters changed", kv: { group = self.group(), voters = voters.join(" ") });
+        }
+        self.shared.applied.send_replace(entry.index);
+    }
+
+    fn restore(&mut self, snapshot: &ReplicaSnapshot) {
+        let state = if snapshot.data.is_empty() {
+            S::default()
+        } else {
+            postcard::from_bytes(&snapshot.data).expect("the snapshot's checksum was right")
+        };
+        *self
+            .shared
+            .state
+            .write()
+            .expect("no holder of the lock panics") = state;
+        self.applied = snapshot.meta.index;
+        self.snapshot_bytes = snapshot.data.len() as u64;
+        self.shared.applied.send_replace(self.applied);
+    }
+
+    fn settle(&mut self, token: u64, outcome: Result<S::Reply, ProposeError>) {
+        if let Some(reply) = self.proposals.remove(&token) {
+            // The proposer may have gone.
+            let _ = reply.send(outcome);
+        }
+    }
+
+    fn snapshot_if_due(&mut self) {
+        let due = self.node.entries_since_snapshot() >= SNAPSHOT_ENTRIES
+            && self.log_bytes >= SNAPSHOT_RATIO * self.snapshot_bytes;
+        if !due {
+            return;
+        }
+        let state = self.shared.state.read();
+        let data = postcard::to_stdvec(&*state.expect("no holder of the lock panics"));
+        let data = data.expect("states are serialisable");
+        self.snapshot_bytes = data.len() as u64;
+        let compact = ReplicaInput::Compact {
+            index: self.applied,
+            data: data.into(),
+        };
+        let outputs = self.step(compact);
+        self.carry_out(outputs);
+        counter!("agatehill_snapshots").increment(1);
+    }
+
+    /// Returns the command that ages the state, when one is due and this keeper leads.
+    fn age(&mut self) -> Option<Arc<[u8]>> {
+        if !self.node.is_leader() {
+            self.aged_at = None;
+            return None;
+        }
+        let elapsed = self.aged_at.get_or_insert_with(Instant::now).elapsed();
+        if elapsed < AGE_SPAN {
+            return None;
+        }
+        self.aged_at = Some(Instant::now());
+        let command = S::tick(elapsed)?;
+        let command = postcard::to_stdvec(&command).expect("commands are serialisable");
+        Some(command.into())
+    }
+
+    fn new_token(&mut self) -> u64 {
+        self.next_token += 1;
+        self.next_token
+    }
+
+    fn group(&self) -> u16 {
+        self.outbox.group()
+    }
+
+    fn publish(&self) {
+        let status = self.node.status();
+        let mut shown = self
+            .shared
+            .status
+            .lock()
+            .expect("no holder of the lock panics");
+        if shown.role != status.role || shown.leader != status.leader {
+            info!("replica changed", kv: {
+                group = self.group(),
+                role = status.role,
+                term = status.term,
+                leader = status.leader.as_ref().map_or("none", |name| name.as_str())
+            });
+        }
+        *shown = status;
+    }
+}
+
+/// Returns the size of the commands in `batch`, in bytes.
+fn batch_bytes(batch: &PersistBatch) -> u64 {
+    let bytes: usize = batch.entries.iter().map(|e| e.payload.bytes()).sum();
+    bytes as u64
+}
--- a/bin/keeper/src/group.rs
+++ b/bin/keeper/src/group.rs
@@ -1,49 +1,171 @@
-//! One replicated group of this keeper.
+//! One replicated group of this keeper: the thread that drives it and the handle on it.
 
-use agatehill_decide::state::ReplicatedState;
-use std::sync::{Arc, RwLock};
-use tokio::sync::watch;
+use crate::{driver::GroupDriver, outbox::PeerOutbox};
+use agatehill_decide::{
+    claim::{ClaimCommand, ClaimTable},
+    contract_book::ContractBook,
+    name::KeeperName,
+    replica::{ReplicaEnvelope, ReplicaNode, ReplicaSettings, ReplicaStatus},
+    state::ReplicatedState,
+};
+use agatehill_platform::clock::MonoClock;
+use agatehill_store::{GroupStore, OpenedGroup, StoreError};
+use std::{
+    path::Path,
+    sync::{
+        Arc, Mutex, RwLock,
+        mpsc::{SyncSender, sync_channel},
+    },
+    thread,
+    time::Duration,
+};
+use tokio::sync::{oneshot, watch};
+
+/// Events that wait for a group's thread before further ones are dropped.
+const EVENTS_MAX: usize = 16_384;
+/// Time after which a proposer no longer waits for the fate of its command.
+const PROPOSE_SPAN: Duration = Duration::from_secs(5);
+
+/// A state that a group of this keeper can replicate.
+pub(crate) trait GroupState: Default + ReplicatedState + Send + Sync + 'static {
+    /// Returns the command that ages the state by time the leader has measured, if there is one.
+    fn tick(elapsed: Duration) -> Option<Self::Command>;
+}
+
+impl GroupState for ContractBook {
+    fn tick(_: Duration) -> Option<Self::Command> {
+        None
+    }
+}
+
+impl GroupState for ClaimTable {
+    fn tick(elapsed: Duration) -> Option<ClaimCommand> {
+        let elapsed_seconds = u32::try_from(elapsed.as_secs()).unwrap_or(u32::MAX);
+        Some(ClaimCommand::Tick { elapsed_seconds })
+    }
+}
+
+/// Why a command has no reply.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum ProposeError {
+    /// Another keeper leads; nothing was proposed.
+    NotLeader(Option<KeeperName>),
+    /// The command may or may not be run.
+    Unknown,
+}
+
+/// What a group's thread is told.
+pub(crate) enum GroupEvent<R> {
+    /// A message of another replica.
+    Message(ReplicaEnvelope),
+    /// A serialised command to be replicated.
+    Propose {
+        /// The command.
+        command: Arc<[u8]>,
+        /// Where its fate goes.
+        reply: oneshot::Sender<Result<R, ProposeError>>,
+    },
+}
+
+/// What a group's thread shows to others.
+pub(crate) struct GroupShared<S> {
+    pub(crate) state: RwLock<S>,
+    pub(crate) applied: watch::Sender<u64>,
+    pub(crate) status: Mutex<ReplicaStatus>,
+}
 
 /// A handle on a group; clones share it.
-pub(crate) struct GroupHandle<S> {
-    state: Arc<RwLock<S>>,
-    applied: Arc<watch::Sender<u64>>,
+pub(crate) struct GroupHandle<S: ReplicatedState> {
+    shared: Arc<GroupShared<S>>,
+    events: SyncSender<GroupEvent<S::Reply>>,
 }
 
-impl<S> Clone for GroupHandle<S> {
+impl<S: ReplicatedState> Clone for GroupHandle<S> {
     fn clone(&self) -> GroupHandle<S> {
         GroupHandle {
-            state: self.state.clone(),
-            applied: self.applied.clone(),
+            shared: self.shared.clone(),
+            events: self.events.clone(),
         }
     }
 }
 
-impl<S: Default + ReplicatedState> GroupHandle<S> {
-    /// Opens a group that lives in memory.
-    pub(crate) fn open() -> GroupHandle<S> {
-        GroupHandle {
-            state: Arc::default(),
-            applied: Arc::new(watch::channel(0).0),
+impl<S: GroupState> GroupHandle<S>
+where
+    S::Reply: Send,
+{
+    /// Opens the group whose files are in `folder` and starts its thread.
+    ///
+    /// The incarnation in `settings` is that of a new folder.
+    pub(crate) fn open(
+        mut settings: ReplicaSettings,
+        folder: &Path,
+        clock: MonoClock,
+        outbox: PeerOutbox,
+    ) -> Result<GroupHandle<S>, StoreError> {
+        let OpenedGroup {
+            store,
+            incarnation,
+            recovered,
+        } = GroupStore::open(folder, settings.key.incarnation)?;
+        settings.key.incarnation = incarnation;
+        let group = settings.group;
+        let snapshot = recovered.snapshot.clone();
+        let node = ReplicaNode::open(settings, recovered, clock.now(), rand::random());
+        let shared = Arc::new(GroupShared {
+            state: RwLock::default(),
+            applied: watch::channel(0).0,
+            status: Mutex::new(node.status()),
+        });
+        let (events, inbox) = sync_channel(EVENTS_MAX);
+        let driver = GroupDriver::new(node, store, clock, outbox, shared.clone());
+        thread::Builder::new()
+            .name(format!("group-{group}"))
+            .spawn(move || driver.run(snapshot, &inbox))
+            .expect("the system has room for a thread");
+        Ok(GroupHandle { shared, events })
+    }
+
+    /// Proposes `command` and waits for its reply.
+    pub(crate) async fn propose(&self, command: &S::Command) -> Result<S::Reply, ProposeError> {
+        let command = postcard::to_stdvec(command).expect("commands are serialisable");
+        self.propose_bytes(command).await
+    }
+
+    /// Proposes a serialised command and waits for its reply.
+    pub(crate) async fn propose_bytes(&self, command: Vec<u8>) -> Result<S::Reply, ProposeError> {
+        let (reply, replied) = oneshot::channel();
+        let event = GroupEvent::Propose {
+            command: command.into(),
+            reply,
+        };
+        if self.events.try_send(event).is_err() {
+            return Err(ProposeError::NotLeader(None));
+        }
+        match tokio::time::timeout(PROPOSE_SPAN, replied).await {
+            Ok(Ok(outcome)) => outcome,
+            _ => Err(ProposeError::Unknown),
         }
     }
 
-    /// Runs `command` and returns its reply.
-    pub(crate) fn propose(&self, command: S::Command) -> S::Reply {
-        let mut state = self.state.write().expect("no holder of the lock panics");
-        let position = *self.applied.borrow() + 1;
-        let reply = state.apply(position, command);
-        self.applied.send_replace(position);
-        reply
+    /// Takes a message of another replica; it is dropped if too many wait.
+    pub(crate) fn deliver(&self, envelope: ReplicaEnvelope) {
+        let _ = self.events.try_send(GroupEvent::Message(envelope));
     }
 
     /// Reads the state as far as it is applied here.
     pub(crate) fn read<T>(&self, get: impl FnOnce(&S) -> T) -> T {
-        get(&self.state.read().expect("no holder of the lock panics"))
+        let state = self.shared.state.read();
+        get(&state.expect("no holder of the lock panics"))
     }
 
     /// Watches the applied log position.
     pub(crate) fn applied(&self) -> watch::Receiver<u64> {
-        self.applied.subscribe()
+        self.shared.applied.subscribe()
+    }
+
+    /// Returns what the replica is at the moment.
+    pub(crate) fn status(&self) -> ReplicaStatus {
+        let status = self.shared.status.lock();
+        status.expect("no holder of the lock panics").clone()
     }
 }
--- a/bin/keeper/src/main.rs
+++ b/bin/keeper/src/main.rs
@@ -1,8 +1,10 @@
 //! The keeper: replicated durable state of agatehill, on the hosts that have a disk.
 
 mod cmd;
+mod driver;
 mod group;
 mod hub;
+mod outbox;
 
 use clap::{Parser, Subcommand};
 
--- a/crates/decide/tests/replica_bed/mod.rs
+++ b/crates/decide/tests/replica_bed/mod.rs
@@ -209,11 +209,12 @@
     fn fault(&mut self) {
         let idx = self.rng.random_range(0..self.keepers.len());
         let span = Duration::from_millis(self.rng.random_range(50..4_000));
-        match self.rng.random_range(0..6) {
+        match self.rng.random_range(0..7) {
             0 => {
                 self.crash(idx);
                 self.keepers[idx].restart_at = self.now + span;
             }
+            5 => (0..self.keepers.len()).for_each(|idx| self.crash(idx)),
             1 => self.keepers[idx].frozen_until = self.now + span,
             2 => self.cut = vec![idx],
             3 => self.cut.push(idx),
@@ -313,8 +314,11 @@
         }
         let Some(node) = &mut keeper.node else { return };
         let outputs = node.step(input, now, random);
-        // A crash between two outputs, sometimes.
-        let crash = self.rough && self.chance(self.settings.faults / 10);
+        // A crash between two outputs, sometimes, when it matters most.
+        let writes = outputs
+            .iter()
+            .any(|o| matches!(o, ReplicaOutput::Persist(_)));
+        let crash = self.rough && writes && self.chance(self.settings.faults / 2);
         let stop = crash.then(|| self.rng.random_range(0..=outputs.len()));
         let settled = stop.is_none() && !outputs.is_empty();
         for output in outputs.into_iter().take(stop.unwrap_or(usize::MAX)) {
@@ -323,6 +327,8 @@
         if stop.is_some() {
             self.crash(idx);
             self.keepers[idx].restart_at = now + Duration::from_millis(200);
+            let other = self.rng.random_range(0..self.keepers.len());
+            self.crash(other);
         }
         if settled {
             self.settle(idx);
--- a/crates/peer/src/keeper.rs
+++ b/crates/peer/src/keeper.rs
@@ -1,7 +1,12 @@
 //! The service that keepers offer to daemons and to each other.
 
 use crate::codec::{PostcardCodec, message_frames};
-use agatehill_decide::{contract_book::PutReply, name::CustomerName};
+use agatehill_decide::{
+    claim::{ClaimCommand, ClaimReply},
+    contract_book::PutReply,
+    name::CustomerName,
+    replica::ReplicaEnvelope,
+};
 use futures_util::StreamExt;
 use serde::{Deserialize, Serialize};
 use std::{fmt, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
@@ -82,12 +87,28 @@
         wait: Duration,
     ) -> impl Future<Output = Result<FeedPage, KeeperError>> + Send;
 
-    /// Proposes a contract, if this keeper leads.
+    /// Proposes a contract, here or at the keeper that leads.
     fn put_contract(
         &self,
         customer: CustomerName,
         text: String,
     ) -> impl Future<Output = Result<PutReply, KeeperError>> + Send;
+
+    /// Proposes a command of the claim table, here or at the keeper that leads.
+    fn claim(
+        &self,
+        command: ClaimCommand,
+    ) -> impl Future<Output = Result<ClaimReply, KeeperError>> + Send;
+
+    /// Proposes a serialised command of `group`, if this keeper leads it.
+    fn propose(
+        &self,
+        group: u16,
+        command: Vec<u8>,
+    ) -> impl Future<Output = Result<Vec<u8>, KeeperError>> + Send;
+
+    /// Takes messages of another keeper's replicas.
+    fn deliver(&self, envelopes: Vec<ReplicaEnvelope>) -> impl Future<Output = ()> + Send;
 }
 
 /// Adapts a [`KeeperService`] to the generated trait, whose futures are not known to be `Send`.
@@ -109,23 +130,48 @@
     ) -> Result<PutReply, KeeperError> {
         self.0.put_contract(customer, text).await
     }
+
+    async fn claim(self, _: Context, command: ClaimCommand) -> Result<ClaimReply, KeeperError> {
+        self.0.claim(command).await
+    }
+
+    async fn propose(
+        self,
+        _: Context,
+        group: u16,
+        command: Vec<u8>,
+    ) -> Result<Vec<u8>, KeeperError> {
+        self.0.propose(group, command).await
+    }
+
+    async fn deliver(self, _: Context, envelopes: Vec<ReplicaEnvelope>) {
+        self.0.deliver(envelopes).await;
+    }
 }
 
 mod control {
     #![allow(missing_docs)] // tarpc generates items without documentation.
 
-    use super::{CustomerName, FeedPage, KeeperError, PutReply};
+    use super::{
+        ClaimCommand, ClaimReply, CustomerName, FeedPage, KeeperError, PutReply, ReplicaEnvelope,
+    };
 
     /// The wire form of [`super::KeeperService`].
     #[tarpc::service]
     pub trait KeeperControl {
         /// Waits up to `wait_ms` for contracts that are newer than log position `after`.
         async fn feed(after: u64, wait_ms: u32) -> Result<FeedPage, KeeperError>;
-        /// Proposes a contract at the leader.
+        /// Proposes a contract, at whichever keeper leads.
         async fn put_contract(
             customer: CustomerName,
             text: String,
         ) -> Result<PutReply, KeeperError>;
+        /// Runs a command of the claim table, at whichever keeper leads.
+        async fn claim(command: ClaimCommand) -> Result<ClaimReply, KeeperError>;
+        /// Proposes a serialised command of a group that the keeper leads.
+        async fn propose(group: u16, command: Vec<u8>) -> Result<Vec<u8>, KeeperError>;
+        /// Passes on messages of replicas.
+        async fn deliver(envelopes: Vec<ReplicaEnvelope>);
     }
 }
 
--- a/crates/peer/src/keeper_client.rs
+++ b/crates/peer/src/keeper_client.rs
@@ -1,14 +1,21 @@
-//! Client of the keepers: several addresses, one answer.
+//! Clients of the keepers: a link to one of them, and a client of all.
 
 use crate::{
     codec::{PostcardCodec, message_frames},
     keeper::{FeedPage, KeeperControlClient, KeeperError},
 };
-use agatehill_decide::{contract_book::PutReply, name::CustomerName};
+use agatehill_decide::{
+    claim::{ClaimCommand, ClaimReply},
+    contract_book::PutReply,
+    name::CustomerName,
+};
 use std::{
     future::Future,
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 use tarpc::{
@@ -22,45 +29,108 @@
 const CONNECT_SPAN: Duration = Duration::from_secs(1);
 /// Time limit of one attempt of a command.
 const COMMAND_SPAN: Duration = Duration::from_secs(2);
+/// Time limit of a put over all attempts.
+const PUT_SPAN: Duration = Duration::from_secs(8);
 /// Time limit of a feed beyond the time it was asked to wait.
-const FEED_GRACE: Duration = Duration::from_secs(2);
-/// Time limit of a command over all attempts.
-const TOTAL_SPAN: Duration = Duration::from_secs(8);
-/// Pause before another keeper is asked while none leads.
-const ELECTION_PAUSE: Duration = Duration::from_millis(100);
+const FEED_GRACE: Duration = Duration::from_secs(1);
+/// Time after which the nearest keeper is tried again.
+const HOME_SPAN: Duration = Duration::from_secs(30);
+/// Pause before another attempt while no keeper leads or can be reached.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// A handle on the keepers; clones share its connections.
-#[derive(Clone, Debug)]
-pub struct KeeperClient {
-    shared: Arc<ClientShared>,
+/// Why a link got no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkError {
+    /// The keeper can't be connected to; nothing was sent.
+    Unreachable,
+    /// The connection broke or stayed silent; the request may have arrived.
+    Silent,
 }
 
+/// A connection to one keeper, replaced when it breaks or stays silent.
 #[derive(Debug)]
-struct ClientShared {
-    addresses: Vec<SocketAddr>,
-    /// Connection to the keeper that feeds contracts, the first reachable one.
-    feed: Mutex<KeeperLane>,
-    /// Connection to the keeper that was last found to lead.
-    lead: Mutex<KeeperLane>,
+pub struct KeeperLink {
+    addr: SocketAddr,
+    slot: Mutex<LinkSlot>,
 }
 
-/// One connection and where it goes.
 #[derive(Debug, Default)]
-struct KeeperLane {
-    target: Option<SocketAddr>,
-    next: usize,
+struct LinkSlot {
     client: Option<KeeperControlClient>,
+    /// Counts connections, so that a late failure spares a newer one.
+    generation: u64,
+}
+
+impl KeeperLink {
+    /// Returns a link to the keeper at `addr`; the first request connects.
+    pub fn open(addr: SocketAddr) -> KeeperLink {
+        KeeperLink {
+            addr,
+            slot: Mutex::default(),
+        }
+    }
+
+    /// Returns the keeper's address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Runs `request` with a time limit; without an answer the connection is given up.
+    ///
+    /// # Errors
+    ///
+    /// The keeper can't be reached or stayed silent.
+    pub async fn call<T, F, Fut>(&self, span: Duration, request: F) -> Result<T, LinkError>
+    where
+        F: FnOnce(KeeperControlClient, Context) -> Fut,
+        Fut: Future<Output = Result<T, RpcError>>,
+    {
+        let (client, generation) = self.connect().await.ok_or(LinkError::Unreachable)?;
+        let mut ctx = tarpc::context::current();
+        ctx.deadline = Instant::now() + span;
+        if let Ok(Ok(answer)) = time::timeout(span, request(client, ctx)).await {
+            return Ok(answer);
+        }
+        let mut slot = self.slot.lock().await;
+        if slot.generation == generation {
+            slot.client = None;
+        }
+        Err(LinkError::Silent)
+    }
+
+    async fn connect(&self) -> Option<(KeeperControlClient, u64)> {
+        let mut slot = self.slot.lock().await;
+        if slot.client.is_none() {
+            slot.client = Some(dial(self.addr).await?);
+            slot.generation += 1;
+        }
+        Some((slot.client.clone()?, slot.generation))
+    }
+}
+
+/// A handle on all keepers; clones share its connections.
+#[derive(Clone, Debug)]
+pub struct KeeperClient {
+    shared: Arc<ClientShared>,
+}
+
+#[derive(Debug)]
+struct ClientShared {
+    links: Vec<KeeperLink>,
+    /// The link in use; the first one is the nearest keeper's.
+    current: AtomicUsize,
+    moved_at: std::sync::Mutex<Instant>,
 }
 
 impl KeeperClient {
     /// Returns a handle on the keepers at `addresses`, the nearest first.
     ///
-    /// Connections are opened by the first request.
+    /// Any keeper takes any request and passes it on to the one that leads.
     pub fn spawn(addresses: Vec<SocketAddr>) -> KeeperClient {
         let shared = ClientShared {
-            addresses,
-            feed: Mutex::default(),
-            lead: Mutex::default(),
+            links: addresses.into_iter().map(KeeperLink::open).collect(),
+            current: AtomicUsize::new(0),
+            moved_at: std::sync::Mutex::new(Instant::now()),
         };
         KeeperClient {
             shared: Arc::new(shared),
@@ -74,26 +144,36 @@
     /// No keeper answered.
     pub async fn feed(&self, after: u64, wait: Duration) -> Result<FeedPage, KeeperError> {
         let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-        let lane = &self.shared.feed;
         let mut last = KeeperError::Unreachable;
-        for _ in 0..=self.shared.addresses.len() {
-            let Some((addr, client)) = self.connect(lane).await else {
-                continue;
-            };
+        for _ in &self.shared.links {
+            let (idx, link) = self.link()?;
             let span = wait + FEED_GRACE;
-            match attempt(span, |ctx| client.feed(ctx, after, wait_ms)).await {
-                Some(Ok(page)) => return Ok(page),
-                Some(Err(error)) => last = error,
-                None => {}
+            let asked = link.call(span, |client, ctx| async move {
+                client.feed(ctx, after, wait_ms).await
+            });
+            match asked.await {
+                Ok(Ok(page)) => return Ok(page),
+                Ok(Err(error)) => last = error,
+                Err(_) => {}
             }
-            drop_lane(lane, addr, None).await;
+            self.move_on(idx);
         }
         Err(last)
     }
 
-    /// Proposes a contract, at whichever keeper leads.
+    /// Asks each keeper once and returns the page that reaches furthest.
+    ///
+    /// # Errors
     ///
-    /// A put is idempotent, so an attempt without an answer is repeated.
+    /// No keeper answered.
+    pub async fn newest(&self, after: u64) -> Result<FeedPage, KeeperError> {
+        let ask = |link| ask_page(link, after);
+        let pages = futures_util::future::join_all(self.shared.links.iter().map(ask)).await;
+        let newest = pages.into_iter().flatten().max_by_key(|page| page.position);
+        newest.ok_or(KeeperError::Unreachable)
+    }
+
+    /// Proposes a contract; an attempt without an answer is repeated, as a put is idempotent.
     ///
     /// # Errors
     ///
@@ -103,101 +183,103 @@
         customer: CustomerName,
         text: String,
     ) -> Result<PutReply, KeeperError> {
-        self.command(|client, ctx| {
+        self.command(PUT_SPAN, |client, ctx| {
             let (customer, text) = (customer.clone(), text.clone());
             async move { client.put_contract(ctx, customer, text).await }
         })
         .await
     }
 
-    /// Runs an idempotent command at whichever keeper leads, over several attempts.
-    pub(crate) async fn command<T, F, Fut>(&self, request: F) -> Result<T, KeeperError>
+    /// Runs a command of the claim table; an attempt without an answer is repeated, as each
+    /// command is idempotent for its owner.
+    ///
+    /// # Errors
+    ///
+    /// No answer came within `span`. With [`KeeperError::Unknown`] the command may have been run.
+    pub async fn claim(
+        &self,
+        command: &ClaimCommand,
+        span: Duration,
+    ) -> Result<ClaimReply, KeeperError> {
+        self.command(span, |client, ctx| {
+            let command = command.clone();
+            async move { client.claim(ctx, command).await }
+        })
+        .await
+    }
+
+    /// Runs an idempotent command, over several attempts.
+    async fn command<T, F, Fut>(&self, span: Duration, request: F) -> Result<T, KeeperError>
     where
         F: Fn(KeeperControlClient, Context) -> Fut,
         Fut: Future<Output = Result<Result<T, KeeperError>, RpcError>>,
     {
-        let lane = &self.shared.lead;
-        let deadline = Instant::now() + TOTAL_SPAN;
+        let deadline = Instant::now() + span;
+        // Once an attempt may have arrived, later failures to connect don't settle it.
         let mut last = KeeperError::Unreachable;
-        while Instant::now() < deadline {
-            let Some((addr, client)) = self.connect(lane).await else {
-                time::sleep(ELECTION_PAUSE).await;
-                continue;
-            };
-            match attempt(COMMAND_SPAN, |ctx| request(client.clone(), ctx)).await {
-                Some(Err(KeeperError::NotLeader { leader })) => {
-                    drop_lane(lane, addr, leader).await;
-                    if leader.is_none() {
-                        time::sleep(ELECTION_PAUSE).await;
-                    }
-                }
-                Some(Err(KeeperError::Unknown)) | None => {
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(last);
+            }
+            let (idx, link) = self.link()?;
+            match link.call(left.min(COMMAND_SPAN), &request).await {
+                Ok(Ok(reply)) => return Ok(reply),
+                Ok(Err(KeeperError::Invalid(reason))) => return Err(KeeperError::Invalid(reason)),
+                Ok(Err(KeeperError::Unknown)) | Err(LinkError::Silent) => {
                     last = KeeperError::Unknown;
-                    drop_lane(lane, addr, None).await;
                 }
-                Some(reply) => return reply,
+                Ok(Err(_)) | Err(LinkError::Unreachable) => {}
             }
+            self.move_on(idx);
+            time::sleep(RETRY_PAUSE.min(left)).await;
         }
-        Err(last)
     }
 
-    async fn connect(&self, lane: &Mutex<KeeperLane>) -> Option<(SocketAddr, KeeperControlClient)> {
-        let mut lane = lane.lock().await;
-        let addr = match lane.target {
-            Some(addr) => addr,
-            None => self.rotate(&mut lane)?,
-        };
-        lane.target = Some(addr);
-        if let Some(client) = &lane.client {
-            return Some((addr, client.clone()));
-        }
-        match dial(addr).await {
-            Some(client) => {
-                lane.client = Some(client.clone());
-                Some((addr, client))
-            }
-            None => {
-                lane.target = None;
-                None
-            }
+    /// Returns the link in use; goes back to the nearest keeper from time to time.
+    fn link(&self) -> Result<(usize, &KeeperLink), KeeperError> {
+        let shared = &self.shared;
+        let moved_at = *shared
+            .moved_at
+            .lock()
+            .expect("no holder of the lock panics");
+        if moved_at.elapsed() > HOME_SPAN {
+            shared.current.store(0, Ordering::Relaxed);
         }
+        let idx = shared.current.load(Ordering::Relaxed);
+        let link = shared.links.get(idx).ok_or(KeeperError::Unreachable)?;
+        Ok((idx, link))
     }
 
-    fn rotate(&self, lane: &mut KeeperLane) -> Option<SocketAddr> {
-        let addresses = &self.shared.addresses;
-        let addr = addresses.get(lane.next % addresses.len().max(1)).copied();
-        lane.next += 1;
-        addr
+    /// Leaves the keeper at `idx` for the next one, unless that was done already.
+    fn move_on(&self, idx: usize) {
+        let shared = &self.shared;
+        let next = (idx + 1) % shared.links.len();
+        let order = Ordering::Relaxed;
+        let moved = shared.current.compare_exchange(idx, next, order, order);
+        if moved.is_ok() {
+            *shared
+                .moved_at
+                .lock()
+                .expect("no holder of the lock panics") = Instant::now();
+        }
     }
 }
 
+async fn ask_page(link: &KeeperLink, after: u64) -> Option<FeedPage> {
+    let asked = link.call(FEED_GRACE, |client, ctx| async move {
+        client.feed(ctx, after, 0).await
+    });
+    asked.await.ok()?.ok()
+}
+
 /// Opens a connection to the keeper at `addr`; `None` if it can't be reached in time.
-pub async fn dial(addr: SocketAddr) -> Option<KeeperControlClient> {
+async fn dial(addr: SocketAddr) -> Option<KeeperControlClient> {
     let connected = time::timeout(CONNECT_SPAN, TcpStream::connect(addr)).await;
     let stream = connected.ok()?.ok()?;
+    // Without this, small requests wait for the peer's delayed acknowledgement.
     let _ = stream.set_nodelay(true);
     let frames = Framed::new(stream, message_frames());
     let transport = tarpc::serde_transport::new(frames, PostcardCodec);
     Some(KeeperControlClient::new(Config::default(), transport).spawn())
 }
-
-/// Runs one attempt; `None` if the connection failed or stayed silent.
-async fn attempt<T, F, Fut>(span: Duration, request: F) -> Option<Result<T, KeeperError>>
-where
-    F: FnOnce(Context) -> Fut,
-    Fut: Future<Output = Result<Result<T, KeeperError>, RpcError>>,
-{
-    let mut ctx = tarpc::context::current();
-    ctx.deadline = Instant::now() + span;
-    let answered = time::timeout(span, request(ctx)).await;
-    answered.ok()?.ok()
-}
-
-/// Gives up the connection to `addr`; the next one goes to `target` or to the next address.
-async fn drop_lane(lane: &Mutex<KeeperLane>, addr: SocketAddr, target: Option<SocketAddr>) {
-    let mut lane = lane.lock().await;
-    if lane.target == Some(addr) {
-        lane.client = None;
-        lane.target = target;
-    }
-}
--- a/crates/store/src/identity.rs
+++ b/crates/store/src/folder.rs
@@ -1,75 +1,52 @@
-//! Identity of a data folder.
+//! The data folder as a whole: whose it is, and that one process alone uses it.
 
 use crate::{
     StoreError,
     group::{read_whole, replace_file},
 };
-use agatehill_decide::name::{Incarnation, KeeperName};
-use serde::{Deserialize, Serialize};
+use agatehill_decide::name::KeeperName;
 use std::{
     fs::{self, File, TryLockError},
     path::{Path, PathBuf},
 };
 
-/// What a data folder is, as its file `identity` says.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-struct IdentityRecord {
-    name: KeeperName,
-    incarnation: Incarnation,
-}
-
 /// A data folder that this process alone uses.
 #[derive(Debug)]
-pub struct StoreIdentity {
+pub struct DataFolder {
     path: PathBuf,
-    incarnation: Incarnation,
     /// Holds the lock on the folder.
     _lock: File,
 }
 
-impl StoreIdentity {
-    /// Opens the folder at `path` for the keeper `name`; a new one gets the incarnation `fresh`.
+impl DataFolder {
+    /// Opens the folder at `path`, made if it is missing, for the keeper `name`.
     ///
     /// # Errors
     ///
     /// The folder is another keeper's, is in use or can't be read or written.
-    pub fn open(
-        path: &Path,
-        name: &KeeperName,
-        fresh: Incarnation,
-    ) -> Result<StoreIdentity, StoreError> {
+    pub fn open(path: &Path, name: &KeeperName) -> Result<DataFolder, StoreError> {
         fs::create_dir_all(path).map_err(StoreError::io(path))?;
         let lock = lock_folder(path)?;
-        let file = path.join("identity");
-        let record = match read_whole::<IdentityRecord>(&file)? {
-            Some(record) => record,
+        let file = path.join("owner");
+        let owner = match read_whole::<KeeperName>(&file)? {
+            Some(owner) => owner,
             None => {
-                let record = IdentityRecord {
-                    name: name.clone(),
-                    incarnation: fresh,
-                };
-                replace_file(&file, &record)?;
-                record
+                replace_file(&file, name)?;
+                name.clone()
             }
         };
-        if record.name != *name {
+        if owner != *name {
             return Err(StoreError::Foreign {
                 path: path.to_owned(),
-                owner: record.name.to_string(),
+                owner: owner.to_string(),
             });
         }
-        Ok(StoreIdentity {
+        Ok(DataFolder {
             path: path.to_owned(),
-            incarnation: record.incarnation,
             _lock: lock,
         })
     }
 
-    /// Returns the incarnation of the folder.
-    pub fn incarnation(&self) -> Incarnation {
-        self.incarnation
-    }
-
     /// Returns the folder of the group `group`.
     pub fn group_path(&self, group: u16) -> PathBuf {
         self.path.join(format!("group-{group}"))
--- a/crates/store/src/group.rs
+++ b/crates/store/src/group.rs
@@ -3,24 +3,28 @@
 use crate::{
     DiskFile, LogFile, ScanEnd, StoreError,
     frame::{push_record, scan_records},
+    recover::{LogRecord, recover},
 };
-use agatehill_decide::replica::{
-    HardState, LogEntry, PersistBatch, RecoveredState, ReplicaSnapshot,
+use agatehill_decide::{
+    name::Incarnation,
+    replica::{HardState, LogEntry, PersistBatch, RecoveredState, ReplicaSnapshot},
 };
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Serialize, de::DeserializeOwned};
 use std::{
     fs::{self, File, OpenOptions},
     io,
     path::{Path, PathBuf},
 };
 
-/// One record of the log.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-enum LogRecord {
-    /// Term, vote and promise.
-    Hard(HardState),
-    /// An entry, in place of its index and all after it.
-    Entry(LogEntry),
+/// A group that was opened.
+#[derive(Debug)]
+pub struct OpenedGroup {
+    /// The open files.
+    pub store: GroupStore,
+    /// Identity of the files.
+    pub incarnation: Incarnation,
+    /// What they hold.
+    pub recovered: RecoveredState,
 }
 
 /// The open files of one group.
@@ -35,22 +39,34 @@
 }
 
 impl GroupStore<DiskFile> {
-    /// Opens the group in `folder`, made if it is missing, and returns what it holds.
+    /// Opens the group in `folder`; one that is new gets the incarnation `fresh`.
     ///
     /// # Errors
     ///
     /// The files can't be read or written, or are damaged.
-    pub fn open(folder: &Path) -> Result<(GroupStore, RecoveredState), StoreError> {
+    pub fn open(folder: &Path, fresh: Incarnation) -> Result<OpenedGroup, StoreError> {
         fs::create_dir_all(folder).map_err(StoreError::io(folder))?;
         let path = folder.join("log");
+        let incarnation_path = folder.join("incarnation");
+        let known = read_whole::<Incarnation>(&incarnation_path)?;
+        if known.is_some() && !path.exists() {
+            return Err(StoreError::Damaged { path, offset: 0 });
+        }
         let snapshot = read_whole::<ReplicaSnapshot>(&folder.join("snapshot"))?;
-        let (records, len) = read_log(&path)?;
+        let (recovered, len) = recover(&path, snapshot)?;
         let log = open_log(&path)?;
         log.set_len(len).map_err(StoreError::io(&path))?;
         log.sync_all().map_err(StoreError::io(&path))?;
         sync_folder(folder)?;
-        let store = GroupStore::with_file(folder, DiskFile(log), len);
-        Ok((store, recover(snapshot, records)))
+        if known.is_none() {
+            // Last, so that files without a log are known to be damaged.
+            replace_file(&incarnation_path, &fresh)?;
+        }
+        Ok(OpenedGroup {
+            store: GroupStore::with_file(folder, DiskFile(log), len),
+            incarnation: known.unwrap_or(fresh),
+            recovered,
+        })
     }
 
     /// Replaces snapshot and log; durable on return.
@@ -69,9 +85,11 @@
     ) -> Result<(), StoreError> {
         replace_file(&self.folder.join("snapshot"), snapshot)?;
         let mut buf = Vec::new();
-        push_codec(&mut buf, 0, &LogRecord::Hard(hard.clone()));
+        let start = LogRecord::Start(snapshot.meta.index);
+        push_log_record(&mut buf, 0, &start);
+        push_log_record(&mut buf, 0, &LogRecord::Hard(hard.clone()));
         for entry in entries {
-            push_codec(&mut buf, 0, &LogRecord::Entry(entry.clone()));
+            push_log_record(&mut buf, 0, &LogRecord::Entry(entry.clone()));
         }
         let path = self.folder.join("log");
         replace_bytes(&path, &buf)?;
@@ -110,11 +128,11 @@
     pub fn push(&mut self, batch: &PersistBatch) {
         if let Some(hard) = &batch.hard {
             let record = LogRecord::Hard(hard.clone());
-            push_codec(&mut self.pending, self.synced, &record);
+            push_log_record(&mut self.pending, self.synced, &record);
         }
         for entry in &batch.entries {
             let record = LogRecord::Entry(entry.clone());
-            push_codec(&mut self.pending, self.synced, &record);
+            push_log_record(&mut self.pending, self.synced, &record);
         }
     }
 
@@ -150,66 +168,7 @@
     }
 }
 
-/// Reads the log; returns its records and the length up to which it is whole.
-fn read_log(path: &Path) -> Result<(Vec<LogRecord>, u64), StoreError> {
-    let file = match fs::read(path) {
-        Ok(file) => file,
-        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok((Vec::new(), 0)),
-        Err(cause) => return Err(StoreError::io(path)(cause)),
-    };
-    let scan = scan_records(&file);
-    let damaged = |offset| StoreError::Damaged {
-        path: path.to_owned(),
-        offset,
-    };
-    if scan.end == ScanEnd::Damaged {
-        return Err(damaged(scan.len));
-    }
-    let records: Result<_, _> = scan
-        .payloads
-        .iter()
-        .map(|p| postcard::from_bytes(p))
-        .collect();
-    let records = records.map_err(|_| damaged(0))?;
-    Ok((records, scan.len))
-}
-
-fn recover(snapshot: Option<ReplicaSnapshot>, records: Vec<LogRecord>) -> RecoveredState {
-    let mut hard = HardState::default();
-    let mut entries: Vec<LogEntry> = Vec::new();
-    for record in records {
-        match record {
-            LogRecord::Hard(state) => hard = state,
-            LogRecord::Entry(entry) => {
-                let keep = entries.partition_point(|old| old.index < entry.index);
-                entries.truncate(keep);
-                entries.push(entry);
-            }
-        }
-    }
-    if let Some(snapshot) = &snapshot {
-        keep_after(snapshot, &mut entries);
-        hard.term = hard.term.max(snapshot.meta.term);
-    }
-    RecoveredState {
-        hard,
-        snapshot,
-        entries,
-    }
-}
-
-/// Drops the entries that `snapshot` covers, and all if they don't continue it.
-fn keep_after(snapshot: &ReplicaSnapshot, entries: &mut Vec<LogEntry>) {
-    let meta = &snapshot.meta;
-    let contradicts = |entry: &LogEntry| entry.index == meta.index && entry.term != meta.term;
-    let starts_late = entries.first().is_some_and(|e| e.index > meta.index + 1);
-    if starts_late || entries.iter().any(contradicts) {
-        entries.clear();
-    }
-    entries.retain(|entry| entry.index > meta.index);
-}
-
-fn push_codec(buf: &mut Vec<u8>, synced: u64, record: &LogRecord) {
+fn push_log_record(buf: &mut Vec<u8>, synced: u64, record: &LogRecord) {
     let payload = postcard::to_stdvec(record).expect("records are serialisable");
     push_record(buf, synced, &payload);
 }
--- /dev/null
+++ b/crates/store/src/recover.rs
@@ -0,0 +1,84 @@
+//! Reads what a group's files hold.
+
+use crate::{ScanEnd, StoreError, frame::scan_records};
+use agatehill_decide::replica::{HardState, LogEntry, RecoveredState, ReplicaSnapshot};
+use serde::{Deserialize, Serialize};
+use std::{fs, io, path::Path};
+
+/// One record of the log.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) enum LogRecord {
+    /// Term, vote and promise.
+    Hard(HardState),
+    /// An entry, in place of its index and all after it.
+    Entry(LogEntry),
+    /// The last entry of the snapshot that the log continues.
+    Start(u64),
+}
+
+/// Reads the log at `path` after `snapshot`; returns what both hold and the length up to which the
+/// log is whole.
+pub(crate) fn recover(
+    path: &Path,
+    snapshot: Option<ReplicaSnapshot>,
+) -> Result<(RecoveredState, u64), StoreError> {
+    let file = match fs::read(path) {
+        Ok(file) => file,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => Vec::new(),
+        Err(cause) => return Err(StoreError::io(path)(cause)),
+    };
+    let damaged = |offset| StoreError::Damaged {
+        path: path.to_owned(),
+        offset,
+    };
+    let scan = scan_records(&file);
+    if scan.end == ScanEnd::Damaged {
+        return Err(damaged(scan.len));
+    }
+    let records = scan.payloads.iter().map(|p| postcard::from_bytes(p));
+    let records: Result<Vec<_>, _> = records.collect();
+    let records = records.map_err(|_| damaged(0))?;
+    let recovered = replay(snapshot, records).ok_or_else(|| damaged(0))?;
+    Ok((recovered, scan.len))
+}
+
+/// Returns the state after `records`, or `None` if the snapshot that they continue is missing.
+fn replay(snapshot: Option<ReplicaSnapshot>, records: Vec<LogRecord>) -> Option<RecoveredState> {
+    let covered = snapshot.as_ref().map_or(0, |s| s.meta.index);
+    let mut hard = HardState::default();
+    let mut entries: Vec<LogEntry> = Vec::new();
+    for record in records {
+        match record {
+            LogRecord::Hard(state) => hard = state,
+            LogRecord::Start(index) if index > covered => return None,
+            LogRecord::Start(_) => {}
+            LogRecord::Entry(entry) => {
+                let keep = entries.partition_point(|old| old.index < entry.index);
+                entries.truncate(keep);
+                entries.push(entry);
+            }
+        }
+    }
+    if let Some(snapshot) = &snapshot {
+        keep_after(snapshot, &mut entries);
+        hard.term = hard.term.max(snapshot.meta.term);
+    }
+    let has_gap = entries.first().is_some_and(|e| e.index > covered + 1);
+    (!has_gap).then_some(RecoveredState {
+        hard,
+        snapshot,
+        entries,
+    })
+}
+
+/// Drops the entries that `snapshot` covers, and all if they contradict it.
+fn keep_after(snapshot: &ReplicaSnapshot, entries: &mut Vec<LogEntry>) {
+    let meta = &snapshot.meta;
+    if entries
+        .iter()
+        .any(|e| e.index == meta.index && e.term != meta.term)
+    {
+        entries.clear();
+    }
+    entries.retain(|entry| entry.index > meta.index);
+}
--- a/crates/store/tests/group_store.rs
+++ b/crates/store/tests/group_store.rs
@@ -7,7 +7,7 @@
         ReplicaSnapshot, SnapshotMeta,
     },
 };
-use agatehill_store::{GroupStore, LogFile, StoreError, StoreIdentity};
+use agatehill_store::{DataFolder, GroupStore, LogFile, OpenedGroup, StoreError};
 use rstest::rstest;
 use std::{fs, io, path::Path};
 use tempfile::TempDir;
@@ -44,7 +44,7 @@
 
 /// Makes a folder in which each entry was synced on its own; returns the log's length after each.
 fn filled(folder: &Path, count: u64) -> Vec<usize> {
-    let (mut store, _) = GroupStore::open(folder).unwrap();
+    let mut store = open_group(folder).unwrap().store;
     let mut ends = Vec::new();
     for index in 1..=count {
         store.persist(&batch([index])).unwrap();
@@ -53,8 +53,12 @@
     ends
 }
 
+fn open_group(folder: &Path) -> Result<OpenedGroup, StoreError> {
+    GroupStore::open(folder, Incarnation(1))
+}
+
 fn open(folder: &Path) -> Result<RecoveredState, StoreError> {
-    GroupStore::open(folder).map(|(_, recovered)| recovered)
+    open_group(folder).map(|opened| opened.recovered)
 }
 
 fn indexes(recovered: &RecoveredState) -> Vec<u64> {
@@ -144,7 +148,7 @@
     let dir = TempDir::new().unwrap();
     filled(dir.path(), 4);
     let old = fs::read(dir.path().join("log")).unwrap();
-    let (mut store, _) = GroupStore::open(dir.path()).unwrap();
+    let mut store = open_group(dir.path()).unwrap().store;
     let hard = HardState {
         term: 1,
         ..HardState::default()
@@ -173,7 +177,7 @@
 #[test]
 fn a_damaged_snapshot_is_found_at_every_byte() {
     let dir = TempDir::new().unwrap();
-    let (mut store, _) = GroupStore::open(dir.path()).unwrap();
+    let mut store = open_group(dir.path()).unwrap().store;
     store
         .replace(&snapshot(3), &HardState::default(), &[])
         .unwrap();
@@ -257,17 +261,39 @@
     assert_eq!(indexes(&open(dir.path()).unwrap()), [1, 2, 3]);
 }
 
+#[rstest]
+#[case::log("log", true)]
+#[case::snapshot("snapshot", true)]
+#[case::incarnation("incarnation", false)]
+fn a_missing_file_is_found_or_makes_a_new_incarnation(#[case] name: &str, #[case] damaged: bool) {
+    let dir = TempDir::new().unwrap();
+    let mut store = open_group(dir.path()).unwrap().store;
+    store
+        .replace(&snapshot(3), &HardState::default(), &[])
+        .unwrap();
+    drop(store);
+    fs::remove_file(dir.path().join(name)).unwrap();
+    let opened = GroupStore::open(dir.path(), Incarnation(2));
+    match opened {
+        Err(StoreError::Damaged { .. }) => assert!(damaged),
+        opened => assert_eq!(opened.unwrap().incarnation, Incarnation(2)),
+    }
+}
+
 #[test]
-fn a_folder_keeps_its_incarnation_and_its_owner() {
+fn a_folder_keeps_its_incarnations_and_its_owner() {
     let dir = TempDir::new().unwrap();
     let name = |text| KeeperName::try_from(text).unwrap();
-    let open = |keeper, fresh| StoreIdentity::open(dir.path(), &name(keeper), Incarnation(fresh));
-    let first = open("keeper-1", 5).unwrap();
-    let twice = open("keeper-1", 6);
+    let open = |keeper| DataFolder::open(dir.path(), &name(keeper));
+    let folder = open("keeper-1").unwrap();
+    let twice = open("keeper-1");
     assert!(matches!(twice, Err(StoreError::Locked { .. })), "{twice:?}");
-    drop(first);
-    assert_eq!(open("keeper-1", 6).unwrap().incarnation(), Incarnation(5));
-    let other = open("keeper-2", 7);
+    for fresh in [5, 6] {
+        let group = GroupStore::open(&folder.group_path(0), Incarnation(fresh)).unwrap();
+        assert_eq!(group.incarnation, Incarnation(5));
+    }
+    drop(folder);
+    let other = open("keeper-2");
     assert!(
         matches!(other, Err(StoreError::Foreign { .. })),
         "{other:?}"
