--- a/crates/backend/src/gate.rs
+++ b/crates/backend/src/gate.rs
@@ -1,11 +1,18 @@
 //! The gate beside a backend server: the one place where calls to it are admitted.
 
 use crate::{
+    chain::{ChainHandle, RunningChain},
     client::{BackendClient, CallFailure},
     held::{BodyGuard, HeldBody},
-    registry::{ServerAnnouncement, ServerRegistry, ServerStage},
+    places::PlaceGuard,
+    registry::ServerRegistry,
+};
+use agatehill_decide::{
+    chain::{ChainBudget, ChainIndex, ChainRecord},
+    gate::{GateCall, GateLoad, GateRefusal, RefusalReason, RunResult},
+    outcome::CallOutcome,
+    retry::spread_retry_after,
 };
-use agatehill_decide::{outcome::CallOutcome, priority::CallPriority, time::MonoTime};
 use agatehill_peer::{
     body::CallBody,
     forward::{FailureKind, ForwardHead, ForwardReport},
@@ -13,83 +20,16 @@
 use agatehill_platform::clock::MonoClock;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header::RETRY_AFTER};
 use http_body_util::BodyExt;
-use std::{
-    io,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU32, Ordering},
-    },
-    time::Duration,
-};
+use hyper::body::Incoming;
+use std::{io, sync::Arc, time::Duration};
 
 /// Time left to the caller, in milliseconds, as the backend server learns it.
 pub const DEADLINE_HEADER: HeaderName = HeaderName::from_static("agatehill-deadline-ms");
 
-/// Time after which a refused caller may ask again.
+/// Time after which a caller may ask again whose server was lost or refused by itself, before it
+/// is spread.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Admission of calls to one backend server.
-#[derive(Debug)]
-pub struct ServerPlaces {
-    slots: AtomicU32,
-    in_flight: AtomicU32,
-    is_leaving: AtomicBool,
-}
-
-impl ServerPlaces {
-    /// Opens the admission of a server that was announced at `_now`.
-    pub fn open(announcement: &ServerAnnouncement, _now: MonoTime) -> ServerPlaces {
-        ServerPlaces {
-            slots: AtomicU32::new(announcement.slots),
-            in_flight: AtomicU32::new(0),
-            is_leaving: AtomicBool::new(false),
-        }
-    }
-
-    /// Takes over slots and stage from a newer announcement.
-    pub fn set_announced(&self, announcement: &ServerAnnouncement, _now: MonoTime) {
-        self.slots.store(announcement.slots, Ordering::Relaxed);
-        let is_leaving = announcement.state == ServerStage::Leaving;
-        self.is_leaving.store(is_leaving, Ordering::Relaxed);
-    }
-
-    fn admit(self: &Arc<ServerPlaces>) -> Option<PlaceGuard> {
-        let slots = self.slots.load(Ordering::Relaxed);
-        let raise = |n: u32| (n < slots).then_some(n + 1);
-        if self.is_leaving.load(Ordering::Relaxed) {
-            return None;
-        }
-        self.in_flight
-            .fetch_update(Ordering::AcqRel, Ordering::Acquire, raise)
-            .ok()?;
-        Some(PlaceGuard {
-            places: self.clone(),
-        })
-    }
-
-    fn load(&self) -> u16 {
-        let in_flight = self.in_flight.load(Ordering::Relaxed);
-        let slots = self.slots.load(Ordering::Relaxed).max(1);
-        u16::try_from(u64::from(in_flight) * 1_000 / u64::from(slots)).unwrap_or(u16::MAX)
-    }
-}
-
-/// A place at a server; given back on drop.
-#[derive(Debug)]
-pub struct PlaceGuard {
-    places: Arc<ServerPlaces>,
-}
-
-impl Drop for PlaceGuard {
-    fn drop(&mut self) {
-        self.places.in_flight.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
-impl BodyGuard for PlaceGuard {
-    fn complete(&mut self) {}
-}
-
 /// What became of a call at the gate.
 #[derive(Debug)]
 pub struct GateAnswer {
@@ -104,6 +44,7 @@
 pub struct CallGate {
     registry: Arc<ServerRegistry>,
     client: BackendClient,
+    chains: ChainIndex<ChainHandle>,
     clock: MonoClock,
 }
 
@@ -113,6 +54,7 @@
         CallGate {
             registry,
             client: BackendClient::open(),
+            chains: ChainIndex::default(),
             clock,
         }
     }
@@ -122,6 +64,11 @@
         &self.registry
     }
 
+    /// Returns the calls that run at the servers, by chain.
+    pub fn chains(&self) -> &ChainIndex<ChainHandle> {
+        &self.chains
+    }
+
     /// Returns the clock that deadlines are counted on.
     pub fn clock(&self) -> MonoClock {
         self.clock
@@ -129,42 +76,108 @@
 
     /// Admits the call `req` and runs it.
     pub async fn run(&self, head: &ForwardHead, req: Request<CallBody>) -> GateAnswer {
-        let Some(server) = head.server.and_then(|addr| self.registry.get(addr)) else {
-            return refuse(FailureKind::NoServer, CallOutcome::NotRun, 0);
-        };
-        if server.announcement.service != head.service {
-            return refuse(FailureKind::NoServer, CallOutcome::NotRun, 0);
-        }
-        let Some(place) = server.places.admit() else {
-            return refuse(FailureKind::Shed, CallOutcome::NotRun, server.places.load());
+        let found = head.server.and_then(|addr| self.registry.get(addr));
+        let Some(server) = found.filter(|server| server.announcement.service == head.service)
+        else {
+            return failed(FailureKind::NoServer, CallOutcome::NotRun, None);
         };
         let limit = Duration::from_millis(u64::from(head.deadline_ms));
-        let req = with_deadline(req, head.deadline_ms);
-        let load = server.places.load();
-        match tokio::time::timeout(limit, self.client.send(server.announcement.address, req)).await
-        {
-            Ok(Ok(response)) => answer(
-                response.map(|body| body.map_err(io::Error::other)),
-                place,
-                load,
-            ),
-            Ok(Err(CallFailure::NotSent)) => refuse(FailureKind::Lost, CallOutcome::NotRun, load),
-            Ok(Err(CallFailure::Lost)) => refuse(FailureKind::Lost, CallOutcome::Unknown, load),
-            Err(_) => refuse(FailureKind::Deadline, CallOutcome::Unknown, load),
+        let call = GateCall {
+            priority: head.priority,
+            deadline: self.clock.now() + limit,
+            is_nested: head.is_nested,
+        };
+        match server.places.admit(call).await {
+            Ok(place) => {
+                let run = self.enter(head, call, place);
+                self.run_admitted(server.announcement.address, call, req, run)
+                    .await
+            }
+            Err(refusal) => refused(&refusal, server.places.load()),
+        }
+    }
+
+    fn enter(&self, head: &ForwardHead, call: GateCall, place: PlaceGuard) -> RunGuard {
+        let handle = ChainHandle::open(head.retries);
+        let guard = self.chains.enter(ChainRecord {
+            chain: head.chain,
+            customer: head.customer.clone(),
+            priority: head.priority,
+            deadline: call.deadline,
+            budget: handle.clone(),
+        });
+        RunGuard {
+            chain: RunningChain { handle, guard },
+            place,
+            retries: head.retries,
+        }
+    }
+
+    async fn run_admitted(
+        &self,
+        addr: std::net::SocketAddr,
+        call: GateCall,
+        mut req: Request<CallBody>,
+        mut run: RunGuard,
+    ) -> GateAnswer {
+        let left = call.deadline.since(self.clock.now());
+        let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        req.headers_mut()
+            .insert(DEADLINE_HEADER, HeaderValue::from(millis));
+        match tokio::time::timeout(left, self.client.send(addr, req)).await {
+            Ok(Ok(response)) => answered(response, run),
+            Ok(Err(failure)) => {
+                run.place.set_result(RunResult::Lost);
+                let outcome = match failure {
+                    CallFailure::NotSent => CallOutcome::NotRun,
+                    CallFailure::Lost => CallOutcome::Unknown,
+                };
+                failed(FailureKind::Lost, outcome, Some(&run))
+            }
+            Err(_) => failed(FailureKind::Deadline, CallOutcome::Unknown, Some(&run)),
         }
     }
 }
 
-fn answer<B>(response: Response<B>, place: PlaceGuard, load: u16) -> GateAnswer
-where
-    B: http_body::Body<Data = bytes::Bytes, Error = io::Error> + Send + Unpin + 'static,
-{
+/// A call that runs at a server; ends on drop.
+#[derive(Debug)]
+struct RunGuard {
+    chain: RunningChain,
+    place: PlaceGuard,
+    retries: u32,
+}
+
+impl RunGuard {
+    /// Returns the retries that are spent or still leased to child calls.
+    fn retries_used(&self) -> u32 {
+        self.retries.saturating_sub(self.chain.handle.left())
+    }
+}
+
+impl BodyGuard for RunGuard {
+    fn complete(&mut self) {
+        self.place.set_result(RunResult::Answered);
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.place.set_child_time(self.chain.handle.child_time());
+    }
+}
+
+fn answered(response: Response<Incoming>, mut run: RunGuard) -> GateAnswer {
     if is_shed(&response) {
-        return refuse(FailureKind::Shed, CallOutcome::NotRun, load);
+        run.place.set_result(RunResult::Shed);
+        return failed(FailureKind::Shed, CallOutcome::NotRun, Some(&run));
     }
-    let hold = |body| CallBody::Stream(HeldBody::new(body, place).boxed_unsync());
+    let report = report(CallOutcome::Answered, None, Some(&run));
+    let hold = |body: Incoming| {
+        let body = body.map_err(io::Error::other);
+        CallBody::Stream(HeldBody::new(body, run).boxed_unsync())
+    };
     GateAnswer {
-        report: report(CallOutcome::Answered, None, load),
+        report,
         response: response.map(hold),
     }
 }
@@ -175,27 +188,52 @@
         && response.headers().contains_key(RETRY_AFTER)
 }
 
-fn refuse(kind: FailureKind, outcome: CallOutcome, load: u16) -> GateAnswer {
+fn refused(refusal: &GateRefusal, load: GateLoad) -> GateAnswer {
+    let kind = match refusal.reason {
+        RefusalReason::Deadline => FailureKind::Deadline,
+        RefusalReason::Full | RefusalReason::Level => FailureKind::Shed,
+        RefusalReason::Leaving | RefusalReason::Starting => FailureKind::NoServer,
+    };
+    let mut report = report(CallOutcome::NotRun, Some(kind), None);
+    report.retry_after_ms = millis(spread_retry_after(refusal.retry_after, rand::random()));
+    report.load = load_permille(load);
+    report.level = load.level;
+    bodiless(report)
+}
+
+fn failed(kind: FailureKind, outcome: CallOutcome, run: Option<&RunGuard>) -> GateAnswer {
+    let mut report = report(outcome, Some(kind), run);
+    report.retry_after_ms = millis(spread_retry_after(RETRY_PAUSE, rand::random()));
+    bodiless(report)
+}
+
+fn report(
+    outcome: CallOutcome,
+    failure: Option<FailureKind>,
+    run: Option<&RunGuard>,
+) -> ForwardReport {
+    let mut report = ForwardReport::new(outcome, failure);
+    if let Some(run) = run {
+        let load = run.place.places().load();
+        report.load = load_permille(load);
+        report.level = load.level;
+        report.retries_used = run.retries_used();
+    }
+    report
+}
+
+fn bodiless(report: ForwardReport) -> GateAnswer {
     GateAnswer {
-        report: report(outcome, Some(kind), load),
+        report,
         response: Response::new(CallBody::empty()),
     }
 }
 
-fn report(outcome: CallOutcome, failure: Option<FailureKind>, load: u16) -> ForwardReport {
-    ForwardReport {
-        outcome,
-        failure,
-        retry_after_ms: failure.map_or(0, |_| RETRY_PAUSE.as_millis() as u32),
-        retries_used: 0,
-        is_final: false,
-        load,
-        level: CallPriority::LAST,
-    }
+fn load_permille(load: GateLoad) -> u16 {
+    let calls = u64::from(load.running) + u64::from(load.queued);
+    u16::try_from(calls * 1_000 / u64::from(load.limit.max(1))).unwrap_or(u16::MAX)
 }
 
-fn with_deadline(mut req: Request<CallBody>, deadline_ms: u32) -> Request<CallBody> {
-    req.headers_mut()
-        .insert(DEADLINE_HEADER, HeaderValue::from(deadline_ms));
-    req
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -1,7 +1,9 @@
 //! Towards the backend servers on this host: announcements, admission and the calls themselves.
 
 pub mod announce;
+pub mod chain;
 pub mod client;
 pub mod gate;
 pub mod held;
+pub mod places;
 pub mod registry;
