--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod priority;
 pub mod quarantine;
 pub mod quota;
+pub mod replica;
 pub mod retry;
 pub mod route;
 pub mod state;
