--- /dev/null
+++ b/bin/load/src/cmd/call.rs
@@ -0,0 +1,100 @@
+//! `agatehill-load call`: one call.
+
+use crate::client::{self, CUSTOMER, DEADLINE, HttpClient, HttpVersion, REQUEST_ID};
+use bytes::Bytes;
+use eyre::Result;
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header::RETRY_AFTER};
+use http_body_util::{BodyExt, Full};
+use std::time::{Duration, Instant};
+
+/// Pause before a call is sent again.
+const RESEND_PAUSE: Duration = Duration::from_millis(250);
+
+/// Start of the names of the headers that are printed.
+const HEADER_PREFIX: &str = "agatehill-";
+
+/// Sends one call and prints status, headers and body of its answer.
+#[derive(Debug, clap::Args)]
+pub(crate) struct Args {
+    /// Where to send it, such as `http://127.0.0.1:7001/call/techreg/certificates/1`.
+    #[arg(long)]
+    url: Uri,
+    /// HTTP method.
+    #[arg(long, default_value = "GET")]
+    method: Method,
+    /// The customer that calls.
+    #[arg(long)]
+    customer: Option<String>,
+    /// The idempotency-key.
+    #[arg(long)]
+    key: Option<String>,
+    /// Time left that the call says it has, in milliseconds.
+    #[arg(long)]
+    deadline_ms: Option<u64>,
+    /// The request's body.
+    #[arg(long, default_value = "")]
+    body: String,
+    /// Time over which the call is sent again until it succeeds, in seconds.
+    #[arg(long, default_value_t = 0)]
+    wait_seconds: u64,
+}
+
+struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Sends the call; a status other than success is an error.
+pub(crate) async fn run(args: Args) -> Result<()> {
+    let client = client::open(HttpVersion::Http1);
+    let end = Instant::now() + Duration::from_secs(args.wait_seconds);
+    loop {
+        let sent = send(&client, &args).await;
+        let succeeded = matches!(&sent, Ok(answer) if answer.status.is_success());
+        if succeeded || Instant::now() >= end {
+            return print(sent?);
+        }
+        tokio::time::sleep(RESEND_PAUSE).await;
+    }
+}
+
+async fn send(client: &HttpClient<Full<Bytes>>, args: &Args) -> Result<Answer> {
+    let (head, body) = client.request(request(args)?).await?.into_parts();
+    Ok(Answer {
+        status: head.status,
+        headers: head.headers,
+        body: body.collect().await?.to_bytes(),
+    })
+}
+
+fn request(args: &Args) -> Result<Request<Full<Bytes>>> {
+    let mut request = Request::new(Full::from(args.body.clone()));
+    *request.method_mut() = args.method.clone();
+    *request.uri_mut() = args.url.clone();
+    let headers = request.headers_mut();
+    if let Some(customer) = &args.customer {
+        headers.insert(CUSTOMER, HeaderValue::try_from(customer)?);
+    }
+    if let Some(key) = &args.key {
+        headers.insert(REQUEST_ID, HeaderValue::try_from(key)?);
+    }
+    if let Some(millis) = args.deadline_ms {
+        headers.insert(DEADLINE, millis.into());
+    }
+    Ok(request)
+}
+
+fn print(answer: Answer) -> Result<()> {
+    println!("{}", answer.status);
+    for (name, value) in &answer.headers {
+        if name.as_str().starts_with(HEADER_PREFIX) || name == RETRY_AFTER {
+            println!("{name}: {}", String::from_utf8_lossy(value.as_bytes()));
+        }
+    }
+    println!("{}", String::from_utf8_lossy(&answer.body));
+    if !answer.status.is_success() {
+        eyre::bail!("the call was not answered");
+    }
+    Ok(())
+}
--- a/bin/load/src/cmd/mod.rs
+++ b/bin/load/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! One module a subcommand.
 
 pub(crate) mod backend;
+pub(crate) mod call;
 pub(crate) mod run;
 pub(crate) mod upload;
--- a/bin/load/src/main.rs
+++ b/bin/load/src/main.rs
@@ -20,6 +20,8 @@
 enum Command {
     /// Runs a stand-in backend server until SIGTERM.
     Backend(Box<cmd::backend::Args>),
+    /// Sends one call.
+    Call(cmd::call::Args),
     /// Sends calls at a fixed rate and prints latencies and outcomes.
     Run(cmd::run::Args),
     /// Streams one large body and compares what arrived.
@@ -30,6 +32,7 @@
 async fn main() -> ExitCode {
     let done = match Args::parse().command {
         Command::Backend(args) => cmd::backend::run(*args).await,
+        Command::Call(args) => cmd::call::run(args).await,
         Command::Run(args) => cmd::run::run(args).await,
         Command::Upload(args) => cmd::upload::run(args).await,
     };
