--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod chain;
 pub mod claim;
 pub mod contract;
+mod hash;
+pub mod member;
 pub mod contract_book;
 pub mod deadline;
 pub mod document;
