Test bad input at every interface

Cause: nothing showed that a bad request gets the documented status and body and changes nothing.

Change: tables over real processes for callers (21 cases), contracts (12), announcements (9) and settings (both programs), and a body that outgrows the limit on its way. The keeper prints a failed start as one line, as the daemon does; before, it printed the report's debug form with a source location ("Error: settings …", "Location: …"), which the settings test showed failing first.

Found and left: a body of undeclared length that outgrows the limit ends as 502 server-lost with outcome unknown, as if the backend server had failed; with a declared length it is 413.

--- a/bin/keeper/src/main.rs
+++ b/bin/keeper/src/main.rs
@@ -5,6 +5,7 @@
 mod hub;
 
 use clap::{Parser, Subcommand};
+use std::process::ExitCode;
 
 /// Keeps contracts and claims on disk, replicated over the keepers.
 #[derive(Debug, Parser)]
@@ -19,8 +20,15 @@
     Serve(cmd::serve::Args),
 }
 
-fn main() -> eyre::Result<()> {
-    match Args::parse().command {
+fn main() -> ExitCode {
+    let done = match Args::parse().command {
         Command::Serve(args) => cmd::serve::run(args),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("agatehill-keeper: {report:#}");
+            ExitCode::FAILURE
+        }
     }
 }
--- /dev/null
+++ b/tests/tests/bad_input.rs
@@ -0,0 +1,318 @@
+//! Bad input at every interface: the documented status and body, and nothing changes.
+
+use agatehill_tests::{
+    bed::{SETTLE_LIMIT, TestBed, ZONE},
+    client::{TestAnswer, eventually},
+    process::{ProcessGuard, binary},
+};
+use std::{fs, net::SocketAddr, process::Command};
+
+const CONTRACT: &str = r#"
+customer = "dansk"
+revision = 1
+calls_per_second = 4000
+calls_in_flight = 1200
+retries_per_request = 2
+remember_hours = 48
+
+[[operation]]
+service = "techreg"
+method = "GET"
+path = "/certificates/{id}"
+class = "critical"
+idempotent = true
+deadline_ms = 5000
+
+[[operation]]
+service = "techreg"
+method = "POST"
+path = "/certificates"
+class = "normal"
+idempotent = false
+deadline_ms = 5000
+"#;
+
+const GET: &str = "/call/techreg/certificates/7";
+const POST: &str = "/call/techreg/certificates";
+const CUSTOMER: (&str, &str) = ("agatehill-customer", "dansk");
+const KEY: (&str, &str) = ("idempotency-key", "r-1");
+
+/// Largest body that the daemon of these tests passes on, in bytes.
+const BODY_BYTES_MAX: usize = 4096;
+
+/// 65 characters, one more than a name may have.
+const LONG_NAME: &str = "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa";
+
+/// A request that must be refused.
+struct BadRequest {
+    method: &'static str,
+    path: &'static str,
+    headers: Vec<(&'static str, &'static str)>,
+    body: Vec<u8>,
+    status: u16,
+    /// End of the problem type, or a part of the detail.
+    reason: &'static str,
+}
+
+/// A keeper, a daemon and a backend server of `techreg`, with the contract in force.
+struct TestPath {
+    bed: TestBed,
+    keepers: Vec<ProcessGuard>,
+    daemon: ProcessGuard,
+    backend: ProcessGuard,
+}
+
+impl TestPath {
+    async fn open() -> TestPath {
+        let mut bed = TestBed::open(&[ZONE]);
+        let keepers = bed.start_keepers();
+        let keeper = keepers[0].addr("operator");
+        bed.put_contract(keeper, "dansk", CONTRACT).await;
+        let spec = bed.add_daemon(ZONE);
+        let limits = format!("[limits]\nbody_bytes_max = {BODY_BYTES_MAX}\n");
+        let settings = fs::read_to_string(&spec.settings).unwrap();
+        fs::write(&spec.settings, settings + &limits).unwrap();
+        let daemon = bed.start_daemon(&spec);
+        let backend = bed.start_backend(&daemon, "techreg", &[]);
+        bed.served(&daemon, "dansk", GET).await;
+        TestPath {
+            bed,
+            keepers,
+            daemon,
+            backend,
+        }
+    }
+
+    /// Returns the number of requests that the backend server has started.
+    async fn runs(&self) -> u64 {
+        let sent = self.bed.client.get(self.backend.addr("address"), "/_runs");
+        sent.await.unwrap().json()["started"].as_u64().unwrap()
+    }
+
+    async fn send(&self, addr: SocketAddr, case: &BadRequest) -> TestAnswer {
+        let sent = self.bed.client.send(
+            case.method,
+            addr,
+            case.path,
+            &case.headers,
+            case.body.clone(),
+        );
+        sent.await
+            .unwrap_or_else(|| panic!("no answer to {} {}", case.method, case.path))
+    }
+}
+
+fn bad(
+    method: &'static str,
+    path: &'static str,
+    headers: &[(&'static str, &'static str)],
+    status: u16,
+    reason: &'static str,
+) -> BadRequest {
+    BadRequest {
+        method,
+        path,
+        headers: headers.to_vec(),
+        body: Vec::new(),
+        status,
+        reason,
+    }
+}
+
+fn with_body(mut case: BadRequest, body: impl Into<Vec<u8>>) -> BadRequest {
+    case.body = body.into();
+    case
+}
+
+#[rustfmt::skip]
+fn caller_cases() -> Vec<BadRequest> {
+    let with = |header| [CUSTOMER, KEY, header];
+    let large = vec![b'x'; BODY_BYTES_MAX + 1];
+    vec![
+        bad("GET", GET, &[], 400, "customer-missing"),
+        bad("GET", GET, &[("agatehill-customer", "da nsk")], 400, "malformed"),
+        bad("GET", GET, &[("agatehill-customer", LONG_NAME)], 400, "malformed"),
+        bad("GET", GET, &[CUSTOMER, CUSTOMER], 400, "malformed"),
+        bad("GET", GET, &[("agatehill-customer", "nobody")], 403, "unknown-customer"),
+        bad("POST", POST, &[CUSTOMER], 400, "key-missing"),
+        bad("POST", POST, &[CUSTOMER, ("idempotency-key", "a b")], 400, "malformed"),
+        bad("POST", POST, &[CUSTOMER, ("idempotency-key", "")], 400, "malformed"),
+        bad("POST", POST, &[CUSTOMER, ("idempotency-key", LONG_NAME)], 400, "malformed"),
+        bad("POST", POST, &[CUSTOMER, KEY, KEY], 400, "malformed"),
+        bad("GET", GET, &with(("traceparent", "00-12-34-01")), 400, "malformed"),
+        bad("GET", GET, &with(("agatehill-attempt", "one")), 400, "malformed"),
+        bad("GET", GET, &with(("agatehill-attempt", "3")), 429, "attempts-spent"),
+        bad("GET", GET, &with(("agatehill-deadline-ms", "-1")), 400, "malformed"),
+        bad("GET", GET, &[CUSTOMER, ("agatehill-deadline-ms", "0")], 504, "deadline"),
+        bad("GET", "/call/nowhere/certificates/7", &[CUSTOMER], 404, "unknown-operation"),
+        bad("GET", "/call/techreg/technicians/7", &[CUSTOMER], 404, "unknown-operation"),
+        bad("DELETE", GET, &[CUSTOMER], 404, "unknown-operation"),
+        bad("GET", "/call/techreg", &[CUSTOMER], 400, "malformed"),
+        bad("GET", "/call//certificates/7", &[CUSTOMER], 400, "malformed"),
+        with_body(bad("POST", POST, &[CUSTOMER, KEY], 413, "body-too-large"), large),
+    ]
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_calls_are_refused_and_do_not_run() {
+    let path = TestPath::open().await;
+    let addr = path.daemon.addr("caller");
+    let before = path.runs().await;
+    for case in caller_cases() {
+        let answer = path.send(addr, &case).await;
+        let what = format!("{} {} {:?}", case.method, case.path, case.headers);
+        assert_eq!(answer.status.as_u16(), case.status, "{what}: {answer:?}");
+        assert_eq!(answer.header("agatehill-outcome"), "not-run", "{what}");
+        assert_eq!(
+            answer.header("content-type"),
+            "application/problem+json",
+            "{what}"
+        );
+        let problem = answer.json();
+        let kind = format!("urn:agatehill:problem:{}", case.reason);
+        assert_eq!(problem["type"], kind, "{what}");
+        assert_eq!(problem["status"], case.status, "{what}");
+        assert_eq!(problem["outcome"], "not-run", "{what}");
+        assert_ne!(problem["detail"], "", "{what}");
+    }
+    assert_eq!(path.runs().await, before, "a refused call ran");
+}
+
+#[rustfmt::skip]
+fn contract_cases() -> Vec<BadRequest> {
+    let put = |status, reason, body: &str| {
+        with_body(bad("PUT", "/contracts/dansk", &[], status, reason), body)
+    };
+    let next = CONTRACT.replace("revision = 1", "revision = 2");
+    vec![
+        put(400, "line 4: ", &next.replace("calls_per_second = ", "calls_per_second ")),
+        put(400, "key \"colour\": unknown field", &format!("colour = 1\n{next}")),
+        put(400, "key \"customer\": missing field", &next.replace("customer = \"dansk\"", "")),
+        put(400, "key \"operation[0].deadline_ms\"", &next.replacen("5000", "0", 1)),
+        put(400, "\"sutravan\"", &next.replace("\"dansk\"", "\"sutravan\"")),
+        put(409, "the next revision", &CONTRACT.replace("revision = 1", "revision = 3")),
+        put(409, "with another text", &CONTRACT.replace("4000", "9000")),
+        put(413, "at most", &"#".repeat((1 << 20) + 1)),
+        with_body(bad("PUT", "/contracts/dansk", &[], 400, "not UTF-8"), vec![0xff, 0xfe]),
+        with_body(bad("PUT", "/contracts/da%20nsk", &[], 400, "must be 1 to 64"), next.as_str()),
+        bad("GET", "/contracts/nobody", &[], 404, "\"nobody\""),
+        bad("GET", "/contracts/nobody/log", &[], 404, "\"nobody\""),
+    ]
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_contracts_are_refused_and_change_nothing() {
+    let path = TestPath::open().await;
+    let addr = path.keepers[0].addr("operator");
+    let list = || async { path.bed.client.get(addr, "/contracts").await.unwrap().body };
+    let before = list().await;
+    for case in contract_cases() {
+        let answer = path.send(addr, &case).await;
+        let what = format!("{} {}: {}", case.method, case.path, case.reason);
+        assert_eq!(answer.status.as_u16(), case.status, "{what}: {answer:?}");
+        assert_eq!(
+            answer.header("content-type"),
+            "application/problem+json",
+            "{what}"
+        );
+        let problem = answer.json();
+        assert_eq!(problem["status"], case.status, "{what}");
+        let detail = problem["detail"].as_str().unwrap();
+        assert!(detail.contains(case.reason), "{what}: {detail}");
+        assert_eq!(list().await, before, "{what}");
+    }
+}
+
+#[rustfmt::skip]
+fn announcement_cases() -> Vec<BadRequest> {
+    let whole = r#"{"service":"techreg","address":"127.0.0.1:1","slots":5,"connections":9,"state":"serving"}"#;
+    let post = |reason, body: &str| with_body(bad("POST", "/announce", &[], 400, reason), body);
+    vec![
+        post("expected", "not JSON"),
+        post("missing field `slots`", &whole.replace("\"slots\":5,", "")),
+        post("unknown field `colour`", &whole.replace("\"slots\"", "\"colour\":1,\"slots\"")),
+        post("slots must be at least 1", &whole.replace("\"slots\":5", "\"slots\":0")),
+        post("invalid value", &whole.replace("\"slots\":5", "\"slots\":-5")),
+        post("service \"tech reg\" must be", &whole.replace("techreg", "tech reg")),
+        post("invalid socket address", &whole.replace("127.0.0.1:1", "localhost:1")),
+        post("unknown variant `asleep`", &whole.replace("serving", "asleep")),
+        post("over 4096 bytes", &format!("{whole}{}", " ".repeat(5000))),
+    ]
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_announcements_are_refused_and_add_no_server() {
+    let path = TestPath::open().await;
+    let servers = || async {
+        let dump = path
+            .bed
+            .client
+            .get(path.daemon.addr("operator"), "/dump")
+            .await;
+        dump.unwrap().json()["servers"].as_array().unwrap().len()
+    };
+    assert_eq!(servers().await, 1);
+    for case in announcement_cases() {
+        let answer = path.send(path.daemon.addr("announce"), &case).await;
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        assert_eq!(answer.status.as_u16(), 400, "{}: {text}", case.reason);
+        assert!(text.contains(case.reason), "{}: {text}", case.reason);
+        assert_eq!(servers().await, 1, "{}", case.reason);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn processes_refuse_bad_settings_with_file_line_and_key() {
+    let mut bed = TestBed::open(&[ZONE]);
+    let daemon = bed.add_daemon(ZONE);
+    let keeper = bed.keepers[0].clone();
+    for (name, settings) in [
+        ("agatehill-daemon", &daemon.settings),
+        ("agatehill-keeper", &keeper.settings),
+    ] {
+        let text = fs::read_to_string(settings).unwrap();
+        fs::write(settings, format!("colour = 1\n{text}")).unwrap();
+        let output = Command::new(binary(name))
+            .args(["serve".as_ref(), settings.as_os_str()])
+            .output()
+            .unwrap();
+        let printed = String::from_utf8_lossy(&output.stderr).into_owned();
+        let wanted = format!(
+            "{name}: settings \"{}\": line 1: key \"colour\": unknown field",
+            settings.display()
+        );
+        assert!(printed.starts_with(&wanted), "{printed}");
+        assert_eq!(printed.lines().count(), 1, "{printed}");
+        assert_eq!((output.status.code(), output.stdout.len()), (Some(1), 0));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_grows_too_large_on_the_way_is_cut_off() {
+    let path = TestPath::open().await;
+    let before = path.runs().await;
+    let url = format!("http://{}{POST}", path.daemon.addr("caller"));
+    let output = Command::new(binary("agatehill-load"))
+        .args([
+            "upload",
+            "--megabytes",
+            "1",
+            "--chunk-wait-ms",
+            "100",
+            "--customer",
+            "dansk",
+        ])
+        .args(["--method", "POST", "--url", &url])
+        .output()
+        .unwrap();
+    assert!(!output.status.success(), "{output:?}");
+    eventually("no request is left running", SETTLE_LIMIT, || async {
+        let sent = path.bed.client.get(path.backend.addr("address"), "/_runs");
+        sent.await.unwrap().json()["in_flight"] == 0
+    })
+    .await;
+    let runs = path.runs().await;
+    let sent = path.bed.client.get(path.backend.addr("address"), "/_runs");
+    let finished = sent.await.unwrap().json()["finished"].as_u64().unwrap();
+    assert!(runs - finished == runs - before, "a cut body was finished");
+}
