--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -24,3 +24,5 @@
 pub mod route;
 pub mod state;
 pub mod time;
+
+mod hash;
