--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod deadline;
 pub mod document;
 pub mod gate;
-mod hash;
 pub mod level;
 pub mod limit;
 pub mod member;
