Measure overload in virtual time, and move the level by the spare capacity

Cause: nothing measured the gates together. Change: agatehill-bench overload, which drives the gates, levels, budgets and route tables beside a per-hop random cut and no control. The limit stays at the announced slots, lowered by sheds alone. A window counts as pressed when every call in it waited, or one found no room; a step up gives away a quarter of the spare capacity; waits are at most 50 ms, as longer ones fill the slots of the servers above. A call of a chain that has work done passes the levels.

--- /dev/null
+++ b/bin/bench/src/cmd/mod.rs
@@ -0,0 +1,3 @@
+//! One module a command.
+
+pub(crate) mod overload;
--- /dev/null
+++ b/bin/bench/src/overload/clock.rs
@@ -0,0 +1,77 @@
+//! Events in the order of their times.
+
+use agatehill_decide::time::MonoTime;
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+
+/// The virtual clock and what is still to happen.
+pub(super) struct EventClock<E> {
+    now: MonoTime,
+    sequence: u64,
+    heap: BinaryHeap<Reverse<TimedEvent<E>>>,
+}
+
+struct TimedEvent<E> {
+    at: MonoTime,
+    sequence: u64,
+    event: E,
+}
+
+impl<E> EventClock<E> {
+    pub(super) fn new() -> EventClock<E> {
+        EventClock {
+            now: MonoTime::ZERO,
+            sequence: 0,
+            heap: BinaryHeap::new(),
+        }
+    }
+
+    pub(super) fn now(&self) -> MonoTime {
+        self.now
+    }
+
+    pub(super) fn after(&mut self, span: Duration, event: E) {
+        self.at(self.now + span, event);
+    }
+
+    pub(super) fn at(&mut self, at: MonoTime, event: E) {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        self.heap.push(Reverse(TimedEvent {
+            at,
+            sequence,
+            event,
+        }));
+    }
+
+    pub(super) fn next(&mut self, end: MonoTime) -> Option<E> {
+        let Reverse(next) = self.heap.pop()?;
+        self.now = next.at;
+        (next.at < end).then_some(next.event)
+    }
+}
+
+impl<E> TimedEvent<E> {
+    fn key(&self) -> (MonoTime, u64) {
+        (self.at, self.sequence)
+    }
+}
+
+impl<E> PartialEq for TimedEvent<E> {
+    fn eq(&self, other: &TimedEvent<E>) -> bool {
+        self.key() == other.key()
+    }
+}
+
+impl<E> Eq for TimedEvent<E> {}
+
+impl<E> PartialOrd for TimedEvent<E> {
+    fn partial_cmp(&self, other: &TimedEvent<E>) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<E> Ord for TimedEvent<E> {
+    fn cmp(&self, other: &TimedEvent<E>) -> std::cmp::Ordering {
+        self.key().cmp(&other.key())
+    }
+}
--- /dev/null
+++ b/bin/bench/src/overload/mod.rs
@@ -0,0 +1,16 @@
+//! Overload in virtual time: the types of `agatehill-decide` in front of stand-in servers.
+//!
+//! Callers, daemons, servers and links are events on one clock, so the same seed gives the same
+//! figures on every run. Nothing here decides: the gates, levels, budgets and deadlines are the
+//! ones that the daemons run.
+
+mod backend;
+mod call;
+mod clock;
+pub(crate) mod control;
+pub(crate) mod deployment;
+pub(crate) mod report;
+mod route;
+pub(crate) mod scenario;
+mod stats;
+pub(crate) mod world;
--- /dev/null
+++ b/bin/bench/src/overload/route.rs
@@ -0,0 +1,75 @@
+//! The route tables of the daemons, one a zone.
+
+use super::deployment::{DeploymentSpec, ZONES};
+use agatehill_decide::{
+    name::{DaemonName, RegionName, ServiceName, ZoneName},
+    route::{RouteBook, RouteTable, ServerKey, ServerState, ServerView},
+    time::MonoTime,
+};
+use slotmap::SecondaryMap;
+use std::net::SocketAddr;
+
+/// What the daemons of one zone know of the servers.
+pub(super) struct ZoneRoutes {
+    book: RouteBook,
+    pub(super) table: RouteTable,
+    pub(super) servers: SecondaryMap<ServerKey, usize>,
+}
+
+impl ZoneRoutes {
+    pub(super) fn new(deployment: &DeploymentSpec, zone: usize, overstated: &[u32]) -> ZoneRoutes {
+        let mut book = RouteBook::new(zone_name(zone), region_name(zone));
+        let mut servers = SecondaryMap::new();
+        for (service, size) in deployment.services.iter().enumerate() {
+            for place in 0..ZONES {
+                let server = service * ZONES + place;
+                let slots = size.slots * overstated[service];
+                let key = book.upsert(server_view(size.name, server, place, slots));
+                servers.insert(key, server);
+            }
+        }
+        let table = book.snapshot();
+        ZoneRoutes {
+            book,
+            table,
+            servers,
+        }
+    }
+
+    /// Takes in the loads that the servers report, in thousandths of their slots.
+    pub(super) fn report(&self, loads: &[u16], now: MonoTime) {
+        for (key, server) in &self.servers {
+            if let Some(signal) = self.book.signal(key) {
+                signal.report(loads[*server], now);
+            }
+        }
+    }
+}
+
+/// Returns the name of a service of the deployment.
+pub(super) fn service_name(name: &str) -> ServiceName {
+    ServiceName::try_from(name).expect("the deployment's names are valid")
+}
+
+fn server_view(service: &str, server: usize, zone: usize, slots: u32) -> ServerView {
+    let port = 10_000 + server as u16;
+    let addr = SocketAddr::from(([127, 0, 0, 1], port));
+    ServerView {
+        service: service_name(service),
+        daemon: DaemonName::try_from(format!("d{server}")).expect("a valid name"),
+        zone: zone_name(zone),
+        region: region_name(zone),
+        forward: addr,
+        backend: Some(addr),
+        state: ServerState::Serving,
+        slots,
+    }
+}
+
+fn zone_name(zone: usize) -> ZoneName {
+    ZoneName::try_from(format!("zone{zone}")).expect("a valid name")
+}
+
+fn region_name(zone: usize) -> RegionName {
+    RegionName::try_from(format!("region{}", zone / 2)).expect("a valid name")
+}
--- a/crates/decide/src/gate.rs
+++ b/crates/decide/src/gate.rs
@@ -5,6 +5,7 @@
 //! its priority level. Everything that happens to queued calls comes out as [`GateEvent`]s, which
 //! the driver takes after every call.
 
+mod call;
 mod queue;
 
 use crate::{
@@ -13,9 +14,12 @@
     priority::CallPriority,
     time::MonoTime,
 };
+pub use call::{
+    GateCall, GateCounts, GateDecision, GateEvent, GateLoad, GateRefusal, RefusalReason, RunResult,
+    ServerState,
+};
 use queue::CallQueue;
 pub use queue::QueueOrder;
-use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 use std::time::Duration;
 
@@ -44,7 +48,7 @@
     pub order: QueueOrder,
     /// Longest expected wait for which a call is queued.
     pub wait_max: Duration,
-    /// Mean wait in a window from which the gate counts as pressed.
+    /// Shortest wait in a window from which the gate counts as pressed.
     pub wait_target: Duration,
     /// Whether the priority level is used.
     pub use_level: bool,
@@ -57,10 +61,10 @@
 impl Default for GateConfig {
     fn default() -> GateConfig {
         GateConfig {
-            limit: LimitPolicy::Knee,
+            limit: LimitPolicy::Fixed,
             order: QueueOrder::Fifo,
-            wait_max: Duration::from_millis(100),
-            wait_target: Duration::from_millis(10),
+            wait_max: Duration::from_millis(50),
+            wait_target: Duration::from_millis(5),
             use_level: true,
             spare_nested: true,
             use_ramp: true,
@@ -68,128 +72,6 @@
     }
 }
 
-/// What a backend server announced about itself.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub enum ServerState {
-    /// Not ready for calls.
-    Starting,
-    /// Takes calls.
-    Serving,
-    /// Finishes what it has and takes no more.
-    Leaving,
-}
-
-/// A call that asks for a slot.
-#[derive(Clone, Copy, Debug)]
-pub struct GateCall {
-    /// Priority of its chain.
-    pub priority: CallPriority,
-    /// Point by which its answer must be on its way.
-    pub deadline: MonoTime,
-    /// Whether another backend server makes it as part of a chain.
-    pub is_nested: bool,
-}
-
-/// Why a call was refused; it did not run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RefusalReason {
-    /// Its priority is below the gate's level.
-    Level,
-    /// It cannot finish in its remaining time.
-    Deadline,
-    /// The queue is full of calls that are as important.
-    Full,
-    /// The server has not started yet.
-    Starting,
-    /// The server is leaving.
-    Leaving,
-}
-
-/// A refusal, final for this server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct GateRefusal {
-    /// Why.
-    pub reason: RefusalReason,
-    /// The gate's level.
-    pub level: CallPriority,
-    /// When to come back, to be spread by [`crate::retry::spread_retry_after`].
-    pub retry_after: Duration,
-}
-
-/// What becomes of an offered call.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum GateDecision {
-    /// Run it now.
-    Admit(SlotKey),
-    /// It waits; exactly one [`GateEvent`] or a [`ServerGate::cancel`] ends that.
-    Queue(TicketKey),
-    /// Answer the refusal now.
-    Refuse(GateRefusal),
-}
-
-/// The end of a call's wait.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum GateEvent {
-    /// Run it now.
-    Admitted {
-        /// The call that waited.
-        ticket: TicketKey,
-        /// Its slot.
-        slot: SlotKey,
-    },
-    /// Answer the refusal now.
-    Refused {
-        /// The call that waited.
-        ticket: TicketKey,
-        /// The refusal.
-        refusal: GateRefusal,
-    },
-}
-
-/// How a run ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RunResult {
-    /// With a whole answer.
-    Answered,
-    /// The server shed it; it did not run.
-    Shed,
-    /// With an error of the server or of a child call.
-    Failed,
-    /// The connection or the server was lost.
-    Lost,
-    /// The caller went away or the deadline passed.
-    Cancelled,
-}
-
-/// Load of a gate, for routing and for the dump.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct GateLoad {
-    /// Calls that run.
-    pub running: u32,
-    /// Calls that wait.
-    pub queued: u32,
-    /// Calls that may run at once.
-    pub limit: u32,
-    /// Least important priority that is let in.
-    pub level: CallPriority,
-}
-
-/// Counts since the gate was made.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct GateCounts {
-    /// Calls that got a slot.
-    pub admitted: u64,
-    /// Calls refused for their priority.
-    pub refused_level: u64,
-    /// Calls refused for their remaining time.
-    pub refused_deadline: u64,
-    /// Calls refused by a full queue.
-    pub refused_full: u64,
-    /// Calls refused because the server starts or leaves.
-    pub refused_state: u64,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct RunningCall {
     since: MonoTime,
@@ -199,8 +81,14 @@
 struct GateWindow {
     is_full: bool,
     is_short: bool,
-    waits: u32,
-    waited: Duration,
+    shortest_wait: Option<Duration>,
+}
+
+impl GateWindow {
+    fn record_wait(&mut self, wait: Duration) {
+        let shortest = self.shortest_wait.map_or(wait, |old| old.min(wait));
+        self.shortest_wait = Some(shortest);
+    }
 }
 
 /// The gate of one backend server.
@@ -362,7 +250,7 @@
             return Err(RefusalReason::Deadline);
         }
         if self.has_room() && self.queue.len() == 0 {
-            self.window.waits += 1;
+            self.window.record_wait(Duration::ZERO);
             return Ok(GateDecision::Admit(self.start(now)));
         }
         self.enqueue(call, now)
@@ -431,9 +319,7 @@
         let Some(queued) = self.queue.remove(ticket) else {
             return;
         };
-        let waited = now.since(queued.since);
-        self.window.waits += 1;
-        self.window.waited += waited;
+        self.window.record_wait(now.since(queued.since));
         if queued.call.deadline <= now + hold {
             self.window.is_short = true;
             let refusal = self.refuse(RefusalReason::Deadline);
@@ -494,11 +380,14 @@
     fn close_window(&mut self) {
         let window = std::mem::take(&mut self.window);
         self.limit.close_window(window.is_full);
-        let mean_wait = window.waited / window.waits.max(1);
+        let has_waiting = self.queue.len() > 0;
+        let is_standing = window
+            .shortest_wait
+            .map_or(has_waiting, |wait| wait > self.config.wait_target);
         let hold = self.hold.mean().max(Duration::from_micros(1));
         self.level.close_window(LevelWindow {
             capacity: f64::from(self.limit.limit()) * WINDOW.div_duration_f64(hold),
-            is_pressed: window.is_short || mean_wait > self.config.wait_target,
+            is_pressed: window.is_short || is_standing,
             queued: self.queue.len() as f64,
         });
     }
--- a/crates/decide/src/level.rs
+++ b/crates/decide/src/level.rs
@@ -17,14 +17,21 @@
 const BUCKETS: usize = (CallPriority::LAST.0 / BUCKET_LEVELS) as usize + 1;
 /// Weight of the newest window in the demand histogram.
 const DEMAND_WEIGHT: f64 = 0.3;
+/// Share of the capacity that the level lets in.
+const UTILISATION: f64 = 0.98;
+/// Share of the waiting calls that one window is to work off.
+const DRAIN_SHARE: f64 = 0.1;
 /// Smallest share of the demand that stays after one step down.
 const KEEP_MIN: f64 = 0.5;
 /// Largest share of the demand that stays after one step down.
 const KEEP_MAX: f64 = 0.98;
-/// Largest step up a window, in levels.
-const RAISE_MAX: u16 = CLASS_LEVELS / 4;
-/// Smallest step up a window, in levels.
-const RAISE_MIN: u16 = CLASS_LEVELS / 64;
+/// Share of the spare capacity that one step up gives away; callers hear of a step only after a
+/// few windows.
+const RAISE_GAIN: f64 = 0.25;
+/// Smallest step up, in levels.
+const RAISE_MIN: f64 = 4.0;
+/// Largest step up, in levels.
+const RAISE_MAX: f64 = 1024.0;
 
 /// What a gate measured in one window.
 #[derive(Clone, Copy, Debug, Default)]
@@ -73,8 +80,7 @@
             *demand += (f64::from(*count) - *demand) * DEMAND_WEIGHT;
             *count = 0;
         }
-        let top = bucket_of(self.level);
-        let admitted: f64 = self.demand[..=top].iter().sum();
+        let admitted: f64 = self.demand[..=bucket_of(self.level)].iter().sum();
         if window.is_pressed {
             self.lower(window, admitted);
         } else if self.level < CallPriority::LAST {
@@ -83,7 +89,7 @@
     }
 
     fn lower(&mut self, window: LevelWindow, admitted: f64) {
-        let target = window.capacity - window.queued * 0.5;
+        let target = window.capacity * UTILISATION - window.queued * DRAIN_SHARE;
         let keep = (target / admitted.max(1.0)).clamp(KEEP_MIN, KEEP_MAX);
         let mut left = admitted * keep;
         for (idx, demand) in self.demand.iter().enumerate() {
@@ -98,19 +104,22 @@
     }
 
     fn raise(&mut self, window: LevelWindow, admitted: f64) {
-        let spare = (window.capacity - admitted).max(0.0);
-        let density = self.density_at(bucket_of(self.level));
-        let levels = (spare * 0.5 / density) as u16;
-        let step = levels.clamp(RAISE_MIN, RAISE_MAX);
-        self.level = CallPriority(self.level.0 + step).min(CallPriority::LAST);
+        let spare = window.capacity * UTILISATION - admitted;
+        let step = (spare * RAISE_GAIN / self.density()).clamp(RAISE_MIN, RAISE_MAX);
+        self.level = CallPriority(self.level.0 + step as u16).min(CallPriority::LAST);
     }
 
-    /// Returns the demand a level around bucket `top`, which is taken to go on above it.
-    fn density_at(&self, top: usize) -> f64 {
-        let from = top.saturating_sub(4);
-        let seen: f64 = self.demand[from..=top].iter().sum();
-        let levels = (top - from + 1) as f64 * f64::from(BUCKET_LEVELS);
-        (seen / levels).max(1e-3)
+    /// Returns the demand a level just above the present one, taken to be as below it in the same
+    /// class.
+    fn density(&self) -> f64 {
+        let top = bucket_of(self.level);
+        let class_start = usize::from(self.level.class().rank() * CLASS_LEVELS / BUCKET_LEVELS);
+        let seen = match top > class_start {
+            true => &self.demand[class_start..top],
+            false => &self.demand[top.saturating_sub(1)..=top],
+        };
+        let sum: f64 = seen.iter().sum();
+        (sum / (seen.len() as f64 * f64::from(BUCKET_LEVELS))).max(f64::MIN_POSITIVE)
     }
 }
 
