Wait for an election before the operators' client gives up

Cause: a keeper answers 503 while no leader is elected; the client gave up after 1 s, so the first apply after a start failed (two CLI tests, seen red). Change: rounds over keepers that answer without a leader go on for 10 s; when no keeper answers at all, three rounds as before. Ruled out: holding the request at the keeper (hides that nothing is decided). Conclusion: a change sent during an election is accepted.

--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -17,8 +17,10 @@
 
 /// Time limit of one request to one keeper.
 const REQUEST_SPAN: Duration = Duration::from_secs(10);
-/// Rounds over all keepers before a request is given up.
-const ROUNDS: u32 = 3;
+/// Rounds over all keepers before a request is given up that none of them answers.
+const SILENT_ROUNDS: u32 = 3;
+/// Rounds before a request is given up that keepers answer without a leader: an election's time.
+const LEADERLESS_ROUNDS: u32 = 20;
 /// Pause between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(500);
 
@@ -128,17 +130,23 @@
         body: Bytes,
     ) -> Result<T, ClientError> {
         let mut last = "no keeper address is given".to_owned();
-        for round in 0..ROUNDS {
+        let mut rounds = SILENT_ROUNDS;
+        let mut round = 0;
+        while round < rounds {
             if round > 0 {
                 tokio::time::sleep(ROUND_PAUSE).await;
             }
+            round += 1;
             for &addr in &self.addresses {
                 let sent = self.send(addr, &method, path, body.clone()).await;
                 match sent {
                     Ok((status, body)) if !status.is_server_error() => {
                         return parse_answer(status, &body);
                     }
-                    Ok((_, body)) => last = problem_detail(&body),
+                    Ok((_, body)) => {
+                        last = problem_detail(&body);
+                        rounds = LEADERLESS_ROUNDS;
+                    }
                     Err(reason) => last = reason,
                 }
             }
