Pay a backend server's own resends from the chain's retry budget

Cause: libraries inside backend servers retry at every hop; their resends came in as new child calls and multiplied. Change: a child call that equals an earlier one of the same parent, which has failed or still runs, is a resend: it spends one retry of the chain or is refused with 429, not run. Ruled out: trusting agatehill-attempt on child calls (servers do not send it); refusing every repeat (a server may read the same thing twice). Conclusion: the bound holds from the caller to the deepest service.

--- a/bin/load/src/cmd/backend.rs
+++ b/bin/load/src/cmd/backend.rs
@@ -14,7 +14,8 @@
 /// It prints `ready address=ADDR` once it listens, and its counts when it has stopped.
 ///
 /// Marks: a request whose path has a segment `poison`, or that carries the header
-/// `agatehill-load-mark: poison`, aborts the process; `cut` breaks the answer off half way.
+/// `agatehill-load-mark: poison`, aborts the process; `cut` breaks the answer off half way;
+/// `fail` answers 500 after the work.
 /// `GET /_runs` tells what ran; `POST /_silence` makes all open connections silent for good.
 #[derive(Debug, clap::Args)]
 pub(crate) struct Args {
--- a/bin/load/src/standin/work.rs
+++ b/bin/load/src/standin/work.rs
@@ -44,6 +44,7 @@
     None,
     Poison,
     Cut,
+    Fail,
 }
 
 /// Works on `request` and returns its answer.
@@ -74,6 +75,7 @@
     run.finish();
     match mark {
         RequestMark::Cut => Ok(cut(response)),
+        RequestMark::Fail => json(StatusCode::INTERNAL_SERVER_ERROR, &"failed as marked"),
         RequestMark::None | RequestMark::Poison => Ok(response),
     }
 }
@@ -164,6 +166,7 @@
         .find_map(|word| match word {
             "poison" => Some(RequestMark::Poison),
             "cut" => Some(RequestMark::Cut),
+            "fail" => Some(RequestMark::Fail),
             _ => None,
         })
         .unwrap_or(RequestMark::None)
--- a/crates/backend/src/chain.rs
+++ b/crates/backend/src/chain.rs
@@ -2,6 +2,7 @@
 
 use agatehill_decide::{
     chain::{ChainBudget, ChainGuard},
+    resend::{ChildPrint, ResendTable},
     retry::{RetryBudget, RetryLease},
 };
 use std::{
@@ -21,6 +22,7 @@
 #[derive(Debug)]
 struct ChainShared {
     budget: Mutex<RetryBudget>,
+    children: Mutex<ResendTable>,
     child_micros: AtomicU64,
 }
 
@@ -29,6 +31,7 @@
     pub fn open(retries: u32) -> ChainHandle {
         let shared = ChainShared {
             budget: Mutex::new(RetryBudget::of_lease(retries)),
+            children: Mutex::default(),
             child_micros: AtomicU64::new(0),
         };
         ChainHandle {
@@ -36,12 +39,24 @@
         }
     }
 
-    /// Leases retries to a child call that starts.
-    pub fn enter_child(&self) -> ChildLease {
-        ChildLease {
-            handle: self.clone(),
-            lease: Some(self.budget().lease()),
+    /// Leases retries to the child call `print`, which starts; a resend spends one first.
+    ///
+    /// Returns `None` for a resend when none is left.
+    pub fn enter_child(&self, print: ChildPrint) -> Option<ChildLease> {
+        let is_resend = self.children().begin(print);
+        let mut budget = self.budget();
+        if is_resend && !budget.spend() {
+            drop(budget);
+            self.children().end(print, false);
+            return None;
         }
+        let lease = Some(budget.lease());
+        Some(ChildLease {
+            handle: self.clone(),
+            print,
+            lease,
+            is_answered: false,
+        })
     }
 
     /// Returns the time that child calls have taken, those in parallel added up.
@@ -49,6 +64,13 @@
         Duration::from_micros(self.shared.child_micros.load(Ordering::Relaxed))
     }
 
+    fn children(&self) -> MutexGuard<'_, ResendTable> {
+        self.shared
+            .children
+            .lock()
+            .expect("no holder of a table panics")
+    }
+
     fn budget(&self) -> MutexGuard<'_, RetryBudget> {
         self.shared
             .budget
@@ -63,11 +85,14 @@
     }
 }
 
-/// The retries leased to a child call; without [`ChildLease::end`] they count as spent.
+/// The retries leased to a child call; without [`ChildLease::end`] they count as spent and the
+/// call as failed.
 #[derive(Debug)]
 pub struct ChildLease {
     handle: ChainHandle,
+    print: ChildPrint,
     lease: Option<RetryLease>,
+    is_answered: bool,
 }
 
 impl ChildLease {
@@ -77,7 +102,8 @@
     }
 
     /// Ends the child call, which took `elapsed` and left `unused` retries.
-    pub fn end(mut self, unused: u32, elapsed: Duration) {
+    pub fn end(mut self, is_answered: bool, unused: u32, elapsed: Duration) {
+        self.is_answered = is_answered;
         if let Some(lease) = self.lease.take() {
             self.handle.budget().give_back(lease, unused);
         }
@@ -89,6 +115,12 @@
     }
 }
 
+impl Drop for ChildLease {
+    fn drop(&mut self) {
+        self.handle.children().end(self.print, self.is_answered);
+    }
+}
+
 /// A call that runs, as its child calls find it.
 #[derive(Debug)]
 pub struct RunningChain {
--- a/crates/caller/src/call.rs
+++ b/crates/caller/src/call.rs
@@ -9,11 +9,16 @@
     inquiry::AttemptId,
     name::{ChainId, CustomerName, RequestId, ServiceName},
     priority::CallPriority,
+    resend::ChildPrint,
     retry::RetryBudget,
     time::MonoTime,
 };
 use agatehill_peer::forward::{FailureKind, ForwardHead};
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
+    time::Duration,
+};
 
 /// A call whose contract and chain are known.
 #[derive(Debug)]
@@ -79,7 +84,7 @@
     ///
     /// # Errors
     ///
-    /// A non-idempotent operation without a request id.
+    /// A non-idempotent operation without a request id, or a resend without a retry left.
     pub fn child(
         req: &CallerRequest,
         spec: &ContractSpec,
@@ -88,7 +93,8 @@
         now: MonoTime,
     ) -> Result<ActiveCall, CallProblem> {
         let request = request_id(req, operation, parent.chain)?;
-        let lease = parent.budget.enter_child();
+        let lease = parent.budget.enter_child(child_print(req, operation));
+        let lease = lease.ok_or(CallProblem::RetriesSpent)?;
         let ceiling = CallDeadline::at_root(asked_time(req), operation.deadline(), now);
         Ok(ActiveCall {
             customer: spec.customer.clone(),
@@ -153,9 +159,9 @@
     }
 
     /// Ends the call, which began at `started`, and gives back the retries that it did not spend.
-    pub fn end(self, started: MonoTime, now: MonoTime) {
+    pub fn end(self, is_answered: bool, started: MonoTime, now: MonoTime) {
         if let Some(lease) = self.lease {
-            lease.end(self.budget.left(), now.since(started));
+            lease.end(is_answered, self.budget.left(), now.since(started));
         }
     }
 
@@ -165,6 +171,19 @@
     }
 }
 
+fn child_print(req: &CallerRequest, operation: &OperationSpec) -> ChildPrint {
+    let mut hasher = DefaultHasher::new();
+    let request = req.request.as_ref().map(RequestId::as_str);
+    (
+        operation.service.as_str(),
+        &operation.method,
+        &req.target,
+        request,
+    )
+        .hash(&mut hasher);
+    ChildPrint(hasher.finish())
+}
+
 fn asked_time(req: &CallerRequest) -> Option<Duration> {
     req.deadline_ms
         .map(|ms| Duration::from_millis(u64::from(ms)))
--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -203,7 +203,8 @@
             if is_last || !call.budget.spend() {
                 answer.report.outcome = outcome;
                 answer.report.retries_used = retries.saturating_sub(call.budget.left());
-                call.end(started, self.runner.gate.clock().now());
+                let is_answered = is_answered(&answer);
+                call.end(is_answered, started, self.runner.gate.clock().now());
                 return answer;
             }
         }
@@ -255,6 +256,11 @@
     Ok(req)
 }
 
+/// Returns whether the caller has no reason to send the call again.
+fn is_answered(answer: &GateAnswer) -> bool {
+    answer.report.failure.is_none() && !answer.response.status().is_server_error()
+}
+
 fn may_retry(call: &ActiveCall, answer: &GateAnswer) -> bool {
     let Some(kind) = answer.report.failure else {
         return false;
--- a/crates/caller/src/problem.rs
+++ b/crates/caller/src/problem.rs
@@ -43,6 +43,8 @@
     Malformed(String),
     /// No customer was named.
     CustomerMissing,
+    /// A backend server's resend of a child call without a retry left in its chain.
+    RetriesSpent,
     /// No contract is in force for the customer.
     UnknownCustomer(CustomerName),
     /// The contract does not list the operation.
@@ -81,7 +83,9 @@
     /// Returns the HTTP status.
     pub fn status(&self) -> StatusCode {
         match self {
-            CallProblem::AttemptsSpent(_) => StatusCode::TOO_MANY_REQUESTS,
+            CallProblem::AttemptsSpent(_) | CallProblem::RetriesSpent => {
+                StatusCode::TOO_MANY_REQUESTS
+            }
             CallProblem::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             CallProblem::CustomerMissing | CallProblem::KeyMissing | CallProblem::Malformed(_) => {
                 StatusCode::BAD_REQUEST
@@ -141,6 +145,7 @@
             CallProblem::CustomerMissing => "customer-missing",
             CallProblem::KeyMissing => "key-missing",
             CallProblem::Malformed(_) => "malformed",
+            CallProblem::RetriesSpent => "retries-spent",
             CallProblem::UnknownCustomer(_) => "unknown-customer",
             CallProblem::UnknownOperation { .. } => "unknown-operation",
             CallProblem::Failed { kind, .. } => failure_slug(*kind),
@@ -162,6 +167,9 @@
                 "header \"idempotency-key\" is missing and the operation is not idempotent",
             ),
             CallProblem::Malformed(reason) => f.write_str(reason),
+            CallProblem::RetriesSpent => {
+                f.write_str("the chain's retries are spent; this resend did not run")
+            }
             CallProblem::UnknownCustomer(customer) => {
                 write!(f, "no contract is in force for customer \"{customer}\"")
             }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod replica;
+pub mod resend;
 pub mod retry;
 pub mod route;
 pub mod state;
--- /dev/null
+++ b/crates/decide/tests/resend.rs
@@ -0,0 +1,33 @@
+//! Resends of child calls are told from new calls.
+
+use agatehill_decide::resend::{ChildPrint, ResendTable};
+use rstest::rstest;
+
+/// Steps of one child call: `(` begins it, `+` ends it with an answer, `-` with a failure.
+#[rstest]
+#[case::first("(", &[false])]
+#[case::after_an_answer("(+(", &[false, false])]
+#[case::after_a_failure("(-(", &[false, true])]
+#[case::while_in_flight("((", &[false, true])]
+#[case::after_a_resend_was_answered("(-(+(", &[false, true, false])]
+#[case::after_two_failures("(-(-(", &[false, true, true])]
+fn a_repeat_of_what_failed_is_a_resend(#[case] steps: &str, #[case] expected: &[bool]) {
+    let mut table = ResendTable::default();
+    let mut resends = Vec::new();
+    for step in steps.chars() {
+        match step {
+            '(' => resends.push(table.begin(ChildPrint(7))),
+            '+' => table.end(ChildPrint(7), true),
+            _ => table.end(ChildPrint(7), false),
+        }
+    }
+    assert_eq!(resends, expected);
+}
+
+#[test]
+fn different_calls_are_told_apart() {
+    let mut table = ResendTable::default();
+    table.begin(ChildPrint(1));
+    table.end(ChildPrint(1), false);
+    assert!(!table.begin(ChildPrint(2)));
+}
--- /dev/null
+++ b/tests/tests/retry_bound.rs
@@ -0,0 +1,100 @@
+//! Tries of one request stay within the contract's bound over the whole chain, though every server
+//! and the caller send again at once what has failed.
+
+use agatehill_tests::{
+    bed::{SETTLE_LIMIT, TestBed, ZONE},
+    client::eventually,
+    process::ProcessGuard,
+};
+use rstest::rstest;
+use std::fmt::Write;
+
+/// The contract's bound on retries, the caller's resends included.
+const RETRIES: u64 = 2;
+/// Resends of the caller, far more than the contract allows.
+const RESENDS: u32 = 5;
+/// Retries of each server's own library, for each of its calls.
+const HOP_RETRIES: &str = "3";
+
+fn contract(depth: usize) -> String {
+    let mut text = format!(
+        "customer = \"dansk\"\nrevision = 1\ncalls_per_second = 4000\ncalls_in_flight = 1200\n\
+         retries_per_request = {RETRIES}\nremember_hours = 48\n"
+    );
+    for hop in 0..depth {
+        write!(
+            text,
+            "[[operation]]\nservice = \"s{hop}\"\nmethod = \"GET\"\npath = \"/x/{{mark}}\"\n\
+             class = \"critical\"\nidempotent = true\ndeadline_ms = 20000\n"
+        )
+        .expect("strings take all text");
+    }
+    text
+}
+
+async fn start_chain(bed: &TestBed, daemon: &ProcessGuard, depth: usize) -> Vec<ProcessGuard> {
+    let mut servers = Vec::new();
+    for hop in 0..depth {
+        let mark = if hop + 2 == depth { "fail" } else { "ok" };
+        let call = format!("s{}:/x/{mark}", hop + 1);
+        let more = ["--call", &call, "--call-retries", HOP_RETRIES];
+        let more = if hop + 1 < depth { &more[..] } else { &[] };
+        servers.push(bed.start_backend(daemon, &format!("s{hop}"), more));
+    }
+    let operator = daemon.addr("operator");
+    eventually("all servers are known", SETTLE_LIMIT, || async {
+        let dump = bed.client.get(operator, "/dump").await;
+        dump.is_some_and(|dump| dump.json()["routes"].as_array().map(Vec::len) == Some(depth))
+    })
+    .await;
+    servers
+}
+
+#[rstest]
+#[case::three_deep_honest_caller(3, true)]
+#[case::three_deep_caller_that_does_not_count(3, false)]
+#[case::nine_deep_honest_caller(9, true)]
+#[case::nine_deep_caller_that_does_not_count(9, false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn tries_stay_within_the_bound(#[case] depth: usize, #[case] is_honest: bool) {
+    let mut bed = TestBed::open(&[ZONE]);
+    let keepers = bed.start_keepers();
+    bed.put_contract(keepers[0].addr("operator"), "dansk", &contract(depth))
+        .await;
+    let spec = bed.add_daemon(ZONE);
+    let daemon = bed.start_daemon(&spec);
+    let servers = start_chain(&bed, &daemon, depth).await;
+
+    for resend in 0..=RESENDS {
+        let attempt = if is_honest {
+            resend.to_string()
+        } else {
+            "0".to_owned()
+        };
+        let headers = [
+            ("agatehill-customer", "dansk"),
+            ("idempotency-key", "r-1"),
+            ("agatehill-attempt", &attempt),
+        ];
+        let sent = bed
+            .client
+            .send("GET", daemon.addr("caller"), "/call/s0/x/ok", &headers, "");
+        let answer = sent.await.expect("an answer");
+        assert!(
+            !answer.status.is_success(),
+            "the deepest server fails: {answer:?}"
+        );
+    }
+    for (hop, server) in servers.iter().enumerate() {
+        let runs = bed
+            .client
+            .get(server.addr("address"), "/_runs")
+            .await
+            .expect("its counts");
+        let started = runs.json()["started"].as_u64().expect("a count");
+        assert!(
+            (1..=RETRIES + 1).contains(&started),
+            "{started} tries at hop {hop}"
+        );
+    }
+}
