Measure the slopes of contracts, claims and routes

Cause: the capacity page needs the cost of one more contract, claim and route entry.

Ruled out: several sizes in one run; memory that an earlier size has freed is used again, and the resident size then shows 0 bytes an item (seen for 1,000 contracts after 100).

--- /dev/null
+++ b/bin/bench/src/cmd/contracts.rs
@@ -0,0 +1,122 @@
+//! Cost of contracts: text, parsing, memory and lookup.
+
+use crate::slope::{memory_of, nanos_each};
+use agatehill_decide::{
+    contract::{ContractSpec, ContractTable},
+    contract_book::{ContractBook, PutContract},
+    name::CustomerName,
+    state::ReplicatedState,
+};
+use eyre::Result;
+use std::{fmt::Write, sync::Arc};
+
+/// Measures contracts in a daemon's table and in the keepers' book.
+#[derive(clap::Args, Debug)]
+pub(crate) struct Args {
+    /// Number of contracts.
+    #[arg(long, default_value_t = 1_000)]
+    contracts: u64,
+    /// Operations in each contract.
+    #[arg(long, default_value_t = 10)]
+    operations: u64,
+    /// Services that the operations are spread over.
+    #[arg(long, default_value_t = 840)]
+    services: u64,
+    /// Lookups that are timed.
+    #[arg(long, default_value_t = 1_000_000)]
+    lookups: u64,
+}
+
+/// Runs the command.
+pub(crate) fn run(args: &Args) -> Result<()> {
+    let Args {
+        contracts,
+        operations,
+        ..
+    } = *args;
+    let text = |number| contract_text(number, operations, args.services);
+    let parse_nanos = nanos_each(contracts.min(1_000), |number| parse(&text(number)));
+    let text_nanos = nanos_each(contracts.min(1_000), text);
+
+    let (table, table_bytes) = memory_of(|| {
+        let mut table = ContractTable::default();
+        for number in 0..contracts {
+            table.apply(Arc::new(parse(&text(number))));
+        }
+        table
+    })?;
+    let names: Vec<_> = (0..contracts).map(customer).collect();
+    let lookup_nanos = nanos_each(args.lookups, |number| {
+        let spec = table.get(&names[(number % contracts) as usize])?;
+        let operation = number % operations;
+        let service = service_name(operation % args.services);
+        spec.operation(&service, "GET", &format!("/items-{operation}/7"))
+            .map(|found| found.deadline_ms)
+    });
+    let key_nanos = nanos_each(args.lookups, |number| {
+        let operation = number % operations;
+        let service = service_name(operation % args.services);
+        (service, format!("/items-{operation}/7"))
+    });
+
+    let mut apply_nanos = 0.0;
+    let (book, book_bytes) = memory_of(|| {
+        let mut book = ContractBook::default();
+        apply_nanos = nanos_each(contracts, |number| {
+            book.apply(number + 1, put(number, text(number)))
+        });
+        book
+    })?;
+    println!(
+        "contracts={contracts} operations={operations} text_bytes={} parse_us={:.1} \
+         daemon_bytes_each={} lookup_ns={:.0} book_apply_us={:.1} book_bytes_each={}",
+        text(0).len(),
+        (parse_nanos - text_nanos) / 1e3,
+        table_bytes / contracts,
+        lookup_nanos - key_nanos,
+        (apply_nanos - text_nanos) / 1e3,
+        book_bytes / contracts
+    );
+    drop(book);
+    Ok(())
+}
+
+fn parse(text: &str) -> ContractSpec {
+    ContractSpec::parse(text).expect("the bench writes whole contracts")
+}
+
+fn put(number: u64, text: String) -> PutContract {
+    PutContract {
+        customer: customer(number),
+        revision: 1,
+        text: text.into(),
+    }
+}
+
+fn customer(number: u64) -> CustomerName {
+    let name = format!("customer-{number}");
+    CustomerName::try_from(name).expect("the name is short and plain")
+}
+
+fn service_name(number: u64) -> String {
+    format!("service-{number}")
+}
+
+fn contract_text(number: u64, operations: u64, services: u64) -> String {
+    let mut text = format!(
+        "customer = \"{}\"\nrevision = 1\ncalls_per_second = 4000\ncalls_in_flight = 1200\n\
+         retries_per_request = 2\nremember_hours = 48\n",
+        customer(number)
+    );
+    for operation in 0..operations {
+        let service = service_name(operation % services);
+        write!(
+            text,
+            "\n[[operation]]\nservice = \"{service}\"\nmethod = \"GET\"\n\
+             path = \"/items-{operation}/{{id}}\"\nclass = \"normal\"\nidempotent = true\n\
+             deadline_ms = 1500\n"
+        )
+        .expect("strings take all text");
+    }
+    text
+}
--- /dev/null
+++ b/bin/bench/src/cmd/mod.rs
@@ -0,0 +1,5 @@
+//! One module a command.
+
+pub(crate) mod claims;
+pub(crate) mod contracts;
+pub(crate) mod routes;
--- /dev/null
+++ b/bin/bench/src/cmd/routes.rs
@@ -0,0 +1,112 @@
+//! Cost of a daemon's route table: memory, upkeep and the choice of a server.
+
+use crate::slope::{memory_of, nanos_each};
+use agatehill_decide::{
+    name::{DaemonName, RegionName, ServiceName, ZoneName},
+    priority::CallPriority,
+    route::{RequestHash, RouteBook, RouteQuery, RouteReach, ServerState, ServerView},
+    time::MonoTime,
+};
+use eyre::Result;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+/// Table rebuilds that are timed.
+const REBUILDS: u64 = 20;
+
+/// Requests a server can run at once.
+const SLOTS: u32 = 50;
+
+/// Measures the route table of one daemon: every server of its own availability zone, and one
+/// entry for each service in every other zone.
+#[derive(clap::Args, Debug)]
+pub(crate) struct Args {
+    /// Number of availability zones.
+    #[arg(long, default_value_t = 29)]
+    zones: u64,
+    /// Number of services.
+    #[arg(long, default_value_t = 840)]
+    services: u64,
+    /// Servers in the daemon's own zone.
+    #[arg(long, default_value_t = 414)]
+    servers: u64,
+    /// Choices that are timed.
+    #[arg(long, default_value_t = 1_000_000)]
+    choices: u64,
+}
+
+/// Runs the command.
+pub(crate) fn run(args: &Args) -> Result<()> {
+    let Args {
+        zones, services, ..
+    } = *args;
+    let views = views(zones, services, args.servers);
+    let entries = views.len() as u64;
+    let mut upsert_nanos = 0.0;
+    let ((mut book, mut table), bytes) = memory_of(|| {
+        let mut book = RouteBook::new(zone_name(0), region_name(0));
+        upsert_nanos = nanos_each(entries, |idx| book.upsert(views[idx as usize].clone()));
+        let table = book.snapshot();
+        (book, table)
+    })?;
+    let rebuild_nanos = nanos_each(REBUILDS, |idx| {
+        book.upsert(views[idx as usize % views.len()].clone());
+        table = book.snapshot();
+    });
+    let names: Vec<_> = (0..services).map(service_name).collect();
+    let choose_nanos = nanos_each(args.choices, |number| {
+        table.choose(&RouteQuery {
+            service: &names[(number % services) as usize],
+            request: RequestHash(number.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+            priority: CallPriority::FIRST,
+            tried: &[],
+            reach: RouteReach::LOCAL,
+            now: MonoTime::ZERO,
+        })
+    });
+    println!(
+        "zones={zones} services={services} entries={entries} bytes_each={} \
+         upsert_ns={upsert_nanos:.0} rebuild_us={:.0} choose_ns={choose_nanos:.0}",
+        bytes / entries,
+        rebuild_nanos / 1e3
+    );
+    Ok(())
+}
+
+/// Returns the servers of zone 0 and the entries into the other zones.
+fn views(zones: u64, services: u64, servers: u64) -> Vec<ServerView> {
+    let own = (0..servers).map(|server| view(0, server % services, server, true));
+    let other = (1..zones).flat_map(|zone| {
+        (0..services).map(move |service| view(zone, service, service % servers, false))
+    });
+    own.chain(other).collect()
+}
+
+fn view(zone: u64, service: u64, host: u64, is_server: bool) -> ServerView {
+    let address = |port| SocketAddr::new(IpAddr::V4(host_address(zone, host)), port);
+    ServerView {
+        service: service_name(service),
+        daemon: DaemonName::try_from(format!("zone-{zone}-{host}")).expect("the name is plain"),
+        zone: zone_name(zone),
+        region: region_name(zone % 9),
+        forward: address(7002),
+        backend: is_server.then(|| address(8000)),
+        state: ServerState::Serving,
+        slots: SLOTS,
+    }
+}
+
+fn host_address(zone: u64, host: u64) -> Ipv4Addr {
+    Ipv4Addr::new(10, zone as u8, (host / 250) as u8, (host % 250) as u8)
+}
+
+fn service_name(number: u64) -> ServiceName {
+    ServiceName::try_from(format!("service-{number}")).expect("the name is plain")
+}
+
+fn zone_name(number: u64) -> ZoneName {
+    ZoneName::try_from(format!("zone-{number}")).expect("the name is plain")
+}
+
+fn region_name(number: u64) -> RegionName {
+    RegionName::try_from(format!("region-{number}")).expect("the name is plain")
+}
