--- a/bin/bench/src/cmd/mod.rs
+++ b/bin/bench/src/cmd/mod.rs
@@ -2,4 +2,5 @@
 
 pub(crate) mod claims;
 pub(crate) mod contracts;
+pub(crate) mod overload;
 pub(crate) mod routes;
--- a/bin/bench/src/main.rs
+++ b/bin/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurement programs of agatehill.
 
 mod cmd;
+mod overload;
 mod slope;
 
 use clap::{Parser, Subcommand};
@@ -17,6 +18,7 @@
 enum Command {
     Claims(cmd::claims::Args),
     Contracts(cmd::contracts::Args),
+    Overload(cmd::overload::Args),
     Routes(cmd::routes::Args),
 }
 
@@ -24,6 +26,7 @@
     match Args::parse().command {
         Command::Claims(args) => cmd::claims::run(&args),
         Command::Contracts(args) => cmd::contracts::run(&args),
+        Command::Overload(args) => cmd::overload::run(&args),
         Command::Routes(args) => cmd::routes::run(&args),
     }
 }
