Pass over servers that failed lately while others are within reach

Cause: with half of the deepest service away, 45 % of the critical requests of the zones concerned failed for two seconds. A zone's only server was tried first by every request although it had just failed, as a penalty only ordered servers of the same distance; and a try that had not run cost its lease of retries. Change: the choice takes a penalised server only when no other one is within reach; the measurement gives back the lease of a try that did not run. Ruled out: more retries (the bound is the contract's).

--- a/bin/bench/src/overload/world/daemons.rs
+++ b/bin/bench/src/overload/world/daemons.rs
@@ -170,8 +170,12 @@
             _ => AnswerEvidence::Shed { level },
         };
         current.signal.record(evidence, now);
-        if !answer.is_lost && self.control.retries == RetryMode::Budget {
-            record.budget.give_back(current.lease, answer.unused);
+        let unused = match answer.outcome {
+            CallOutcome::NotRun => current.lease.tokens(),
+            _ => answer.unused,
+        };
+        if self.control.retries == RetryMode::Budget {
+            record.budget.give_back(current.lease, unused);
         }
         let end = TryEnd {
             outcome: answer.outcome,
--- a/crates/decide/src/route/table.rs
+++ b/crates/decide/src/route/table.rs
@@ -90,12 +90,36 @@
 
 impl RouteTable {
     /// Chooses where the attempt that `query` describes goes.
+    ///
+    /// A server that failed lately is taken only when no other one within reach is there.
     pub fn choose(&self, query: &RouteQuery<'_>) -> RouteChoice {
         let Some(routes) = self.services.get(query.service) else {
             return RouteChoice::Absent;
         };
+        match routes.choose(query, RouteFitness::Ramping) {
+            RouteChoice::Absent => routes.choose(query, RouteFitness::Penalised),
+            choice => choice,
+        }
+    }
+
+    /// Returns the servers of all services with their distance and signal, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = (RouteDistance, &Arc<ServerView>, &ServerSignal)> {
+        self.services.values().flat_map(|routes| {
+            let groups = DISTANCES.into_iter().zip(&routes.groups);
+            groups.flat_map(|(distance, group)| {
+                group
+                    .iter()
+                    .map(move |entry| (distance, &entry.view, &*entry.signal))
+            })
+        })
+    }
+}
+
+impl ServiceRoutes {
+    /// Chooses among the servers of at least `fitness`, nearest first.
+    fn choose(&self, query: &RouteQuery<'_>, fitness: RouteFitness) -> RouteChoice {
         let mut level = None;
-        for (distance, group) in DISTANCES.into_iter().zip(&routes.groups) {
+        for (distance, group) in DISTANCES.into_iter().zip(&self.groups) {
             let limit = match level {
                 None => query.reach.when_absent,
                 Some(_) => query.reach.when_shed,
@@ -103,7 +127,7 @@
             if distance > limit {
                 break;
             }
-            match choose_in(group, query, level.is_some()) {
+            match choose_in(group, query, fitness, level.is_some()) {
                 GroupChoice::Entry(entry) => return RouteChoice::Target(entry.target(distance)),
                 GroupChoice::Shed(heard) => level = level.max(Some(heard)),
                 GroupChoice::Empty => {}
@@ -114,18 +138,6 @@
             None => RouteChoice::Absent,
         }
     }
-
-    /// Returns the servers of all services with their distance and signal, in no order.
-    pub fn iter(&self) -> impl Iterator<Item = (RouteDistance, &Arc<ServerView>, &ServerSignal)> {
-        self.services.values().flat_map(|routes| {
-            let groups = DISTANCES.into_iter().zip(&routes.groups);
-            groups.flat_map(|(distance, group)| {
-                group
-                    .iter()
-                    .map(move |entry| (distance, &entry.view, &*entry.signal))
-            })
-        })
-    }
 }
 
 impl RouteEntry {
@@ -176,9 +188,10 @@
 fn choose_in<'a>(
     group: &'a [RouteEntry],
     query: &RouteQuery<'_>,
+    fitness: RouteFitness,
     is_spilled: bool,
 ) -> GroupChoice<'a> {
-    let (first, second) = top_two(group, query);
+    let (first, second) = top_two(group, query, fitness);
     let Some(first) = first else {
         return GroupChoice::Empty;
     };
@@ -200,6 +213,7 @@
 fn top_two<'a>(
     group: &'a [RouteEntry],
     query: &RouteQuery<'_>,
+    least: RouteFitness,
 ) -> (Option<&'a RouteEntry>, Option<&'a RouteEntry>) {
     let mut first: Option<RankedEntry<'a>> = None;
     let mut second: Option<RankedEntry<'a>> = None;
@@ -208,6 +222,9 @@
         let Some(fitness) = entry.fitness(query, rank) else {
             continue;
         };
+        if fitness < least {
+            continue;
+        }
         let score = (fitness, rank);
         if first.is_none_or(|(best, _)| score > best) {
             second = first;
