--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,14 +7,15 @@
 pub mod chain;
 pub mod claim;
 pub mod contract;
-mod hash;
-pub mod member;
 pub mod contract_book;
 pub mod deadline;
+pub mod digest;
 pub mod document;
 pub mod gate;
+mod hash;
 pub mod level;
 pub mod limit;
+pub mod member;
 pub mod name;
 pub mod outcome;
 pub mod priority;
--- a/crates/decide/src/member.rs
+++ b/crates/decide/src/member.rs
@@ -5,8 +5,8 @@
 //! Currey, DSN-W 2018): each daemon pings one member a period, asks others to ping it when no answer
 //! comes, suspects it, and declares it dead unless it refutes. News travels on those messages and in
 //! short bursts, each item a bounded number of times, so that the cost of a daemon doesn't grow
-//! with the zone. Packets carry a hash of the sender's table; tables that stay different are
-//! exchanged whole.
+//! with the zone. Packets carry a hash of the sender's table; tables that differ
+//! when no news is on its way are exchanged whole.
 
 mod duty;
 mod node;
@@ -16,7 +16,7 @@
 mod table;
 mod wire;
 
-pub use node::{MemberInput, MemberNode, MemberOutput, MemberSettings};
+pub use node::{MemberInput, MemberNode, MemberOutput, MemberSeed, MemberSettings};
 pub use table::{MemberStatus, MemberView};
 pub use wire::{
     DATAGRAM_BYTES_MAX, MemberExchange, MemberMessage, MemberPacket, MemberRecord, MemberUpdate,
--- a/crates/decide/src/member/duty.rs
+++ b/crates/decide/src/member/duty.rs
@@ -1,7 +1,7 @@
 //! What a member does as time passes: ping, spread news, join, reconnect.
 
 use super::{
-    node::MemberNode,
+    node::{ExchangeKind, MemberNode},
     probe::MemberProbe,
     table::MemberKey,
     wire::{MemberMessage, MemberUpdate},
@@ -20,7 +20,7 @@
 const JOIN_PERIOD: Duration = Duration::from_millis(500);
 /// Time between two looks for a seed that isn't a member.
 const SEED_PERIOD: Duration = Duration::from_secs(10);
-/// Time between two tries of a dead member.
+/// Time between two tries of a member that died or left.
 const CONTACT_PERIOD: Duration = Duration::from_secs(2);
 
 impl MemberNode {
@@ -146,14 +146,15 @@
             return;
         }
         self.next_join = now + JOIN_PERIOD;
-        let known = self.table.views().map(|view| view.record.gossip);
-        let addrs: Vec<SocketAddr> = known.chain(self.seeds.iter().copied()).collect();
+        let known = self.table.views().map(|view| view.record.control);
+        let seeds = self.seeds.iter().map(|seed| seed.control);
+        let addrs: Vec<SocketAddr> = known.chain(seeds).collect();
         if let Some(addr) = pick(&addrs, random) {
-            self.exchange(addr);
+            self.exchange(addr, ExchangeKind::Introduction);
         }
     }
 
-    /// Tries seeds that are no members, and members that were declared dead.
+    /// Tries seeds that are no members, and members that died or left.
     fn reconnect(&mut self, now: MonoTime, random: &mut impl Rng) {
         if self.has_left {
             return;
@@ -162,10 +163,13 @@
             self.next_seed = now + SEED_PERIOD;
             let known = self.table.views().map(|view| view.record.gossip);
             let known: HashSet<SocketAddr> = known.collect();
-            let seeds = self.seeds.iter().copied();
-            let lost: Vec<SocketAddr> = seeds.filter(|seed| !known.contains(seed)).collect();
+            let lost = self
+                .seeds
+                .iter()
+                .filter(|seed| !known.contains(&seed.gossip));
+            let lost: Vec<SocketAddr> = lost.map(|seed| seed.control).collect();
             if let Some(addr) = pick(&lost, random) {
-                self.exchange(addr);
+                self.exchange(addr, ExchangeKind::Introduction);
             }
         }
         if now >= self.next_contact {
--- a/crates/decide/src/member/node.rs
+++ b/crates/decide/src/member/node.rs
@@ -33,12 +33,23 @@
     pub zone: ZoneName,
     /// Larger than that of the daemon's earlier runs, as far as known.
     pub incarnation: Incarnation,
-    /// Where it takes gossip, by datagram and by stream.
+    /// Where it takes gossip.
     pub gossip: SocketAddr,
+    /// Where it takes control messages.
+    pub control: SocketAddr,
     /// Where it takes forwarded requests.
     pub forward: SocketAddr,
-    /// Gossip addresses of some daemons of the zone.
-    pub seeds: Vec<SocketAddr>,
+    /// Some daemons to join; those of other zones are of no use here, and do no harm.
+    pub seeds: Vec<MemberSeed>,
+}
+
+/// Where a daemon to join listens.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct MemberSeed {
+    /// Where it takes gossip.
+    pub gossip: SocketAddr,
+    /// Where it takes control messages.
+    pub control: SocketAddr,
 }
 
 /// What happens to a node.
@@ -75,7 +86,7 @@
     },
     /// Send the table over a stream and bring the answer as `Exchanged`.
     Exchange {
-        /// Where to.
+        /// The control address to send it to.
         to: SocketAddr,
         /// The table.
         exchange: MemberExchange,
@@ -91,7 +102,7 @@
     pub(super) zone: ZoneName,
     pub(super) own: MemberRecord,
     pub(super) has_left: bool,
-    pub(super) seeds: Vec<SocketAddr>,
+    pub(super) seeds: Vec<MemberSeed>,
     pub(super) table: MemberTable,
     pub(super) table_hash: u64,
     pub(super) queue: NewsQueue,
@@ -103,8 +114,9 @@
     pub(super) next_join: MonoTime,
     /// Until when the table may be wrong, unless a settled member is heard first.
     pub(super) unsettled_until: Option<MonoTime>,
-    /// When another table was last equal to this one.
-    pub(super) agreed: MonoTime,
+    /// When this table last changed.
+    pub(super) changed: MonoTime,
+    pub(super) next_exchange: MonoTime,
     pub(super) outputs: Vec<MemberOutput>,
 }
 
@@ -115,6 +127,7 @@
             name: settings.name,
             incarnation: settings.incarnation,
             gossip: settings.gossip,
+            control: settings.control,
             forward: settings.forward,
             servers: Vec::new(),
         };
@@ -122,7 +135,7 @@
         let table = MemberTable::new(own.name.clone());
         MemberNode {
             zone: settings.zone,
-            seeds: seeds.filter(|seed| *seed != own.gossip).collect(),
+            seeds: seeds.filter(|seed| seed.gossip != own.gossip).collect(),
             table_hash: table.hash(&own),
             table,
             own,
@@ -135,7 +148,8 @@
             next_seed: now,
             next_join: now,
             unsettled_until: Some(now + JOIN_SPAN),
-            agreed: now,
+            changed: now,
+            next_exchange: now,
             outputs: Vec::new(),
         }
     }
@@ -184,7 +198,7 @@
         self.table.postpone(late);
         self.schedule.restart(now);
         self.schedule.worsen();
-        self.agreed = now;
+        self.changed = now;
         if late >= FREEZE_SPAN {
             self.unsettled_until = Some(now + JOIN_SPAN);
             self.next_join = now;
@@ -248,6 +262,7 @@
 
     pub(super) fn note_change(&mut self) {
         self.table_hash = self.table.hash(&self.own);
+        self.changed = self.last_step;
         self.outputs.push(MemberOutput::Changed);
     }
 
@@ -273,9 +288,9 @@
         }
     }
 
-    pub(super) fn exchange(&mut self, to: SocketAddr) {
+    pub(super) fn exchange(&mut self, to: SocketAddr, kind: ExchangeKind) {
         let mut exchange = self.own_exchange();
-        if exchange.is_settled {
+        if exchange.is_settled && kind == ExchangeKind::Table {
             exchange.updates = self.table.updates();
         }
         self.outputs.push(MemberOutput::Exchange { to, exchange });
@@ -319,3 +334,12 @@
         self.outputs.push(MemberOutput::Send { to, packet });
     }
 }
+
+/// What a member gives of its table when it asks for another's.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum ExchangeKind {
+    /// Its own record, to a daemon that may be of another zone or know better.
+    Introduction,
+    /// All of it.
+    Table,
+}
--- a/crates/decide/src/member/receive.rs
+++ b/crates/decide/src/member/receive.rs
@@ -1,7 +1,7 @@
 //! What a member does with packets and with whole tables.
 
 use super::{
-    node::{MemberNode, MemberOutput},
+    node::{ExchangeKind, MemberNode, MemberOutput},
     probe::RelayedPing,
     queue::NewsQueue,
     wire::{MemberExchange, MemberMessage, MemberPacket, MemberUpdate},
@@ -10,8 +10,8 @@
 use rand::Rng;
 use std::{collections::HashSet, net::SocketAddr, time::Duration};
 
-/// Time without agreement after which tables are exchanged whole.
-const MISMATCH_SPAN: Duration = Duration::from_secs(3);
+/// Time without news after which tables that differ are exchanged whole, and time between exchanges.
+const QUIET_SPAN: Duration = Duration::from_secs(3);
 
 impl MemberNode {
     pub(super) fn receive(
@@ -31,10 +31,12 @@
                 self.merge(update, now, random);
             }
         }
-        self.compare(from, packet.table_hash, now);
+        self.compare(&packet.from, packet.table_hash, now);
         match packet.message {
             MemberMessage::Ping(name) if name == self.own.name => {
-                let news = self.accusation(&packet.from);
+                let is_misjudged = packet.updates.iter().any(|update| self.is_outdated(update));
+                let own = is_misjudged.then(|| self.own_update());
+                let news = self.accusation(&packet.from).or(own);
                 self.send(from, packet.seq, MemberMessage::Ack, news);
             }
             MemberMessage::Ping(_) | MemberMessage::News => {}
@@ -46,6 +48,18 @@
         }
     }
 
+    /// Returns whether `update` speaks against an earlier record of this member.
+    fn is_outdated(&self, update: &MemberUpdate) -> bool {
+        match update {
+            MemberUpdate::Alive(_) => false,
+            MemberUpdate::Suspect(name, incarnation)
+            | MemberUpdate::Dead(name, incarnation)
+            | MemberUpdate::Left(name, incarnation) => {
+                *name == self.own.name && *incarnation < self.own.incarnation
+            }
+        }
+    }
+
     fn take_ack(&mut self, seq: u32) {
         if self.schedule.acknowledge(seq) {
             return;
@@ -74,14 +88,17 @@
         self.send(addr, seq, MemberMessage::Ping(name), news);
     }
 
-    /// Exchanges tables with a sender if nobody's table has been equal to this one for long.
-    fn compare(&mut self, from: SocketAddr, hash: u64, now: MonoTime) {
-        if hash == self.table_hash {
-            self.agreed = now;
+    /// Exchanges tables with a sender whose table differs though no news has come for a while.
+    fn compare(&mut self, from: &DaemonName, hash: u64, now: MonoTime) {
+        let is_quiet = now.since(self.changed) >= QUIET_SPAN;
+        if hash == self.table_hash || !is_quiet || now < self.next_exchange {
+            return;
         }
-        if now.since(self.agreed) >= MISMATCH_SPAN {
-            self.agreed = now;
-            self.exchange(from);
+        // A sender that isn't known here knows this member and asks in its turn.
+        if let Some(entry) = self.table.key(from).and_then(|key| self.table.get(key)) {
+            let control = entry.record.control;
+            self.next_exchange = now + QUIET_SPAN;
+            self.exchange(control, ExchangeKind::Table);
         }
     }
 
--- a/crates/decide/src/member/table.rs
+++ b/crates/decide/src/member/table.rs
@@ -18,7 +18,7 @@
 const SUSPICION_SPAN: Duration = Duration::from_millis(2_500);
 /// Age from which a grave gives way to a whole table that holds the member alive.
 const REVIVE_AGE: Duration = Duration::from_secs(3);
-/// Time for which a dead member is remembered and tried again.
+/// Time for which a dead member is remembered.
 const DEAD_SPAN: Duration = Duration::from_secs(3_600);
 /// Time for which a member that has left is remembered.
 const LEFT_SPAN: Duration = Duration::from_secs(600);
@@ -60,7 +60,9 @@
 struct MemberGrave {
     incarnation: Incarnation,
     since: MonoTime,
-    /// Of a member that died; one that left is not tried again.
+    /// It died, rather than left.
+    is_dead: bool,
+    /// Where its next run may be found, if it was known.
     contact: Option<SocketAddr>,
 }
 
@@ -213,7 +215,8 @@
         let grave = MemberGrave {
             incarnation,
             since: now,
-            contact: contact.filter(|_| is_dead),
+            is_dead,
+            contact,
         };
         match entry {
             Some(_) => {
@@ -281,7 +284,7 @@
         self.keys.retain(|name, _| keep(name));
     }
 
-    /// Returns the dead members that are worth another try.
+    /// Returns the members that died or left and may have come back.
     pub(super) fn contacts(&self) -> Vec<(&DaemonName, SocketAddr)> {
         let with_contact = |(name, grave): (_, &MemberGrave)| Some((name, grave.contact?));
         self.graves.iter().filter_map(with_contact).collect()
@@ -299,7 +302,7 @@
     /// Lets a grave give way to `record`, which a whole table holds alive; pings will tell.
     pub(super) fn revive(&mut self, record: &MemberRecord, now: MonoTime) {
         let gives_way = |grave: &MemberGrave| {
-            grave.contact.is_some()
+            grave.is_dead
                 && grave.incarnation == record.incarnation
                 && now.since(grave.since) >= REVIVE_AGE
         };
@@ -328,16 +331,16 @@
 
 impl MemberGrave {
     fn span(&self) -> Duration {
-        match self.contact {
-            Some(_) => DEAD_SPAN,
-            None => LEFT_SPAN,
+        match self.is_dead {
+            true => DEAD_SPAN,
+            false => LEFT_SPAN,
         }
     }
 
     fn update(&self, name: &DaemonName) -> MemberUpdate {
-        match self.contact {
-            Some(_) => MemberUpdate::Dead(name.clone(), self.incarnation),
-            None => MemberUpdate::Left(name.clone(), self.incarnation),
+        match self.is_dead {
+            true => MemberUpdate::Dead(name.clone(), self.incarnation),
+            false => MemberUpdate::Left(name.clone(), self.incarnation),
         }
     }
 }
--- a/crates/decide/src/member/wire.rs
+++ b/crates/decide/src/member/wire.rs
@@ -15,7 +15,7 @@
 /// Upper bound of a packet without its updates and names, in bytes.
 const PACKET_BYTES: usize = 96;
 /// Upper bound of a record without its servers and names, in bytes.
-const RECORD_BYTES: usize = 64;
+const RECORD_BYTES: usize = 88;
 /// Upper bound of a server without its name, in bytes.
 const SERVER_BYTES: usize = 32;
 /// Upper bound of an update that only names a member, without the name, in bytes.
@@ -43,6 +43,8 @@
     pub incarnation: Incarnation,
     /// Where it takes gossip.
     pub gossip: SocketAddr,
+    /// Where it takes control messages, whole tables among them.
+    pub control: SocketAddr,
     /// Where it takes forwarded requests.
     pub forward: SocketAddr,
     /// Its backend servers.
@@ -103,7 +105,7 @@
     pub own: MemberRecord,
     /// Whether the sender has learned the table from another member since it started or froze.
     pub is_settled: bool,
-    /// The sender's table; only its own record if it isn't settled.
+    /// The sender's table, or nothing if it only introduces itself.
     pub updates: Vec<MemberUpdate>,
 }
 
--- a/crates/decide/tests/member.rs
+++ b/crates/decide/tests/member.rs
@@ -5,7 +5,8 @@
 use agatehill_decide::{
     member::{
         DATAGRAM_BYTES_MAX, MemberExchange, MemberInput, MemberMessage, MemberNode, MemberOutput,
-        MemberPacket, MemberRecord, MemberSettings, MemberStatus, MemberUpdate, ServerNote,
+        MemberPacket, MemberRecord, MemberSeed, MemberSettings, MemberStatus, MemberUpdate,
+        ServerNote,
     },
     name::{DaemonName, Incarnation, ServiceName, ZoneName},
     route::ServerState,
@@ -208,6 +209,7 @@
         name: DaemonName::try_from(format!("daemon-{number}")).unwrap(),
         incarnation: Incarnation(5),
         gossip: SocketAddr::from(([10, 0, 0, 1], number)),
+        control: SocketAddr::from(([10, 0, 0, 1], number)),
         forward: SocketAddr::from(([10, 0, 0, 1], number)),
         servers: Vec::new(),
     };
@@ -223,6 +225,7 @@
         zone: zone.clone(),
         incarnation: Incarnation(5),
         gossip: record(0).gossip,
+        control: record(0).control,
         forward: record(0).forward,
         seeds: Vec::new(),
     };
@@ -261,6 +264,7 @@
 
 #[test]
 fn packets_fit_a_datagram() {
+    let seed = SocketAddr::from(([0xffff; 8], 1));
     let long = |number: usize| format!("{number:064}");
     let mut random = StdRng::seed_from_u64(1);
     let settings = |number: usize| MemberSettings {
@@ -268,8 +272,12 @@
         zone: ZoneName::try_from(long(0)).unwrap(),
         incarnation: Incarnation(u64::MAX / 2),
         gossip: SocketAddr::from(([0xffff; 8], 65_535)),
+        control: SocketAddr::from(([0xffff; 8], 65_535)),
         forward: SocketAddr::from(([0xffff; 8], 65_535)),
-        seeds: vec![SocketAddr::from(([0xffff; 8], 1))],
+        seeds: vec![MemberSeed {
+            gossip: seed,
+            control: seed,
+        }],
     };
     let note = ServerNote {
         service: ServiceName::try_from(long(0)).unwrap(),
@@ -381,7 +389,7 @@
         seed in any::<u64>(),
         faults in proptest::collection::vec((any_fault(9), 0..4_000_u64), 1..12),
     ) {
-        let mut net = MemberNet::start(9, seed);
+        let mut net = settled(9, seed);
         for (fault, wait) in faults {
             net.run(Duration::from_millis(wait));
             inflict(&mut net, fault);
--- a/crates/decide/tests/support/mod.rs
+++ b/crates/decide/tests/support/mod.rs
@@ -2,8 +2,8 @@
 
 use agatehill_decide::{
     member::{
-        MemberExchange, MemberInput, MemberNode, MemberOutput, MemberPacket, MemberSettings,
-        MemberStatus, ServerNote, TICK_SPAN,
+        MemberExchange, MemberInput, MemberNode, MemberOutput, MemberPacket, MemberSeed,
+        MemberSettings, MemberStatus, ServerNote, TICK_SPAN,
     },
     name::{DaemonName, Incarnation, ServiceName, ZoneName},
     route::ServerState,
@@ -82,8 +82,9 @@
             zone: ZoneName::try_from("herning-1").unwrap(),
             incarnation: Incarnation(self.runs[idx] * 1_000),
             gossip: addr(idx),
+            control: addr(idx),
             forward: addr(idx),
-            seeds: vec![addr(0), addr(1)],
+            seeds: [0, 1].map(seed).to_vec(),
         };
         let node = MemberNode::new(settings, self.now);
         let is_paused = false;
@@ -291,6 +292,11 @@
     SocketAddr::from(([10, 0, 0, 1], u16::try_from(idx).unwrap()))
 }
 
+fn seed(idx: usize) -> MemberSeed {
+    let (gossip, control) = (addr(idx), addr(idx));
+    MemberSeed { gossip, control }
+}
+
 fn number(addr: SocketAddr) -> usize {
     usize::from(addr.port())
 }
