--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod document;
 pub mod gate;
 mod hash;
+pub mod inquiry;
 pub mod level;
 pub mod limit;
 pub mod member;
@@ -21,7 +22,10 @@
 pub mod priority;
 pub mod quarantine;
 pub mod quota;
+pub mod replica;
 pub mod retry;
 pub mod route;
 pub mod state;
 pub mod time;
+
+mod hash;
