--- a/bin/keeper/src/driver.rs
+++ b/bin/keeper/src/driver.rs
@@ -199,6 +199,13 @@
                 warn!("disk takes no writes", kv: { error = error.to_string() });
             }
             failing = true;
+            let mut shown = self
+                .shared
+                .status
+                .lock()
+                .expect("no holder of the lock panics");
+            shown.current = false;
+            drop(shown);
             gauge!("agatehill_disk_failing", "group" => self.group().to_string()).set(1.0);
             thread::sleep(DISK_PAUSE);
         }
--- a/bin/keeper/src/hub.rs
+++ b/bin/keeper/src/hub.rs
@@ -23,12 +23,18 @@
 use agatehill_store::{DataFolder, StoreError};
 use serde::{Serialize, de::DeserializeOwned};
 use serde_json::json;
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 /// The group of the contracts; those of the claims follow.
 const CONTRACT_GROUP: u16 = 0;
 /// Longest wait of a feed request.
 const FEED_WAIT_MAX: Duration = Duration::from_secs(30);
+/// Time between two looks of a waiting feed at the replica.
+const FEED_LOOK: Duration = Duration::from_millis(200);
 /// Time limit of a command that is passed on to the keeper that leads.
 const FORWARD_SPAN: Duration = Duration::from_secs(2);
 /// Time between two messages of a leader.
@@ -87,8 +93,11 @@
     }
 
     fn feed_page(&self, after: u64) -> FeedPage {
+        // Read before the state: what is applied meanwhile makes the page only newer.
+        let current = self.book().status().current;
         self.book().read(|book| FeedPage {
             position: book.position(),
+            current,
             contracts: book.changed_after(after).map(contract_text).collect(),
         })
     }
@@ -183,16 +192,14 @@
 
 impl KeeperService for KeeperHub {
     async fn feed(&self, after: u64, wait: Duration) -> Result<FeedPage, KeeperError> {
+        let end = Instant::now() + wait.min(FEED_WAIT_MAX);
         let mut applied = self.book().applied();
-        let newer = async {
-            while self.book().read(ContractBook::position) <= after {
-                if applied.changed().await.is_err() {
-                    return;
-                }
-            }
-        };
-        // A page without contracts is the answer when none is newer.
-        let _ = tokio::time::timeout(wait.min(FEED_WAIT_MAX), newer).await;
+        let is_newer = |book: &ContractBook| book.position() > after;
+        while Instant::now() < end && self.book().status().current && !self.book().read(is_newer) {
+            let left = end.saturating_duration_since(Instant::now());
+            // Looks up now and then to see whether the leader can still be heard.
+            let _ = tokio::time::timeout(left.min(FEED_LOOK), applied.changed()).await;
+        }
         Ok(self.feed_page(after))
     }
 
@@ -266,6 +273,10 @@
         })
     }
 
+    fn is_current(&self) -> bool {
+        self.book().status().current
+    }
+
     fn get(&self, customer: &CustomerName) -> Option<ContractReport> {
         self.book().read(|book| {
             let record = book.get(customer)?;
--- a/bin/keeper/src/main.rs
+++ b/bin/keeper/src/main.rs
@@ -7,6 +7,7 @@
 mod outbox;
 
 use clap::{Parser, Subcommand};
+use std::process::ExitCode;
 
 /// Keeps contracts and claims on disk, replicated over the keepers.
 #[derive(Debug, Parser)]
@@ -18,11 +19,19 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Runs the keeper until it is told to stop.
     Serve(cmd::serve::Args),
 }
 
-fn main() -> eyre::Result<()> {
-    match Args::parse().command {
+fn main() -> ExitCode {
+    let result = match Args::parse().command {
         Command::Serve(args) => cmd::serve::run(args),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("agatehill-keeper: {report:#}");
+            ExitCode::FAILURE
+        }
     }
 }
--- a/crates/decide/src/replica/elect.rs
+++ b/crates/decide/src/replica/elect.rs
@@ -35,7 +35,7 @@
 
     pub(super) fn on_vote_ask(&mut self, from: MemberKey, pre: bool, term: u64, last: (u64, u64)) {
         let granted = if pre {
-            term > self.hard.term && !self.hears_leader() && self.is_current(last)
+            term > self.hard.term && !self.hears_leader() && self.holds_less_than(last)
         } else {
             self.observe_term(term);
             self.grant_vote(&from, term, last)
@@ -147,7 +147,7 @@
 
     fn grant_vote(&mut self, from: &MemberKey, term: u64, last: (u64, u64)) -> bool {
         let free = self.hard.vote.as_ref().is_none_or(|vote| vote == from);
-        if term != self.hard.term || !free || !self.is_current(last) {
+        if term != self.hard.term || !free || !self.holds_less_than(last) {
             return false;
         }
         if self.hard.vote.is_none() {
@@ -159,8 +159,8 @@
     }
 
     /// Returns whether a log that ends with `last` (term, index) holds all that this one may have
-    /// acknowledged.
-    fn is_current(&self, last: (u64, u64)) -> bool {
+    /// acknowledged, and perhaps more.
+    fn holds_less_than(&self, last: (u64, u64)) -> bool {
         last >= (self.log.last_term(), self.log.last_index())
     }
 
--- a/crates/decide/src/replica/follow.rs
+++ b/crates/decide/src/replica/follow.rs
@@ -32,9 +32,9 @@
         }
         let matched = prev_index + entries.len() as u64;
         self.append_new(entries);
-        let commit = commit.min(matched);
-        if commit > self.commit {
-            self.commit = commit;
+        self.commit = self.commit.max(commit.min(matched));
+        if self.commit >= commit {
+            self.current_at = Some(self.now);
         }
         self.reply_append(from, AppendResult::Matched(matched));
         self.apply_committed();
--- a/crates/decide/src/replica/lead.rs
+++ b/crates/decide/src/replica/lead.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Returns whether `commit` covers all that earlier leaders may have acknowledged.
+    pub(super) fn has_committed(&self, commit: u64) -> bool {
+        commit >= self.first_index
+    }
+
     /// Returns how far `voter` is known to agree.
     fn matched(&self, voter: &MemberKey) -> u64 {
         let progress = self.followers.get(&voter.name);
--- a/crates/decide/src/replica/node.rs
+++ b/crates/decide/src/replica/node.rs
@@ -125,6 +125,8 @@
     pub snapshot: u64,
     /// The voters.
     pub voters: Vec<String>,
+    /// Whether the applied state is as new as the leader's was a moment ago.
+    pub current: bool,
 }
 
 /// What a replica does at the moment.
@@ -150,6 +152,8 @@
     pub(super) persisted: u64,
     /// When a leader was last heard of.
     pub(super) heard_at: Option<MonoTime>,
+    /// When a leader last said that all that is committed has been applied here.
+    pub(super) current_at: Option<MonoTime>,
     pub(super) election_at: MonoTime,
     pub(super) now: MonoTime,
     pub(super) random: u64,
@@ -187,6 +191,7 @@
             commit: start,
             applied: start,
             heard_at: None,
+            current_at: None,
             election_at: MonoTime::ZERO,
             now,
             random,
@@ -220,6 +225,18 @@
         self.leader.as_ref()
     }
 
+    /// Returns whether the applied state is as new as the leader's was a moment ago.
+    ///
+    /// False while the replica is cut off, and after a start until it has caught up. By its own
+    /// clock: a process that was frozen may be wrong until it next takes an input.
+    pub fn is_current(&self) -> bool {
+        let recent = |at| self.now.since(at) < self.settings.election;
+        match &self.role {
+            ReplicaRole::Leader(leader) => leader.has_committed(self.commit),
+            _ => self.current_at.is_some_and(recent),
+        }
+    }
+
     /// Returns the number of entries that a snapshot would free.
     pub fn entries_since_snapshot(&self) -> u64 {
         self.applied - self.log.snapshot().meta.index
@@ -251,6 +268,7 @@
                 .iter()
                 .map(MemberKey::to_string)
                 .collect(),
+            current: self.is_current(),
         }
     }
 
--- a/crates/decide/tests/replica.rs
+++ b/crates/decide/tests/replica.rs
@@ -3,10 +3,19 @@
 
 mod replica_bed;
 
+use agatehill_decide::{
+    name::{Incarnation, KeeperName},
+    replica::{
+        AppendResult, EntryPayload, GroupConfig, LogEntry, MemberKey, RecoveredState,
+        ReplicaEnvelope, ReplicaInput, ReplicaMessage, ReplicaNode, ReplicaOutput, ReplicaSettings,
+        ReplicaSnapshot, SnapshotMeta,
+    },
+    time::MonoTime,
+};
 use proptest::{prelude::*, test_runner::RngSeed};
 use replica_bed::{BedSettings, ReplicaBed};
 use rstest::rstest;
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 const CASES: u32 = 60;
 /// Time in which the voters must have replaced a lost disk.
@@ -32,6 +41,7 @@
         cases: CASES,
         rng_seed: RngSeed::Fixed(4_1),
         failure_persistence: None,
+        max_shrink_iters: 40,
         ..ProptestConfig::default()
     })]
 
@@ -70,3 +80,158 @@
         bed.check_converged();
     }
 }
+
+/// The disk and the node of one of three voters, driven by hand.
+struct LoneVoter {
+    disk: RecoveredState,
+    node: ReplicaNode,
+    now: MonoTime,
+}
+
+impl LoneVoter {
+    fn open(term: u64, entries: Vec<LogEntry>) -> LoneVoter {
+        let config = GroupConfig {
+            voters: (0..3).map(key).collect(),
+        };
+        let meta = SnapshotMeta {
+            index: 1,
+            term: 1,
+            config,
+        };
+        let data: Arc<[u8]> = Arc::new([]);
+        let mut disk = RecoveredState {
+            snapshot: Some(ReplicaSnapshot { meta, data }),
+            entries,
+            ..RecoveredState::default()
+        };
+        disk.hard.term = term;
+        LoneVoter::start(disk, MonoTime::ZERO)
+    }
+
+    fn start(disk: RecoveredState, now: MonoTime) -> LoneVoter {
+        let names: Vec<_> = (0..3).map(|idx| key(idx).name).collect();
+        let settings = ReplicaSettings {
+            group: 0,
+            key: key(0),
+            keepers: names.clone(),
+            voters: names,
+            heartbeat: Duration::from_millis(50),
+            election: Duration::from_millis(300),
+        };
+        let node = ReplicaNode::open(settings, disk.clone(), now, 0);
+        LoneVoter { disk, node, now }
+    }
+
+    /// Starts again from what was made durable.
+    fn restart(self) -> LoneVoter {
+        LoneVoter::start(self.disk, self.now)
+    }
+
+    fn step(&mut self, input: ReplicaInput) -> Vec<ReplicaOutput> {
+        let outputs = self.node.step(input, self.now, 0);
+        for output in &outputs {
+            if let ReplicaOutput::Persist(batch) = output {
+                replica_bed::persist(&mut self.disk, batch.clone());
+            }
+        }
+        outputs
+    }
+
+    fn hear(&mut self, from: usize, message: ReplicaMessage) -> Vec<ReplicaOutput> {
+        self.step(ReplicaInput::Message(ReplicaEnvelope {
+            group: 0,
+            from: key(from),
+            to: key(0).name,
+            message,
+        }))
+    }
+
+    /// Whether the vote that `from` asks for in `term` is given.
+    fn votes_for(&mut self, from: usize, term: u64) -> bool {
+        let ask = ReplicaMessage::VoteAsk {
+            pre: false,
+            term,
+            last_index: 9,
+            last_term: 9,
+        };
+        let outputs = self.hear(from, ask);
+        let granted = |output: &ReplicaOutput| match output {
+            ReplicaOutput::Send(envelope) => {
+                matches!(
+                    envelope.message,
+                    ReplicaMessage::VoteReply { granted: true, .. }
+                )
+            }
+            _ => false,
+        };
+        outputs.iter().any(granted)
+    }
+
+    fn lead(&mut self) {
+        self.now = self.now + Duration::from_secs(1);
+        self.step(ReplicaInput::Tick);
+        let asked = self.node.status().term + 1;
+        for (pre, term) in [(true, asked), (false, asked)] {
+            let granted = true;
+            self.hear(1, ReplicaMessage::VoteReply { pre, term, granted });
+        }
+        assert!(self.node.is_leader());
+    }
+
+    /// Takes the acknowledgement of `from` up to `index`; returns the last entry applied.
+    fn acknowledged(&mut self, from: usize, index: u64) -> u64 {
+        let term = self.node.status().term;
+        let result = AppendResult::Matched(index);
+        self.step(ReplicaInput::Persisted);
+        self.hear(from, ReplicaMessage::AppendReply { term, result });
+        self.node.status().commit
+    }
+}
+
+fn key(idx: usize) -> MemberKey {
+    MemberKey {
+        name: KeeperName::try_from(format!("keeper-{idx}")).unwrap(),
+        incarnation: Incarnation(idx as u64),
+    }
+}
+
+#[test]
+fn a_vote_survives_a_restart() {
+    let mut voter = LoneVoter::open(1, Vec::new());
+    assert!(voter.votes_for(1, 2));
+    let mut voter = voter.restart();
+    assert!(!voter.votes_for(2, 2), "a second vote in one term");
+    assert!(voter.votes_for(1, 2), "a resend gets the same vote");
+}
+
+/// Figure 8 of the Raft paper: a majority that holds an entry of an earlier term may lose it yet.
+#[test]
+fn an_entry_of_an_earlier_term_commits_only_with_one_of_this_term() {
+    let old = LogEntry {
+        index: 2,
+        term: 2,
+        payload: EntryPayload::Command(Arc::new([1])),
+    };
+    let mut leader = LoneVoter::open(2, vec![old]);
+    leader.lead();
+    assert_eq!(leader.acknowledged(1, 2), 1);
+    assert_eq!(leader.acknowledged(1, 3), 3);
+}
+
+#[test]
+fn an_acknowledgement_of_a_lost_incarnation_counts_for_nothing() {
+    let mut leader = LoneVoter::open(1, Vec::new());
+    leader.lead();
+    let term = leader.node.status().term;
+    leader.step(ReplicaInput::Persisted);
+    let result = AppendResult::Matched(2);
+    let mut from = key(1);
+    from.incarnation = Incarnation(77);
+    leader.step(ReplicaInput::Message(ReplicaEnvelope {
+        group: 0,
+        from,
+        to: key(0).name,
+        message: ReplicaMessage::AppendReply { term, result },
+    }));
+    assert_eq!(leader.node.status().commit, 1);
+}
--- a/crates/decide/tests/replica_bed/mod.rs
+++ b/crates/decide/tests/replica_bed/mod.rs
@@ -397,13 +397,20 @@
     /// An operator gets an answer: it must never contradict an earlier one.
     fn answer(&mut self, token: u64, reply: PutReply) {
         let put = self.puts[&token].clone();
-        let PutReply::Accepted(accepted) = reply else {
-            return;
-        };
-        assert_eq!(accepted.digest, text_digest(&put.text));
-        let key = (put.customer.clone(), accepted.revision);
-        let (first, _) = self.accepted.entry(key).or_insert((accepted, put));
-        assert_eq!(*first, accepted, "a revision has two winners or answers");
+        let digest = text_digest(&put.text);
+        let key = (put.customer.clone(), put.revision);
+        if let Some((first, _)) = self.accepted.get(&key) {
+            let first = *first;
+            let wanted = if first.digest == digest {
+                PutReply::Accepted(first)
+            } else {
+                PutReply::Conflict(first)
+            };
+            assert_eq!(reply, wanted, "an answer contradicts the first");
+        } else if let PutReply::Accepted(accepted) = reply {
+            assert_eq!(accepted.digest, digest);
+            self.accepted.insert(key, (accepted, put));
+        }
     }
 
     /// Two operators race with the next revision, or one resends an old change.
@@ -436,7 +443,7 @@
 }
 
 /// What a disk holds after `batch`.
-fn persist(disk: &mut RecoveredState, batch: PersistBatch) {
+pub(crate) fn persist(disk: &mut RecoveredState, batch: PersistBatch) {
     if let Some(hard) = batch.hard {
         disk.hard = hard;
     }
--- a/crates/operator/src/contracts.rs
+++ b/crates/operator/src/contracts.rs
@@ -22,6 +22,8 @@
 pub const CONTRACT_BYTES_MAX: usize = 1 << 20;
 /// Seconds after which an operator may try again.
 const RETRY_SECONDS: &str = "1";
+/// Detail of an answer that a keeper can't give by itself.
+const NOT_CURRENT: &str = "this keeper is not in touch with the leader; ask another one";
 
 /// One accepted revision, as operators see it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -92,6 +94,9 @@
         text: String,
     ) -> impl Future<Output = Result<PutReply, PutError>> + Send;
 
+    /// Returns whether this keeper is in touch with the leader, so that its contracts are the latest.
+    fn is_current(&self) -> bool;
+
     /// Returns the latest contract of `customer` that this keeper knows.
     fn get(&self, customer: &CustomerName) -> Option<ContractReport>;
 
@@ -137,11 +142,17 @@
 }
 
 async fn list_contracts<S: ContractService>(service: S, state: State) -> (State, Response<Body>) {
-    (state, json(StatusCode::OK, &service.list()))
+    let answer = if service.is_current() {
+        json(StatusCode::OK, &service.list())
+    } else {
+        again(NOT_CURRENT)
+    };
+    (state, answer)
 }
 
 async fn get_contract<S: ContractService>(service: S, state: State) -> (State, Response<Body>) {
     let answer = match path_customer(&state) {
+        Ok(_) if !service.is_current() => again(NOT_CURRENT),
         Ok(customer) => found(service.get(&customer), &customer),
         Err(fault) => fault.into(),
     };
@@ -150,6 +161,7 @@
 
 async fn log_contract<S: ContractService>(service: S, state: State) -> (State, Response<Body>) {
     let answer = match path_customer(&state) {
+        Ok(_) if !service.is_current() => again(NOT_CURRENT),
         Ok(customer) => found(service.log(&customer), &customer),
         Err(fault) => fault.into(),
     };
--- a/crates/peer/src/keeper.rs
+++ b/crates/peer/src/keeper.rs
@@ -41,6 +41,8 @@
 pub struct FeedPage {
     /// The log position that the page brings its reader to.
     pub position: u64,
+    /// Whether the keeper is in touch with the leader, so that nothing newer is accepted.
+    pub current: bool,
     /// The latest contract of each customer with a change.
     pub contracts: Vec<ContractText>,
 }
--- a/crates/peer/src/keeper_client.rs
+++ b/crates/peer/src/keeper_client.rs
@@ -31,8 +31,12 @@
 const COMMAND_SPAN: Duration = Duration::from_secs(2);
 /// Time limit of a put over all attempts.
 const PUT_SPAN: Duration = Duration::from_secs(8);
+/// Longest wait of a feed, so that a silent connection is noticed.
+const FEED_WAIT_MAX: Duration = Duration::from_secs(1);
 /// Time limit of a feed beyond the time it was asked to wait.
-const FEED_GRACE: Duration = Duration::from_secs(1);
+const FEED_GRACE: Duration = Duration::from_millis(500);
+/// Most keepers that one feed asks.
+const FEED_TRIES: usize = 3;
 /// Time after which the nearest keeper is tried again.
 const HOME_SPAN: Duration = Duration::from_secs(30);
 /// Pause before another attempt while no keeper leads or can be reached.
@@ -137,28 +141,32 @@
         }
     }
 
-    /// Waits up to `wait` for contracts that are newer than log position `after`.
+    /// Waits up to `wait`, a second at most, for contracts newer than log position `after`.
+    ///
+    /// A keeper that is cut off from the leader is left for another one; its page counts only if
+    /// no other keeper has a better one.
     ///
     /// # Errors
     ///
     /// No keeper answered.
     pub async fn feed(&self, after: u64, wait: Duration) -> Result<FeedPage, KeeperError> {
-        let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-        let mut last = KeeperError::Unreachable;
-        for _ in &self.shared.links {
+        let wait = wait.min(FEED_WAIT_MAX);
+        let start = Instant::now();
+        let mut best: Option<FeedPage> = None;
+        for _ in self.shared.links.iter().take(FEED_TRIES) {
             let (idx, link) = self.link()?;
-            let span = wait + FEED_GRACE;
-            let asked = link.call(span, |client, ctx| async move {
-                client.feed(ctx, after, wait_ms).await
-            });
-            match asked.await {
-                Ok(Ok(page)) => return Ok(page),
-                Ok(Err(error)) => last = error,
-                Err(_) => {}
+            match ask_page(link, after, wait).await {
+                Some(page) if page.current => return Ok(page),
+                page => best = page.into_iter().chain(best).max_by_key(|p| p.position),
             }
             self.move_on(idx);
         }
-        Err(last)
+        let page = best.ok_or(KeeperError::Unreachable)?;
+        if page.contracts.is_empty() {
+            // No keeper is in touch with a leader: don't ask them in a tight loop.
+            time::sleep(wait.saturating_sub(start.elapsed())).await;
+        }
+        Ok(page)
     }
 
     /// Asks each keeper once and returns the page that reaches furthest.
@@ -167,7 +175,7 @@
     ///
     /// No keeper answered.
     pub async fn newest(&self, after: u64) -> Result<FeedPage, KeeperError> {
-        let ask = |link| ask_page(link, after);
+        let ask = |link| ask_page(link, after, Duration::ZERO);
         let pages = futures_util::future::join_all(self.shared.links.iter().map(ask)).await;
         let newest = pages.into_iter().flatten().max_by_key(|page| page.position);
         newest.ok_or(KeeperError::Unreachable)
@@ -266,9 +274,10 @@
     }
 }
 
-async fn ask_page(link: &KeeperLink, after: u64) -> Option<FeedPage> {
-    let asked = link.call(FEED_GRACE, |client, ctx| async move {
-        client.feed(ctx, after, 0).await
+async fn ask_page(link: &KeeperLink, after: u64, wait: Duration) -> Option<FeedPage> {
+    let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+    let asked = link.call(wait + FEED_GRACE, |client, ctx| async move {
+        client.feed(ctx, after, wait_ms).await
     });
     asked.await.ok()?.ok()
 }
