Run non-idempotent requests at most once at the gate

Cause: the claim table alone does not say what a gate does when a reply is lost, its store is cut off, its caller goes away or it crashes.

Change: OnceGate claims, polls the run only under a grant, records the end, answers. A claim that may have been granted unseen is withdrawn; a granted run goes on without its caller and 5 s past the deadline, so that a resend gets the answer; a twin waits by looking, without the server's place and without the log; a store that is down is tried by one claim at a time.

Found by the property and mended in the table: a late copy of a claim of a run that is over was granted to nobody (the table now remembers runs that are over for an hour); an earlier attempt ran after a later one had been told not-run (a withdrawal now fences earlier attempts).

--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod client;
 pub mod gate;
 pub mod held;
+pub mod once;
 pub mod registry;
--- /dev/null
+++ b/crates/backend/src/once.rs
@@ -0,0 +1,344 @@
+//! Runs a non-idempotent request at most once.
+//!
+//! With a place at the server in hand: claim at the keepers, run, record the answer, answer. A run
+//! that was granted goes on when its caller has gone or its deadline has passed, so that a resend
+//! is told the answer.
+
+mod claim_guard;
+mod store;
+
+pub use store::{ClaimStore, StoreError};
+
+use agatehill_decide::{
+    claim::{
+        AnswerBody, ClaimCommand, ClaimEnd, ClaimFence, ClaimKey, ClaimOwner, ClaimReply,
+        ClaimRequest, RequestDigest, StoredAnswer,
+    },
+    name::{DaemonName, Incarnation},
+    outcome::CallOutcome,
+};
+use claim_guard::ClaimGuard;
+use std::{
+    future::Future,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use store::{StoreHealth, record, submit};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio_util::task::TaskTracker;
+
+/// Longest wait for a claim.
+const CLAIM_WAIT: Duration = Duration::from_millis(500);
+/// Pause before a claim whose reply was lost is sent again.
+const CLAIM_PAUSE: Duration = Duration::from_millis(50);
+/// Time after the deadline for which a granted run may still answer, for the caller's resend.
+const LATE_ANSWER_SPAN: Duration = Duration::from_secs(5);
+/// Longest wait for the record of an answer before the answer is passed on.
+const RECORD_WAIT: Duration = Duration::from_millis(250);
+/// First and longest pause between two looks at a claim that another gate holds.
+const LOOK_PAUSES: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
+
+/// A request that must not run twice.
+#[derive(Clone, Debug)]
+pub struct OnceRequest {
+    /// The request, over all its attempts.
+    pub key: ClaimKey,
+    /// What it asks for.
+    pub digest: RequestDigest,
+    /// The caller's count of attempts, from 0.
+    pub attempt: u32,
+    /// Time for which the run is remembered, in seconds.
+    pub remember_seconds: u32,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+}
+
+/// How a run at the backend server ended; `A` is what is passed on.
+#[derive(Debug)]
+pub enum RunEnd<A> {
+    /// With an answer, and its form for replay.
+    Answered(A, StoredAnswer),
+    /// The request has not reached the server's work and never will.
+    NotRun(A),
+    /// The request may have run.
+    Unknown(A),
+}
+
+/// What becomes of one attempt of a request.
+#[derive(Debug)]
+pub enum OnceEnd<A> {
+    /// The attempt ran here; this is what its run returned.
+    Ran(A),
+    /// The answer of an earlier attempt.
+    Replayed(StoredAnswer),
+    /// The attempt did not run here.
+    Refused(OnceRefusal),
+}
+
+/// Why an attempt did not run, or its answer can't be told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OnceRefusal {
+    /// The key was used for another request.
+    KeyReused,
+    /// The claims can't be asked.
+    StoreAbsent,
+    /// The claims are full.
+    StoreFull,
+    /// Another attempt held the claim and has given it back, or a later one has said `not-run`.
+    TwinWithdrew,
+    /// Another attempt still runs at the deadline.
+    TwinRunning,
+    /// This attempt runs on after the deadline.
+    StillRunning,
+    /// An earlier attempt may have run.
+    MayHaveRun,
+    /// An earlier attempt has run; its answer was too large to keep.
+    AnswerNotKept,
+}
+
+impl OnceRefusal {
+    /// Returns what is known about the run.
+    pub fn outcome(self) -> CallOutcome {
+        match self {
+            OnceRefusal::KeyReused
+            | OnceRefusal::StoreAbsent
+            | OnceRefusal::StoreFull
+            | OnceRefusal::TwinWithdrew => CallOutcome::NotRun,
+            OnceRefusal::TwinRunning
+            | OnceRefusal::StillRunning
+            | OnceRefusal::MayHaveRun
+            | OnceRefusal::AnswerNotKept => CallOutcome::Unknown,
+        }
+    }
+
+    /// Returns whether the outcome speaks for all earlier attempts of the request too, because the
+    /// claims were asked and fence them.
+    pub fn covers_earlier(self) -> bool {
+        !matches!(self, OnceRefusal::StoreAbsent | OnceRefusal::StoreFull)
+    }
+}
+
+/// Runs requests at most once, under claims of one run of a daemon.
+#[derive(Clone, Debug)]
+pub struct OnceGate<S> {
+    store: S,
+    daemon: DaemonName,
+    incarnation: Incarnation,
+    sequence: Arc<AtomicU64>,
+    health: Arc<StoreHealth>,
+    /// Runs and records that go on without a caller.
+    tasks: TaskTracker,
+}
+
+impl<S: ClaimStore> OnceGate<S> {
+    /// Opens the gate of the run `incarnation` of `daemon`, and ends the claims of its earlier runs.
+    pub fn open(store: S, daemon: DaemonName, incarnation: Incarnation) -> OnceGate<S> {
+        let retire = ClaimCommand::Retire {
+            daemon: daemon.clone(),
+            before: incarnation,
+        };
+        let tasks = TaskTracker::new();
+        tasks.spawn(record(store.clone(), retire));
+        OnceGate {
+            store,
+            daemon,
+            incarnation,
+            sequence: Arc::default(),
+            health: Arc::default(),
+            tasks,
+        }
+    }
+
+    /// Waits until every run has ended and is recorded; call it when no new one comes.
+    pub async fn finished(&self) {
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+
+    /// Claims `request` and polls `run` if the claim is granted; never polls it otherwise.
+    pub async fn run<A, F>(&self, request: OnceRequest, run: F) -> OnceEnd<A>
+    where
+        A: Send + 'static,
+        F: Future<Output = RunEnd<A>> + Send + 'static,
+    {
+        let Some(pass) = self.health.enter() else {
+            return OnceEnd::Refused(OnceRefusal::StoreAbsent);
+        };
+        let deadline = request.deadline;
+        let claim = self.claim_of(request);
+        let mut guard = ClaimGuard::new(self.store.clone(), self.tasks.clone(), &claim);
+        let limit = Instant::now() + CLAIM_WAIT;
+        let reply = self.ask(&claim, limit.min(deadline), &mut guard).await;
+        // That a caller had little time left says nothing about the store.
+        if reply.is_ok() || limit <= deadline {
+            pass.report(reply.is_ok());
+        }
+        match reply {
+            Ok(ClaimReply::Granted(fence)) => {
+                guard.disarm();
+                self.start(claim, fence, deadline, run).await
+            }
+            Ok(ClaimReply::Running(_)) => {
+                // The place at the server is free while another gate runs the request.
+                drop(run);
+                let reply = self.follow(&claim, deadline).await;
+                settle(reply, guard)
+            }
+            reply => settle(reply, guard),
+        }
+    }
+
+    fn claim_of(&self, request: OnceRequest) -> ClaimRequest {
+        let owner = ClaimOwner {
+            daemon: self.daemon.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
+        };
+        ClaimRequest {
+            key: request.key,
+            digest: request.digest,
+            owner,
+            attempt: request.attempt,
+            remember_seconds: request.remember_seconds,
+        }
+    }
+
+    /// Sends the claim until a reply comes; a copy gets the same grant as the first.
+    async fn ask(
+        &self,
+        claim: &ClaimRequest,
+        limit: Instant,
+        guard: &mut ClaimGuard<S>,
+    ) -> Result<ClaimReply, StoreError> {
+        loop {
+            let command = ClaimCommand::Claim(claim.clone());
+            guard.expose();
+            let sent = timeout_at(limit, submit(&self.store, command)).await;
+            match sent.unwrap_or(Err(StoreError::Lost)) {
+                Ok(reply) => return Ok(reply),
+                Err(StoreError::NotSent) => guard.not_sent(),
+                Err(StoreError::Lost) => {}
+            }
+            if Instant::now() + CLAIM_PAUSE >= limit {
+                return Err(StoreError::Lost);
+            }
+            sleep(CLAIM_PAUSE).await;
+        }
+    }
+
+    async fn start<A, F>(
+        &self,
+        claim: ClaimRequest,
+        fence: ClaimFence,
+        deadline: Instant,
+        run: F,
+    ) -> OnceEnd<A>
+    where
+        A: Send + 'static,
+        F: Future<Output = RunEnd<A>> + Send + 'static,
+    {
+        let granted = self.clone().granted(claim, fence, deadline, run);
+        match timeout_at(deadline, self.tasks.spawn(granted)).await {
+            Ok(Ok(end)) => end,
+            Ok(Err(_)) => OnceEnd::Refused(OnceRefusal::MayHaveRun),
+            Err(_) => OnceEnd::Refused(OnceRefusal::StillRunning),
+        }
+    }
+
+    /// Waits until the attempt that holds the claim has ended, and returns how the claim stands.
+    async fn follow(
+        &self,
+        claim: &ClaimRequest,
+        deadline: Instant,
+    ) -> Result<ClaimReply, StoreError> {
+        loop {
+            let reply = self.watch(claim, deadline).await;
+            if reply != ClaimReply::Absent {
+                return Ok(reply);
+            }
+            // Fences earlier attempts: none may run once this one has said that none did.
+            let withdrawal = submit(&self.store, ClaimCommand::Withdraw(claim.clone()));
+            let reply = timeout_at(deadline, withdrawal).await;
+            match reply.unwrap_or(Err(StoreError::Lost))? {
+                ClaimReply::Running(_) => {}
+                reply => return Ok(reply),
+            }
+        }
+    }
+
+    /// Looks at the claim until it isn't running or the deadline is near.
+    async fn watch(&self, claim: &ClaimRequest, deadline: Instant) -> ClaimReply {
+        let (mut pause, pause_max) = LOOK_PAUSES;
+        while Instant::now() + pause < deadline {
+            sleep(pause).await;
+            pause = (pause * 2).min(pause_max);
+            let look = submit(&self.store, ClaimCommand::Look(claim.clone()));
+            match timeout_at(deadline, look).await {
+                Ok(Ok(ClaimReply::Running(_)) | Err(_)) => {}
+                Ok(Ok(reply)) => return reply,
+                Err(_) => break,
+            }
+        }
+        ClaimReply::Running(claim.owner.clone())
+    }
+
+    /// Runs a request whose claim is granted and records how it ended.
+    async fn granted<A, F>(
+        self,
+        claim: ClaimRequest,
+        fence: ClaimFence,
+        deadline: Instant,
+        run: F,
+    ) -> OnceEnd<A>
+    where
+        F: Future<Output = RunEnd<A>>,
+    {
+        let key = claim.key.clone();
+        let finish = |end| ClaimCommand::Finish { key, fence, end };
+        let (end, command) = match timeout_at(deadline + LATE_ANSWER_SPAN, run).await {
+            Ok(RunEnd::Answered(answer, stored)) => {
+                (OnceEnd::Ran(answer), finish(ClaimEnd::Answered(stored)))
+            }
+            Ok(RunEnd::Unknown(answer)) => (OnceEnd::Ran(answer), finish(ClaimEnd::Unknown)),
+            Ok(RunEnd::NotRun(answer)) => (OnceEnd::Ran(answer), ClaimCommand::Withdraw(claim)),
+            Err(_) => (
+                OnceEnd::Refused(OnceRefusal::StillRunning),
+                finish(ClaimEnd::Unknown),
+            ),
+        };
+        let recorded = self.tasks.spawn(record(self.store.clone(), command));
+        // What is not recorded by then is recorded in the background.
+        let _ = timeout(RECORD_WAIT, recorded).await;
+        end
+    }
+}
+
+/// Returns what a reply means that leaves nothing to wait for and nothing to run.
+fn settle<A, S>(reply: Result<ClaimReply, StoreError>, mut guard: ClaimGuard<S>) -> OnceEnd<A>
+where
+    S: ClaimStore,
+{
+    let Ok(reply) = reply else {
+        return OnceEnd::Refused(OnceRefusal::StoreAbsent);
+    };
+    if reply.is_final() {
+        guard.disarm();
+    }
+    let refusal = match reply {
+        ClaimReply::Replay(answer) if answer.body == AnswerBody::TooLarge => {
+            OnceRefusal::AnswerNotKept
+        }
+        ClaimReply::Replay(answer) => return OnceEnd::Replayed(answer),
+        ClaimReply::Mismatch => OnceRefusal::KeyReused,
+        ClaimReply::Full => OnceRefusal::StoreFull,
+        ClaimReply::Done | ClaimReply::Withdrawn => OnceRefusal::TwinWithdrew,
+        ClaimReply::Running(_) => OnceRefusal::TwinRunning,
+        ClaimReply::Unknown | ClaimReply::Absent | ClaimReply::Granted(_) | ClaimReply::Refused => {
+            OnceRefusal::MayHaveRun
+        }
+    };
+    OnceEnd::Refused(refusal)
+}
--- a/crates/decide/src/claim.rs
+++ b/crates/decide/src/claim.rs
@@ -9,7 +9,7 @@
     state::ReplicatedState,
 };
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, btree_map::Entry};
+use std::collections::{BTreeMap, BTreeSet};
 
 mod message;
 
@@ -21,14 +21,14 @@
 
 /// Default bound on the memory of one table, in bytes.
 pub const TABLE_BYTES_MAX: u64 = 1 << 30;
-/// Log time for which a withdrawn claimer is remembered, in seconds.
+/// Log time for which a withdrawal is remembered, in seconds; longer than any attempt lasts.
 pub const WITHDRAWN_SECONDS: u64 = 3_600;
 /// Log time between two expiry queues, in seconds.
 const EXPIRY_SECONDS: u64 = 60;
 /// Memory of one claim without its answer, in bytes: entry, tree node share and expiry record.
 const CLAIM_BYTES: u64 = 192;
-/// Memory of one withdrawn claimer, in bytes.
-const WITHDRAWN_BYTES: u64 = 128;
+/// Memory of one withdrawal, in bytes.
+const WITHDRAWN_BYTES: u64 = 224;
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct ClaimEntry {
@@ -45,6 +45,18 @@
     Unknown,
 }
 
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+struct AttemptFence {
+    attempt: u32,
+    expires: u64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+struct RetiredRuns {
+    before: Incarnation,
+    expires: u64,
+}
+
 /// The claims of one group of keepers, the same on every replica.
 ///
 /// Ordered maps only: neither the result of a command nor a snapshot depends on a hash seed.
@@ -56,10 +68,15 @@
     bytes_max: u64,
     claims: BTreeMap<KeyHash, ClaimEntry>,
     running: BTreeMap<ClaimOwner, KeyHash>,
-    withdrawn: BTreeMap<ClaimOwner, u64>,
+    withdrawn: BTreeSet<ClaimOwner>,
+    /// Requests with a withdrawal; only the attempt that is named and later ones may run.
+    fences: BTreeMap<KeyHash, AttemptFence>,
+    /// Daemons with runs that are over; late copies of those runs' claims are refused.
+    retired: BTreeMap<DaemonName, RetiredRuns>,
     /// What to look at when the clock reaches the key; a record may be out of date.
     claim_expiry: BTreeMap<u64, Vec<KeyHash>>,
-    withdrawn_expiry: BTreeMap<u64, Vec<ClaimOwner>>,
+    withdrawn_expiry: BTreeMap<u64, Vec<(KeyHash, ClaimOwner)>>,
+    retired_expiry: BTreeMap<u64, Vec<DaemonName>>,
 }
 
 impl Default for ClaimTable {
@@ -75,7 +92,8 @@
     fn apply(&mut self, position: u64, command: ClaimCommand) -> ClaimReply {
         match command {
             ClaimCommand::Claim(request) => self.claim(ClaimFence(position), request),
-            ClaimCommand::Withdraw { owner, .. } => self.withdraw(owner),
+            ClaimCommand::Look(request) => self.look(&request).unwrap_or(ClaimReply::Absent),
+            ClaimCommand::Withdraw(request) => self.withdraw(request),
             ClaimCommand::Finish { key, fence, end } => self.finish(key.hash(), fence, end),
             ClaimCommand::Retire { daemon, before } => self.retire(daemon, before),
             ClaimCommand::Tick { elapsed_seconds } => self.tick(elapsed_seconds),
@@ -92,12 +110,29 @@
             bytes_max,
             claims: BTreeMap::new(),
             running: BTreeMap::new(),
-            withdrawn: BTreeMap::new(),
+            withdrawn: BTreeSet::new(),
+            fences: BTreeMap::new(),
+            retired: BTreeMap::new(),
+            retired_expiry: BTreeMap::new(),
             claim_expiry: BTreeMap::new(),
             withdrawn_expiry: BTreeMap::new(),
         }
     }
 
+    /// Returns the reply to `command` if it changes nothing and is right also where this replica is
+    /// behind; otherwise the command must pass through the log.
+    ///
+    /// What a replica says of a claim that it holds was true and stays safe: answers and unknown
+    /// runs are final, and who hears of a running one asks again. An absent claim may be held
+    /// elsewhere.
+    pub fn settled(&self, command: &ClaimCommand) -> Option<ClaimReply> {
+        let (ClaimCommand::Claim(request) | ClaimCommand::Look(request)) = command else {
+            return None;
+        };
+        let is_granted = |reply: &ClaimReply| matches!(reply, ClaimReply::Granted(_));
+        self.look(request).filter(|reply| !is_granted(reply))
+    }
+
     /// Returns the number of claims that are remembered.
     pub fn len(&self) -> usize {
         self.claims.len()
@@ -123,12 +158,17 @@
         self.clock
     }
 
+    fn look(&self, request: &ClaimRequest) -> Option<ClaimReply> {
+        let entry = self.claims.get(&request.key.hash())?;
+        Some(entry.reply(request))
+    }
+
     fn claim(&mut self, fence: ClaimFence, request: ClaimRequest) -> ClaimReply {
         let hash = request.key.hash();
-        if let Some(entry) = self.claims.get(&hash) {
-            return entry.reply(&request);
+        if let Some(reply) = self.look(&request) {
+            return reply;
         }
-        if self.withdrawn.contains_key(&request.owner) {
+        if self.is_withdrawn(hash, &request) {
             return ClaimReply::Withdrawn;
         }
         if self.bytes + CLAIM_BYTES > self.bytes_max {
@@ -148,18 +188,39 @@
         ClaimReply::Granted(fence)
     }
 
-    fn withdraw(&mut self, owner: ClaimOwner) -> ClaimReply {
-        if let Some(hash) = self.running.remove(&owner) {
+    fn is_withdrawn(&self, hash: KeyHash, request: &ClaimRequest) -> bool {
+        let owner = &request.owner;
+        let is_fenced = |fence: &AttemptFence| request.attempt < fence.attempt;
+        let is_over = |runs: &RetiredRuns| owner.incarnation < runs.before;
+        self.withdrawn.contains(owner)
+            || self.fences.get(&hash).is_some_and(is_fenced)
+            || self.retired.get(&owner.daemon).is_some_and(is_over)
+    }
+
+    fn withdraw(&mut self, request: ClaimRequest) -> ClaimReply {
+        let hash = request.key.hash();
+        if self.running.remove(&request.owner).is_some() {
             self.claims.remove(&hash);
             self.bytes -= CLAIM_BYTES;
         }
+        self.fence(hash, &request);
+        self.look(&request).unwrap_or(ClaimReply::Done)
+    }
+
+    fn fence(&mut self, hash: KeyHash, request: &ClaimRequest) {
         let expires = self.clock + WITHDRAWN_SECONDS;
-        if let Entry::Vacant(slot) = self.withdrawn.entry(owner.clone()) {
-            slot.insert(expires);
+        let attempt = request.attempt;
+        let fence = self
+            .fences
+            .entry(hash)
+            .or_insert(AttemptFence { attempt, expires });
+        fence.attempt = fence.attempt.max(attempt);
+        fence.expires = expires;
+        if self.withdrawn.insert(request.owner.clone()) {
             self.bytes += WITHDRAWN_BYTES;
-            push_expiry(&mut self.withdrawn_expiry, expires, owner);
+            let record = (hash, request.owner.clone());
+            push_expiry(&mut self.withdrawn_expiry, expires, record);
         }
-        ClaimReply::Done
     }
 
     fn finish(&mut self, hash: KeyHash, fence: ClaimFence, end: ClaimEnd) -> ClaimReply {
@@ -193,6 +254,7 @@
             .range(range)
             .map(|(o, h)| (o.clone(), *h))
             .collect();
+        self.retire_runs(daemon, before);
         for (owner, hash) in over {
             self.running.remove(&owner);
             if let Some(entry) = self.claims.get_mut(&hash) {
@@ -202,20 +264,51 @@
         ClaimReply::Done
     }
 
+    fn retire_runs(&mut self, daemon: DaemonName, before: Incarnation) {
+        let expires = self.clock + WITHDRAWN_SECONDS;
+        let runs = RetiredRuns { before, expires };
+        let runs = self.retired.entry(daemon.clone()).or_insert(runs);
+        runs.before = runs.before.max(before);
+        runs.expires = expires;
+        push_expiry(&mut self.retired_expiry, expires, daemon);
+    }
+
     fn tick(&mut self, elapsed_seconds: u32) -> ClaimReply {
         self.clock += u64::from(elapsed_seconds.min(TICK_SECONDS_MAX));
         while let Some(hashes) = pop_expiry(&mut self.claim_expiry, self.clock) {
             hashes.into_iter().for_each(|hash| self.expire_claim(hash));
         }
-        while let Some(owners) = pop_expiry(&mut self.withdrawn_expiry, self.clock) {
-            for owner in owners {
-                self.withdrawn.remove(&owner);
-                self.bytes -= WITHDRAWN_BYTES;
+        while let Some(records) = pop_expiry(&mut self.withdrawn_expiry, self.clock) {
+            for (hash, owner) in records {
+                self.expire_withdrawal(hash, &owner);
             }
         }
+        while let Some(daemons) = pop_expiry(&mut self.retired_expiry, self.clock) {
+            daemons
+                .iter()
+                .for_each(|daemon| self.expire_retired(daemon));
+        }
         ClaimReply::Done
     }
 
+    fn expire_retired(&mut self, daemon: &DaemonName) {
+        let clock = self.clock;
+        let is_over = |runs: &RetiredRuns| runs.expires <= clock;
+        if self.retired.get(daemon).is_some_and(is_over) {
+            self.retired.remove(daemon);
+        }
+    }
+
+    fn expire_withdrawal(&mut self, hash: KeyHash, owner: &ClaimOwner) {
+        self.withdrawn.remove(owner);
+        self.bytes -= WITHDRAWN_BYTES;
+        let clock = self.clock;
+        let is_over = |fence: &AttemptFence| fence.expires <= clock;
+        if self.fences.get(&hash).is_some_and(is_over) {
+            self.fences.remove(&hash);
+        }
+    }
+
     fn expire_claim(&mut self, hash: KeyHash) {
         let clock = self.clock;
         let expired = |entry: &ClaimEntry| entry.expires <= clock;
--- a/crates/decide/src/claim/message.rs
+++ b/crates/decide/src/claim/message.rs
@@ -100,6 +100,8 @@
     pub digest: RequestDigest,
     /// The claimer.
     pub owner: ClaimOwner,
+    /// The caller's count of attempts, from 0.
+    pub attempt: u32,
     /// Log time for which the claim is remembered, in seconds.
     pub remember_seconds: u32,
 }
@@ -164,15 +166,13 @@
 pub enum ClaimCommand {
     /// Asks for the claim. A resend by the same owner gets the same grant.
     Claim(ClaimRequest),
+    /// Asks how the claim stands, without asking for it.
+    Look(ClaimRequest),
     /// The owner states that the request has not run under this claim and never will.
     ///
-    /// Valid before, after and without the claim it withdraws: a late copy of the claim is refused.
-    Withdraw {
-        /// The request.
-        key: ClaimKey,
-        /// The claimer.
-        owner: ClaimOwner,
-    },
+    /// Valid before, after and without the claim it withdraws: a late copy of the claim is refused,
+    /// and so are earlier attempts, whose caller is told that the request has not run.
+    Withdraw(ClaimRequest),
     /// The owner records how a granted claim ended.
     Finish {
         /// The request.
@@ -209,8 +209,10 @@
     Unknown,
     /// The key was used for another request.
     Mismatch,
-    /// The claimer has withdrawn this very claim.
+    /// The claimer has withdrawn this very claim, or a later attempt of the request has.
     Withdrawn,
+    /// Nobody holds the claim.
+    Absent,
     /// The table is full; nothing was claimed.
     Full,
     /// The command is done, now or by an earlier copy.
@@ -219,6 +221,17 @@
     Refused,
 }
 
+impl ClaimReply {
+    /// Returns whether every later copy of the claim gets this very reply, or a whole answer in
+    /// place of an unknown one.
+    pub fn is_final(&self) -> bool {
+        matches!(
+            self,
+            ClaimReply::Replay(_) | ClaimReply::Unknown | ClaimReply::Mismatch
+        )
+    }
+}
+
 fn hash_part(hasher: &mut blake3::Hasher, part: &[u8]) {
     hasher.update(&(part.len() as u64).to_le_bytes());
     hasher.update(part);
--- a/crates/decide/tests/claim.rs
+++ b/crates/decide/tests/claim.rs
@@ -32,10 +32,18 @@
         key: key(),
         digest: RequestDigest::of("POST", "certdesk", "/certificates", b"body"),
         owner: owner(daemon, incarnation),
+        attempt: 0,
         remember_seconds: REMEMBER_SECONDS,
     })
 }
 
+fn look(daemon: &str) -> ClaimCommand {
+    let ClaimCommand::Claim(request) = claim(daemon, 1) else {
+        unreachable!()
+    };
+    ClaimCommand::Look(request)
+}
+
 fn other_body(daemon: &str) -> ClaimCommand {
     let ClaimCommand::Claim(mut request) = claim(daemon, 1) else {
         unreachable!()
@@ -45,10 +53,15 @@
 }
 
 fn withdraw(daemon: &str) -> ClaimCommand {
-    ClaimCommand::Withdraw {
-        key: key(),
-        owner: owner(daemon, 1),
-    }
+    withdraw_attempt(daemon, 0)
+}
+
+fn withdraw_attempt(daemon: &str, attempt: u32) -> ClaimCommand {
+    let ClaimCommand::Claim(mut request) = claim(daemon, 1) else {
+        unreachable!()
+    };
+    request.attempt = attempt;
+    ClaimCommand::Withdraw(request)
 }
 
 fn finish(fence: u64, end: ClaimEnd) -> ClaimCommand {
@@ -123,6 +136,8 @@
 #[case::withdraw_twice_spares_the_next(
     vec![claim("a", 1), withdraw("a"), claim("b", 1), withdraw("a"), claim("c", 1)],
     ClaimReply::Running(owner("b", 1)))]
+#[case::earlier_attempt_after_not_run(vec![withdraw_attempt("b", 1), claim("a", 1)], ClaimReply::Withdrawn)]
+#[case::withdraw_tells_of_a_twin(vec![claim("a", 1), withdraw("b")], ClaimReply::Running(owner("a", 1)))]
 #[case::finish_for_a_lost_fence(
     vec![claim("a", 1), withdraw("a"), claim("b", 1), answered(1)],
     ClaimReply::Refused)]
@@ -130,16 +145,39 @@
     vec![claim("a", 1), withdraw("a"), claim("b", 1), answered(1), claim("c", 1)],
     ClaimReply::Running(owner("b", 1)))]
 #[case::restarted_owner(vec![claim("a", 1), retire("a", 2), claim("b", 1)], ClaimReply::Unknown)]
+#[case::late_copy_of_a_run_that_is_over(vec![retire("a", 2), claim("a", 1)], ClaimReply::Withdrawn)]
 #[case::restart_spares_the_new_run(vec![claim("a", 2), retire("a", 2), claim("a", 2)], granted(1))]
 #[case::restart_spares_other_daemons(vec![claim("a", 1), retire("b", 2), claim("a", 1)], granted(1))]
 #[case::withdraw_after_retire_is_too_late(
     vec![claim("a", 1), retire("a", 2), withdraw("a"), claim("b", 1)],
     ClaimReply::Unknown)]
+#[case::look_at_nothing(vec![look("b")], ClaimReply::Absent)]
+#[case::look_takes_nothing(vec![look("b"), claim("a", 1)], granted(2))]
+#[case::look_at_running(vec![claim("a", 1), look("b")], ClaimReply::Running(owner("a", 1)))]
+#[case::look_at_answer(vec![claim("a", 1), answered(1), look("b")], ClaimReply::Replay(answer(10)))]
 fn replies(#[case] commands: Vec<ClaimCommand>, #[case] reply: ClaimReply) {
     let mut table = ClaimTable::default();
     assert_eq!(run(&mut table, commands), reply);
 }
 
+/// Only what is final or is asked again may be told without the log.
+#[rstest]
+#[case::absent(vec![], look("b"), None)]
+#[case::free(vec![], claim("b", 1), None)]
+#[case::own(vec![claim("b", 1)], claim("b", 1), None)]
+#[case::finish(vec![claim("b", 1)], answered(1), None)]
+#[case::running(vec![claim("a", 1)], claim("b", 1), Some(ClaimReply::Running(owner("a", 1))))]
+#[case::answered(vec![claim("a", 1), answered(1)], claim("b", 1), Some(ClaimReply::Replay(answer(10))))]
+fn settled(
+    #[case] commands: Vec<ClaimCommand>,
+    #[case] next: ClaimCommand,
+    #[case] reply: Option<ClaimReply>,
+) {
+    let mut table = ClaimTable::default();
+    run(&mut table, commands);
+    assert_eq!(table.settled(&next), reply);
+}
+
 fn tick(elapsed_seconds: u32) -> ClaimCommand {
     ClaimCommand::Tick { elapsed_seconds }
 }
