--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod gate;
 pub mod held;
 pub mod inquiry;
+pub mod once;
 pub mod places;
 pub mod registry;
