--- a/bin/bench/src/cmd/claims.rs
+++ b/bin/bench/src/cmd/claims.rs
@@ -66,6 +66,7 @@
 
 fn claim(number: u64) -> ClaimCommand {
     ClaimCommand::Claim(ClaimRequest {
+        attempt: 0,
         key: key(number),
         digest: RequestDigest::of("POST", "gasdata", "/logbook/entries", &number.to_le_bytes()),
         owner: ClaimOwner {
