Wait until every thread of the frozen leader has stopped

Cause: in one of 14 runs, with the machine busy, 'the others accept' failed. SIGSTOP stops the threads of a process one by one, so the leader could still accept the rival's change after the signal was sent; then the others rightly answer 409. Likely, not seen at work: the run kept no log. Change: the test waits until /proc shows all threads stopped, and fails at once with a message of its own if the rival won. Ruled out: a longer time limit.

--- a/tests/tests/keeper_failures.rs
+++ b/tests/tests/keeper_failures.rs
@@ -124,6 +124,18 @@
     }
 }
 
+/// Whether every thread of the process is stopped.
+fn is_frozen(pid: u32) -> bool {
+    let tasks = fs::read_dir(format!("/proc/{pid}/task")).unwrap();
+    let is_stopped = |task: fs::DirEntry| {
+        let stat = fs::read_to_string(task.path().join("stat")).unwrap();
+        // The state follows the command's name in parentheses.
+        let state = stat.rsplit(") ").next();
+        state.is_some_and(|state| state.starts_with('T'))
+    };
+    tasks.map_while(Result::ok).all(is_stopped)
+}
+
 fn contract(customer: &str, revision: u64, calls: u64) -> String {
     format!(
         "customer = \"{customer}\"\nrevision = {revision}\ncalls_per_second = {calls}\n\
@@ -169,6 +181,11 @@
     let leader = set.leader().await;
     let frozen = set.guards[leader].as_ref().unwrap();
     frozen.signal(Signal::SIGSTOP);
+    // Its threads stop one by one.
+    eventually("all threads stop", SETTLE_LIMIT, || async {
+        is_frozen(frozen.pid())
+    })
+    .await;
     // Reaches the frozen leader before it knows that it leads no more.
     let rival = contract("dansk", 2, 2);
     let early = set.put_at(leader, "dansk", &rival);
@@ -181,6 +198,8 @@
         let text = contract("dansk", 2, 1);
         eventually("the others accept", SETTLE_LIMIT, || async {
             let answer = set.put_at(others[0], "dansk", &text).await;
+            let rival_won = answer.as_ref().is_some_and(|answer| answer.status == 409);
+            assert!(!rival_won, "the frozen leader accepted the rival");
             answer.is_some_and(|answer| answer.status == 200)
         })
         .await;
