--- a/bin/bench/src/main.rs
+++ b/bin/bench/src/main.rs
@@ -1,3 +1,32 @@
-//! Placeholder.
+//! Measurement programs of agatehill.
 
-fn main() {}
+mod cmd;
+mod overload;
+mod slope;
+
+use clap::{Parser, Subcommand};
+
+/// Measures the decisions of agatehill.
+#[derive(Debug, Parser)]
+#[command(name = "agatehill-bench", version)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    Claims(cmd::claims::Args),
+    Contracts(cmd::contracts::Args),
+    Overload(cmd::overload::Args),
+    Routes(cmd::routes::Args),
+}
+
+fn main() -> eyre::Result<()> {
+    match Args::parse().command {
+        Command::Claims(args) => cmd::claims::run(&args),
+        Command::Contracts(args) => cmd::contracts::run(&args),
+        Command::Overload(args) => cmd::overload::run(&args),
+        Command::Routes(args) => cmd::routes::run(&args),
+    }
+}
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -5,5 +5,7 @@
 pub mod client;
 pub mod gate;
 pub mod held;
+pub mod inquiry;
+pub mod once;
 pub mod places;
 pub mod registry;
