--- a/bin/bench/src/cmd/mod.rs
+++ b/bin/bench/src/cmd/mod.rs
@@ -2,5 +2,6 @@
 
 pub(crate) mod claims;
 pub(crate) mod contracts;
+pub(crate) mod keepers;
 pub(crate) mod overload;
 pub(crate) mod routes;
--- a/bin/bench/src/main.rs
+++ b/bin/bench/src/main.rs
@@ -18,6 +18,7 @@
 enum Command {
     Claims(cmd::claims::Args),
     Contracts(cmd::contracts::Args),
+    Keepers(cmd::keepers::Args),
     Overload(cmd::overload::Args),
     Routes(cmd::routes::Args),
 }
@@ -26,6 +27,7 @@
     match Args::parse().command {
         Command::Claims(args) => cmd::claims::run(&args),
         Command::Contracts(args) => cmd::contracts::run(&args),
+        Command::Keepers(args) => cmd::keepers::run(&args),
         Command::Overload(args) => cmd::overload::run(&args),
         Command::Routes(args) => cmd::routes::run(&args),
     }
--- a/bin/keeper/src/hub.rs
+++ b/bin/keeper/src/hub.rs
@@ -220,8 +220,8 @@
 
     async fn claim(&self, command: ClaimCommand) -> Result<ClaimReply, KeeperError> {
         let key = match &command {
-            ClaimCommand::Claim(request) => &request.key,
-            ClaimCommand::Withdraw { key, .. } | ClaimCommand::Finish { key, .. } => key,
+            ClaimCommand::Claim(request) | ClaimCommand::Withdraw(request) => &request.key,
+            ClaimCommand::Finish { key, .. } => key,
             ClaimCommand::Retire { .. } => {
                 let groups = 0..self.claim_groups();
                 let retire = |idx| self.claim_in(idx, &command);
