Run membership and digests over UDP and control messages

Cause: the state machines of membership and digests need sockets: datagrams for gossip, a stream for whole tables and digests.

Change: peer::gossip runs a MemberNode and a DigestNode in one task; peer::control is the tarpc service between daemons. Digest connections are pooled and given up when silent, table exchanges use one each. decide::digest: relays ask one another which zones they have met.

Cause of the last: over sockets, with one seed in one zone, two of three relays of that zone never heard of the other zone, since it had asked only the third; the sans-IO test had enough askers to hide it.

--- a/crates/decide/src/digest/node.rs
+++ b/crates/decide/src/digest/node.rs
@@ -163,14 +163,15 @@
     }
 
     fn tick(&mut self, now: MonoTime, random: &mut impl Rng) {
-        match self.is_relay {
-            true => self.ask_zones(now, random),
-            false => self.ask_relay(now, random),
+        if self.is_relay {
+            self.ask_zones(now, random);
+            self.ask_seeds(now);
         }
+        self.ask_relay(now, random);
         self.age(now);
     }
 
-    /// Asks each other zone that is due, and seeds whose zone isn't heard.
+    /// Asks each other zone that is due.
     fn ask_zones(&mut self, now: MonoTime, random: &mut impl Rng) {
         let from = self.settings.relay();
         for (zone, digest) in &self.zones {
@@ -179,10 +180,15 @@
             self.outputs
                 .extend(state.ask(&digest.relays, ask, now, random));
         }
+    }
+
+    /// Asks the seeds whose zone isn't heard.
+    fn ask_seeds(&mut self, now: MonoTime) {
         if now < self.next_seed {
             return;
         }
         self.next_seed = now + ASK_PERIOD;
+        let from = self.settings.relay();
         for (seed, zone) in &self.seed_zones {
             let digest = zone.as_ref().and_then(|zone| self.zones.get(zone));
             let is_own = zone.as_ref() == Some(&self.settings.zone);
@@ -193,8 +199,13 @@
         }
     }
 
+    /// Asks a relay of the own zone: for the digests, or as another relay for zones that it has met.
     fn ask_relay(&mut self, now: MonoTime, random: &mut impl Rng) {
-        let mut ask = DigestAsk::first(self.settings.relay(), DigestScope::Others);
+        let scope = match self.is_relay {
+            true => DigestScope::Relays,
+            false => DigestScope::Others,
+        };
+        let mut ask = DigestAsk::first(self.settings.relay(), scope);
         ask.loads = self.loads.clone();
         let output = self.relay_ask.ask(&self.relays, ask, now, random);
         self.outputs.extend(output);
@@ -222,9 +233,14 @@
     fn take_members(&mut self, members: Vec<MemberRecord>, now: MonoTime) {
         let ranks = relay_ranks(members.iter().map(|record| &record.name));
         let relays = ranks.iter().map(|idx| &members[*idx]);
+        let was_relay = self.is_relay;
         self.is_relay = relays.clone().any(|relay| relay.name == self.settings.name);
         self.relays = relays.map(|relay| relay.control).collect();
         self.own.relays = self.relays.iter().copied().take(ENTRIES_MAX).collect();
+        self.relays.retain(|relay| *relay != self.settings.control);
+        if was_relay != self.is_relay {
+            self.relay_ask.source = None;
+        }
         self.members = members;
         self.digest_own(now);
     }
@@ -283,6 +299,7 @@
         let zones = match ask.scope {
             DigestScope::Own => vec![self.own.delta(&self.settings.zone, version, now)],
             DigestScope::Others => self.direct_deltas(version, now),
+            DigestScope::Relays => Vec::new(),
         };
         let reply = DigestReply {
             zone: self.settings.zone.clone(),
@@ -335,7 +352,8 @@
         let is_own_zone = reply.zone == self.settings.zone;
         let source = Some((from, reply.run, reply.version));
         match is_own_zone {
-            true if self.is_relay => return,
+            // Relays ask one another at random.
+            true if self.is_relay => {}
             true => self.relay_ask.source = source,
             false => self.zone_asks.entry(reply.zone.clone()).or_default().source = source,
         }
--- a/crates/decide/src/digest/wire.rs
+++ b/crates/decide/src/digest/wire.rs
@@ -26,6 +26,8 @@
     Own,
     /// The other zones that it has heard from.
     Others,
+    /// No digests, only where other zones can be asked.
+    Relays,
 }
 
 /// Asks for what has changed.
@@ -82,6 +84,6 @@
     pub is_whole: bool,
     /// The zones asked for.
     pub zones: Vec<ZoneDelta>,
-    /// Other zones that it knows of; only in whole replies.
+    /// Other zones that it knows of, when one has come since the last reply.
     pub known: Vec<ZoneRelay>,
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -27,5 +27,3 @@
 pub mod route;
 pub mod state;
 pub mod time;
-
-mod hash;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -3,8 +3,10 @@
 
 pub mod body;
 pub mod codec;
+pub mod control;
 pub mod forward;
 pub mod forward_client;
+pub mod gossip;
 pub mod headers;
 pub mod keeper;
 pub mod keeper_client;
