--- a/bin/keeper/src/main.rs
+++ b/bin/keeper/src/main.rs
@@ -19,14 +19,15 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Runs the keeper until it is told to stop.
     Serve(cmd::serve::Args),
 }
 
 fn main() -> ExitCode {
-    let done = match Args::parse().command {
+    let result = match Args::parse().command {
         Command::Serve(args) => cmd::serve::run(args),
     };
-    match done {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("agatehill-keeper: {report:#}");
