Route over the zone's members and other zones' digests in the daemon

Cause: the daemon knew the servers on its own host only.

Change: the daemon joins its zone over gossip, announces its backend servers there, reports their load to a relay every 5 s, and builds its route table from its own servers, the zone's members and the entries that other zones' digests name (stale zones left out). A stopping daemon marks its servers as leaving, finishes, then tells that it has left. /dump shows the members and zones. caller::attempt: the load in a gate's report goes into the server's signal, since loads are not gossiped; a gate that was not heard counts as failed even if the time limit ran out first (a frozen daemon counted as shedding); refusals that concern the request alone (contract limit, key reused, quarantined) say nothing about the server.

--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -26,6 +26,7 @@
 use eyre::WrapErr;
 use gotham::router::{Router, build_simple_router};
 use std::{
+    net::SocketAddr,
     path::PathBuf,
     sync::{Arc, Mutex},
     time::Duration,
@@ -66,12 +67,12 @@
     let drain = DrainSignal::open().wrap_err("cannot listen for signals")?;
     let ready = ReadyFlag::default();
     let entry = Arc::new(open_entry(&settings, clock));
-    let dump = DaemonDump::new(&settings, entry.clone());
+    let forward = bind_forward(&settings, &entry).await?;
+    let members = join(&settings, &entry, forward.local_addr()).await?;
+    let dump = DaemonDump::new(&settings, entry.clone(), members.view());
     let health = (ready.clone(), drain.clone());
-    let listeners = bind(&settings, &entry, dump, health).await?;
+    let listeners = bind(&settings, &entry, forward, dump, health).await?;
 
-    let forward = listeners.forward.local_addr();
-    let members = MemberTable::spawn(&settings, entry.runner.clone(), forward);
     let feed = ContractFeed::spawn(
         KeeperClient::spawn(settings.keepers.clone()),
         entry.contracts.clone(),
@@ -90,6 +91,7 @@
     members.leave();
     tokio::time::sleep(LEAVE_SPAN).await;
     listeners.stop().await;
+    members.depart().await;
     spdlog::info!("daemon {} has stopped", settings.name);
     Ok(())
 }
@@ -114,9 +116,38 @@
     }
 }
 
+async fn bind_forward(
+    settings: &DaemonSettings,
+    entry: &Arc<CallEntry>,
+) -> eyre::Result<HttpServer> {
+    let addr = settings.listen.forward;
+    HttpServer::bind(addr, forward_handler(entry.clone()))
+        .await
+        .wrap_err_with(|| format!("cannot bind listen.forward {addr}"))
+}
+
+async fn join(
+    settings: &DaemonSettings,
+    entry: &CallEntry,
+    forward: SocketAddr,
+) -> eyre::Result<MemberTable> {
+    let runner = &entry.runner;
+    let (registry, routes) = (runner.gate.registry(), runner.routes.clone());
+    let listen = settings.listen;
+    MemberTable::bind(settings, registry, routes, forward, runner.gate.clock())
+        .await
+        .wrap_err_with(|| {
+            format!(
+                "cannot bind listen.gossip {} or listen.control {}",
+                listen.gossip, listen.control
+            )
+        })
+}
+
 async fn bind(
     settings: &DaemonSettings,
     entry: &Arc<CallEntry>,
+    forward: HttpServer,
     dump: DaemonDump,
     (ready, drain): (ReadyFlag, DrainSignal),
 ) -> eyre::Result<DaemonListeners> {
@@ -128,9 +159,7 @@
         caller: HttpServer::bind(listen.caller, caller_router(entry.clone()))
             .await
             .wrap_err_with(|| format!("cannot bind listen.caller {}", listen.caller))?,
-        forward: HttpServer::bind(listen.forward, forward_handler(entry.clone()))
-            .await
-            .wrap_err_with(|| format!("cannot bind listen.forward {}", listen.forward))?,
+        forward,
         announce: HttpServer::bind(listen.announce, announce)
             .await
             .wrap_err_with(|| format!("cannot bind listen.announce {}", listen.announce))?,
--- a/bin/daemon/src/dump.rs
+++ b/bin/daemon/src/dump.rs
@@ -3,19 +3,27 @@
 use agatehill_caller::entry::CallEntry;
 use agatehill_config::DaemonSettings;
 use agatehill_operator::inspect::StateDump;
+use agatehill_peer::gossip::PeerSnapshot;
 use serde_json::{Value, json};
 use std::sync::Arc;
+use tokio::sync::watch;
 
 /// Reads the state of a daemon.
 #[derive(Clone, Debug)]
 pub(crate) struct DaemonDump {
     settings: Arc<DaemonSettings>,
     entry: Arc<CallEntry>,
+    peers: watch::Receiver<Arc<PeerSnapshot>>,
 }
 
 impl DaemonDump {
-    pub(crate) fn new(settings: &DaemonSettings, entry: Arc<CallEntry>) -> DaemonDump {
+    pub(crate) fn new(
+        settings: &DaemonSettings,
+        entry: Arc<CallEntry>,
+        peers: watch::Receiver<Arc<PeerSnapshot>>,
+    ) -> DaemonDump {
         DaemonDump {
+            peers,
             settings: Arc::new(settings.clone()),
             entry,
         }
@@ -31,6 +39,7 @@
             "contracts": contracts(&self.entry),
             "servers": servers(&self.entry),
             "routes": routes(&self.entry),
+            "peers": **self.peers.borrow(),
         })
     }
 }
--- a/bin/daemon/src/members.rs
+++ b/bin/daemon/src/members.rs
@@ -1,94 +1,212 @@
-//! Keeps the route table up to date with the servers that are known.
+//! Keeps the route table up to date with the servers of this host, of the zone and of other zones.
 
-use agatehill_backend::registry::{LocalServer, ServerStage};
-use agatehill_caller::attempt::AttemptRunner;
+use agatehill_backend::registry::{LocalServer, ServerRegistry, ServerStage};
+use agatehill_caller::routes::RouteView;
 use agatehill_config::DaemonSettings;
 use agatehill_decide::{
-    name::{DaemonName, RegionName, ZoneName},
-    route::{RouteBook, ServerState, ServerView},
+    digest::DigestRow,
+    member::{MemberRecord, MemberSeed, MemberStatus, ServerNote},
+    name::{DaemonName, Incarnation, RegionName, ServiceName, ZoneName},
+    route::{RouteBook, ServerKey, ServerState, ServerView},
+    time::MonoTime,
+};
+use agatehill_peer::gossip::{GossipHandle, GossipSettings, PeerSnapshot, PeerZone};
+use agatehill_platform::clock::MonoClock;
+use std::{
+    collections::HashSet,
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime},
 };
-use std::{net::SocketAddr, time::Duration};
 use tokio::sync::watch;
 
 /// Time between two looks for servers that have gone silent.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two reports of the own servers' load.
+const LOAD_INTERVAL: Duration = Duration::from_secs(5);
+/// Time for which a daemon that has left still tells so.
+const DEPART_SPAN: Duration = Duration::from_millis(500);
 
 /// The running upkeep of the route table.
 #[derive(Debug)]
 pub(crate) struct MemberTable {
     leaving: watch::Sender<bool>,
-}
-
-/// What every server of this daemon has in common.
-struct LocalPlace {
-    daemon: DaemonName,
-    zone: ZoneName,
-    region: RegionName,
-    forward: SocketAddr,
+    gossip: Arc<GossipHandle>,
 }
 
 impl MemberTable {
-    /// Spawns the upkeep for a daemon that takes forwarded calls at `forward`.
-    pub(crate) fn spawn(
+    /// Joins the zone as a daemon that takes forwarded calls at `forward`, and spawns the upkeep of
+    /// `routes`.
+    ///
+    /// # Errors
+    ///
+    /// The gossip or control address can't be bound.
+    pub(crate) async fn bind(
         settings: &DaemonSettings,
-        runner: AttemptRunner,
+        registry: &Arc<ServerRegistry>,
+        routes: RouteView,
         forward: SocketAddr,
-    ) -> MemberTable {
+        clock: MonoClock,
+    ) -> io::Result<MemberTable> {
+        let gossip = Arc::new(GossipHandle::bind(gossip_settings(settings, forward)).await?);
         let (leaving, left) = watch::channel(false);
-        let place = LocalPlace {
-            daemon: settings.name.clone(),
-            zone: settings.availability_zone.clone(),
-            region: settings.region.clone(),
-            forward,
+        let upkeep = TableUpkeep {
+            place: LocalPlace {
+                daemon: settings.name.clone(),
+                zone: settings.availability_zone.clone(),
+                region: settings.region.clone(),
+                forward,
+            },
+            registry: registry.clone(),
+            routes,
+            gossip: gossip.clone(),
+            clock,
+            left,
         };
-        tokio::spawn(follow(place, runner, left));
-        MemberTable { leaving }
+        tokio::spawn(upkeep.run());
+        Ok(MemberTable { leaving, gossip })
+    }
+
+    /// Returns what is known of other daemons and zones.
+    pub(crate) fn view(&self) -> watch::Receiver<Arc<PeerSnapshot>> {
+        self.gossip.view()
     }
 
     /// Tells the others that this daemon takes no new work.
     pub(crate) fn leave(&self) {
         self.leaving.send_replace(true);
     }
+
+    /// Tells the others that this daemon is gone.
+    pub(crate) async fn depart(&self) {
+        self.gossip.leave().await;
+        tokio::time::sleep(DEPART_SPAN).await;
+    }
+}
+
+fn gossip_settings(settings: &DaemonSettings, forward: SocketAddr) -> GossipSettings {
+    let seeds = settings.seeds.iter().map(|seed| MemberSeed {
+        gossip: seed.gossip,
+        control: seed.control,
+    });
+    GossipSettings {
+        name: settings.name.clone(),
+        zone: settings.availability_zone.clone(),
+        region: settings.region.clone(),
+        incarnation: wall_clock(),
+        gossip: settings.listen.gossip,
+        control: settings.listen.control,
+        forward,
+        seeds: seeds.collect(),
+    }
+}
+
+/// Returns the wall clock's microseconds; if they went back, the daemon outbids its earlier run.
+fn wall_clock() -> Incarnation {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let micros = since.unwrap_or_default().as_micros();
+    Incarnation(u64::try_from(micros).unwrap_or(1).max(1))
+}
+
+struct TableUpkeep {
+    place: LocalPlace,
+    registry: Arc<ServerRegistry>,
+    routes: RouteView,
+    gossip: Arc<GossipHandle>,
+    clock: MonoClock,
+    left: watch::Receiver<bool>,
 }
 
-async fn follow(place: LocalPlace, runner: AttemptRunner, left: watch::Receiver<bool>) {
-    let registry = runner.gate.registry().clone();
-    let mut changes = registry.changes();
-    let mut book = RouteBook::new(place.zone.clone(), place.region.clone());
-    let mut tick = tokio::time::interval(EXPIRE_INTERVAL);
-    loop {
-        tokio::select! {
-            _ = tick.tick() => registry.expire(),
-            _ = changes.changed() => {
-                refresh(&mut book, &place, &registry.list(), *left.borrow());
-                runner.routes.publish(book.snapshot());
+/// What every server of this daemon has in common.
+struct LocalPlace {
+    daemon: DaemonName,
+    zone: ZoneName,
+    region: RegionName,
+    forward: SocketAddr,
+}
+
+impl TableUpkeep {
+    async fn run(mut self) {
+        let mut changes = self.registry.changes();
+        let mut view = self.gossip.view();
+        let mut book = RouteBook::new(self.place.zone.clone(), self.place.region.clone());
+        let mut expire_tick = tokio::time::interval(EXPIRE_INTERVAL);
+        let mut load_tick = tokio::time::interval(LOAD_INTERVAL);
+        loop {
+            tokio::select! {
+                _ = expire_tick.tick() => {
+                    self.registry.expire();
+                    continue;
+                }
+                _ = load_tick.tick() => {
+                    self.gossip.report(self.loads()).await;
+                    continue;
+                }
+                _ = changes.changed() => self.announce().await,
+                changed = self.left.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    self.announce().await;
+                }
+                _ = view.changed() => {}
             }
+            let peers = view.borrow_and_update().clone();
+            self.refresh(&mut book, &peers);
+            self.routes.publish(book.snapshot());
         }
     }
-}
 
-fn refresh(
-    book: &mut RouteBook,
-    place: &LocalPlace,
-    servers: &[std::sync::Arc<LocalServer>],
-    is_leaving: bool,
-) {
-    let keys: Vec<_> = servers
-        .iter()
-        .map(|server| book.upsert(place.view(server, is_leaving)))
-        .collect();
-    book.retain(|key, _| keys.contains(&key));
+    /// Tells the zone of the servers on this host.
+    async fn announce(&self) {
+        let servers = self.registry.list();
+        let is_leaving = *self.left.borrow();
+        let note = |server: &Arc<LocalServer>| ServerNote {
+            service: server.announcement.service.clone(),
+            backend: server.announcement.address,
+            slots: server.announcement.slots,
+            state: server_state(server.announcement.state, is_leaving),
+        };
+        self.gossip
+            .announce(servers.iter().map(note).collect())
+            .await;
+    }
+
+    fn loads(&self) -> Vec<(ServiceName, u16)> {
+        let servers = self.registry.list();
+        let load = |server: &Arc<LocalServer>| {
+            let load = server.places.load();
+            let calls = u64::from(load.running) + u64::from(load.queued);
+            let permille = calls * 1_000 / u64::from(load.limit.max(1));
+            let service = server.announcement.service.clone();
+            (service, u16::try_from(permille).unwrap_or(u16::MAX))
+        };
+        servers.iter().map(load).collect()
+    }
+
+    fn refresh(&self, book: &mut RouteBook, peers: &PeerSnapshot) {
+        let mut keys = HashSet::new();
+        let is_leaving = *self.left.borrow();
+        for server in self.registry.list() {
+            keys.insert(book.upsert(self.place.view(&server, is_leaving)));
+        }
+        for member in &peers.members {
+            for note in &member.record.servers {
+                let view = self.place.member_view(&member.record, member.status, note);
+                keys.insert(book.upsert(view));
+            }
+        }
+        for zone in peers.zones.iter().filter(|zone| !zone.is_stale) {
+            keys.extend(add_zone(book, zone, self.clock.now()));
+        }
+        book.retain(|key, _| keys.contains(&key));
+    }
 }
 
 impl LocalPlace {
     fn view(&self, server: &LocalServer, is_leaving: bool) -> ServerView {
         let announced = &server.announcement;
-        let state = match announced.state {
-            _ if is_leaving => ServerState::Leaving,
-            ServerStage::Starting => ServerState::Starting,
-            ServerStage::Serving => ServerState::Serving,
-            ServerStage::Leaving => ServerState::Leaving,
-        };
         ServerView {
             service: announced.service.clone(),
             daemon: self.daemon.clone(),
@@ -96,8 +214,68 @@
             region: self.region.clone(),
             forward: self.forward,
             backend: Some(announced.address),
-            state,
+            state: server_state(announced.state, is_leaving),
             slots: announced.slots,
         }
     }
+
+    fn member_view(
+        &self,
+        record: &MemberRecord,
+        status: MemberStatus,
+        note: &ServerNote,
+    ) -> ServerView {
+        let state = match status {
+            MemberStatus::Alive => note.state,
+            MemberStatus::Suspect => ServerState::Suspect,
+        };
+        ServerView {
+            service: note.service.clone(),
+            daemon: record.name.clone(),
+            zone: self.zone.clone(),
+            region: self.region.clone(),
+            forward: record.forward,
+            backend: Some(note.backend),
+            state,
+            slots: note.slots,
+        }
+    }
+}
+
+/// Puts the entries into another zone in and takes the load that it reports.
+fn add_zone(book: &mut RouteBook, zone: &PeerZone, now: MonoTime) -> Vec<ServerKey> {
+    let mut keys = Vec::new();
+    for row in &zone.rows {
+        for view in entry_views(zone, row) {
+            let key = book.upsert(view);
+            if let Some(signal) = book.signal(key) {
+                signal.report(row.load_permille, now);
+            }
+            keys.push(key);
+        }
+    }
+    keys
+}
+
+fn entry_views(zone: &PeerZone, row: &DigestRow) -> impl Iterator<Item = ServerView> {
+    let entries = u32::try_from(row.entries.len()).unwrap_or(u32::MAX);
+    row.entries.iter().map(move |entry| ServerView {
+        service: row.service.clone(),
+        daemon: entry.daemon.clone(),
+        zone: zone.zone.clone(),
+        region: zone.region.clone(),
+        forward: entry.forward,
+        backend: None,
+        state: ServerState::Serving,
+        slots: row.slots / entries.max(1),
+    })
+}
+
+fn server_state(stage: ServerStage, is_leaving: bool) -> ServerState {
+    match stage {
+        _ if is_leaving => ServerState::Leaving,
+        ServerStage::Starting => ServerState::Starting,
+        ServerStage::Serving => ServerState::Serving,
+        ServerStage::Leaving => ServerState::Leaving,
+    }
 }
--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -8,6 +8,7 @@
     route::{
         AnswerEvidence, RequestHash, RouteChoice, RouteQuery, RouteReach, RouteTarget, ServerKey,
     },
+    time::MonoTime,
 };
 use agatehill_peer::{
     body::CallBody,
@@ -84,31 +85,40 @@
             Err(kind) => return bodiless(refusal(kind, Duration::ZERO)),
         };
         let _in_flight = target.signal.enter();
-        let answer = if target.view.daemon == self.daemon {
-            self.gate.run(&head, req).await
+        let is_here = target.view.daemon == self.daemon;
+        let heard = if is_here {
+            Ok(self.gate.run(&head, req).await)
         } else {
             self.forward(&head, req, target).await
         };
         let now = self.gate.clock().now();
-        target
-            .signal
-            .record(evidence(&answer.report, now.since(started)), now);
-        answer
+        match heard {
+            Ok(answer) => {
+                note_report(target, &answer.report, now.since(started), now);
+                answer
+            }
+            Err(report) => {
+                target.signal.record(AnswerEvidence::Failed, now);
+                bodiless(report)
+            }
+        }
     }
 
+    /// Forwards the call; an error is the report of one whose gate was not heard.
+
     async fn forward(
         &self,
         head: &ForwardHead,
         req: Request<CallBody>,
         target: &RouteTarget,
-    ) -> GateAnswer {
+    ) -> Result<GateAnswer, ForwardReport> {
         let limit = Duration::from_millis(u64::from(head.deadline_ms));
         let sent = self.forward.send(target.forward(), head, req);
         match tokio::time::timeout(limit, sent).await {
             Ok(Ok(response)) => forwarded_answer(head, response),
-            Ok(Err(ForwardFailure::NotSent)) => bodiless(lost(CallOutcome::NotRun)),
-            Ok(Err(ForwardFailure::Lost)) => bodiless(unheard(head, FailureKind::Lost)),
-            Err(_) => bodiless(unheard(head, FailureKind::Deadline)),
+            Ok(Err(ForwardFailure::NotSent)) => Err(lost(CallOutcome::NotRun)),
+            Ok(Err(ForwardFailure::Lost)) => Err(unheard(head, FailureKind::Lost)),
+            Err(_) => Err(unheard(head, FailureKind::Deadline)),
         }
     }
 }
@@ -143,25 +153,35 @@
 }
 
 /// Reads the answer of another daemon; one without a report may have run.
-fn forwarded_answer(head: &ForwardHead, response: Response<Incoming>) -> GateAnswer {
+fn forwarded_answer(
+    head: &ForwardHead,
+    response: Response<Incoming>,
+) -> Result<GateAnswer, ForwardReport> {
     match ForwardReport::try_from(response.headers()) {
         Ok(report) => {
             let stream =
                 |body: Incoming| CallBody::Stream(body.map_err(io::Error::other).boxed_unsync());
-            GateAnswer {
+            Ok(GateAnswer {
                 report,
                 response: response.map(stream),
-            }
+            })
         }
-        Err(_) => bodiless(unheard(head, FailureKind::Lost)),
+        Err(_) => Err(unheard(head, FailureKind::Lost)),
     }
 }
 
-fn evidence(report: &ForwardReport, elapsed: Duration) -> AnswerEvidence {
+/// Takes in what a gate's report shows of its server.
+fn note_report(target: &RouteTarget, report: &ForwardReport, elapsed: Duration, now: MonoTime) {
     let level = report.level;
-    match report.failure {
+    let evidence = match report.failure {
         None => AnswerEvidence::Answered { elapsed, level },
         Some(FailureKind::Lost | FailureKind::NoServer) => AnswerEvidence::Failed,
-        Some(_) => AnswerEvidence::Shed { level },
+        Some(FailureKind::Deadline | FailureKind::Shed) => AnswerEvidence::Shed { level },
+        // These concern the request alone.
+        Some(FailureKind::KeyReused | FailureKind::Limit | FailureKind::Quarantined) => return,
+    };
+    if evidence != AnswerEvidence::Failed {
+        target.signal.report(report.load, now);
     }
+    target.signal.record(evidence, now);
 }
--- a/crates/decide/src/digest.rs
+++ b/crates/decide/src/digest.rs
@@ -12,7 +12,7 @@
 
 pub use book::ZoneView;
 pub use node::{DigestInput, DigestNode, DigestOutput, DigestSettings};
-pub use wire::{DigestAsk, DigestReply, DigestRow, DigestScope, ZoneDelta, ZoneRelay};
+pub use wire::{DigestAsk, DigestReply, DigestRow, DigestScope, ZoneDelta, ZoneEntry, ZoneRelay};
 
 use crate::{hash::hash_parts, name::DaemonName};
 use std::time::Duration;
--- a/crates/decide/src/digest/node.rs
+++ b/crates/decide/src/digest/node.rs
@@ -3,7 +3,7 @@
 use super::{
     book::{ZoneDigest, ZoneView},
     relay_ranks,
-    wire::{DigestAsk, DigestReply, DigestRow, DigestScope, ZoneDelta, ZoneRelay},
+    wire::{DigestAsk, DigestReply, DigestRow, DigestScope, ZoneDelta, ZoneEntry, ZoneRelay},
 };
 use crate::{
     member::MemberRecord,
@@ -262,8 +262,12 @@
                 });
                 row.servers += 1;
                 row.slots += note.slots;
-                if row.entries.len() < ENTRIES_MAX && !row.entries.contains(&member.forward) {
-                    row.entries.push(member.forward);
+                let entry = ZoneEntry {
+                    daemon: member.name.clone(),
+                    forward: member.forward,
+                };
+                if row.entries.len() < ENTRIES_MAX && !row.entries.contains(&entry) {
+                    row.entries.push(entry);
                 }
             }
         }
--- a/crates/decide/src/digest/wire.rs
+++ b/crates/decide/src/digest/wire.rs
@@ -1,6 +1,6 @@
 //! What daemons ask and tell about other zones.
 
-use crate::name::{RegionName, ServiceName, ZoneName};
+use crate::name::{DaemonName, RegionName, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -15,8 +15,17 @@
     pub slots: u32,
     /// Load in thousandths of the slots, as the servers report it: a hint.
     pub load_permille: u16,
-    /// Forward addresses of some daemons beside them, which choose a server in their zone.
-    pub entries: Vec<SocketAddr>,
+    /// Some daemons beside them, which choose a server in their zone.
+    pub entries: Vec<ZoneEntry>,
+}
+
+/// A daemon of another zone that takes requests for a service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ZoneEntry {
+    /// The daemon.
+    pub daemon: DaemonName,
+    /// Where it takes forwarded requests.
+    pub forward: SocketAddr,
 }
 
 /// Which zones an ask is about.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod digest;
 pub mod document;
 pub mod gate;
+mod hash;
 pub mod inquiry;
 pub mod level;
 pub mod limit;
