--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -5,7 +5,7 @@
 //! Exits with 0 after a graceful stop and with 1 when it can't start.
 
 use crate::{dump::DaemonDump, feed::ContractFeed, members::MemberTable};
-use agatehill_backend::{announce, gate::CallGate, registry::ServerRegistry};
+use agatehill_backend::{announce, gate::CallGate, inquiry::AttemptLog, registry::ServerRegistry};
 use agatehill_caller::{
     attempt::AttemptRunner,
     contracts::ContractView,
@@ -14,8 +14,9 @@
     routes::RouteView,
 };
 use agatehill_config::DaemonSettings;
+use agatehill_decide::retry::AttemptLedger;
 use agatehill_operator::inspect::inspect_routes;
-use agatehill_peer::{forward::ForwardClient, keeper_client::KeeperClient};
+use agatehill_peer::{forward_client::ForwardClient, keeper_client::KeeperClient};
 use agatehill_platform::{
     clock::MonoClock,
     drain::DrainSignal,
@@ -24,11 +25,20 @@
 };
 use eyre::WrapErr;
 use gotham::router::{Router, build_simple_router};
-use std::{path::PathBuf, sync::Arc, time::Duration};
+use std::{
+    path::PathBuf,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 /// Time for which a stopping daemon still takes calls while the others learn of it.
 const LEAVE_SPAN: Duration = Duration::from_millis(1_500);
 
+/// Request ids whose attempts are counted at most.
+const LEDGER_REQUESTS_MAX: usize = 1 << 16;
+/// Time for which the attempts of a request id are counted.
+const LEDGER_SPAN: Duration = Duration::from_secs(60);
+
 /// Arguments of the command.
 #[derive(Debug, clap::Args)]
 pub(crate) struct Args {
@@ -85,7 +95,7 @@
 }
 
 fn open_entry(settings: &DaemonSettings, clock: MonoClock) -> CallEntry {
-    let registry = Arc::new(ServerRegistry::open());
+    let registry = Arc::new(ServerRegistry::open(clock));
     let runner = AttemptRunner {
         daemon: settings.name.clone(),
         routes: RouteView::default(),
@@ -95,6 +105,11 @@
     CallEntry {
         contracts: ContractView::default(),
         runner,
+        log: AttemptLog::open(clock),
+        attempts: Arc::new(Mutex::new(AttemptLedger::new(
+            LEDGER_REQUESTS_MAX,
+            LEDGER_SPAN,
+        ))),
         body_bytes_max: settings.limits.body_bytes_max,
     }
 }
@@ -107,7 +122,7 @@
 ) -> eyre::Result<DaemonListeners> {
     let listen = settings.listen;
     let gate = &entry.runner.gate;
-    let announce = announce::router(gate.registry().clone(), gate.clock());
+    let announce = announce::router(gate.registry().clone());
     let operator = operator_router(dump, ready, drain);
     Ok(DaemonListeners {
         caller: HttpServer::bind(listen.caller, caller_router(entry.clone()))
--- a/crates/caller/src/problem.rs
+++ b/crates/caller/src/problem.rs
@@ -1,6 +1,6 @@
 //! Refusals and failures, as problem details (RFC 9457).
 
-use agatehill_decide::{name::CustomerName, outcome::CallOutcome};
+use agatehill_decide::{name::CustomerName, outcome::CallOutcome, retry::AttemptError};
 use agatehill_peer::{
     body::CallBody,
     forward::{FailureKind, ForwardReport},
@@ -21,6 +21,8 @@
 /// Why a caller gets no answer from a backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CallProblem {
+    /// A resend past the contract's bound.
+    AttemptsSpent(AttemptError),
     /// The request's body is larger than the daemon passes on.
     BodyTooLarge {
         /// The limit, in bytes.
@@ -41,6 +43,8 @@
     Malformed(String),
     /// No customer was named.
     CustomerMissing,
+    /// A backend server's resend of a child call without a retry left in its chain.
+    RetriesSpent,
     /// No contract is in force for the customer.
     UnknownCustomer(CustomerName),
     /// The contract does not list the operation.
@@ -79,6 +83,9 @@
     /// Returns the HTTP status.
     pub fn status(&self) -> StatusCode {
         match self {
+            CallProblem::AttemptsSpent(_) | CallProblem::RetriesSpent => {
+                StatusCode::TOO_MANY_REQUESTS
+            }
             CallProblem::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             CallProblem::CustomerMissing | CallProblem::KeyMissing | CallProblem::Malformed(_) => {
                 StatusCode::BAD_REQUEST
@@ -133,10 +140,12 @@
 
     fn slug(&self) -> &'static str {
         match self {
+            CallProblem::AttemptsSpent(_) => "attempts-spent",
             CallProblem::BodyTooLarge { .. } => "body-too-large",
             CallProblem::CustomerMissing => "customer-missing",
             CallProblem::KeyMissing => "key-missing",
             CallProblem::Malformed(_) => "malformed",
+            CallProblem::RetriesSpent => "retries-spent",
             CallProblem::UnknownCustomer(_) => "unknown-customer",
             CallProblem::UnknownOperation { .. } => "unknown-operation",
             CallProblem::Failed { kind, .. } => failure_slug(*kind),
@@ -147,6 +156,7 @@
 impl fmt::Display for CallProblem {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            CallProblem::AttemptsSpent(e) => e.fmt(f),
             CallProblem::BodyTooLarge { limit } => {
                 write!(f, "the body is larger than {limit} bytes")
             }
@@ -157,6 +167,9 @@
                 "header \"idempotency-key\" is missing and the operation is not idempotent",
             ),
             CallProblem::Malformed(reason) => f.write_str(reason),
+            CallProblem::RetriesSpent => {
+                f.write_str("the chain's retries are spent; this resend did not run")
+            }
             CallProblem::UnknownCustomer(customer) => {
                 write!(f, "no contract is in force for customer \"{customer}\"")
             }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,8 +1,10 @@
 //! What the system's own processes say to each other.
+//! What daemons and keepers say to each other.
 
 pub mod body;
 pub mod codec;
 pub mod forward;
+pub mod forward_client;
 pub mod headers;
 pub mod keeper;
 pub mod keeper_client;
