--- a/bin/keeper/src/hub.rs
+++ b/bin/keeper/src/hub.rs
@@ -136,6 +136,9 @@
 
     async fn claim_in(&self, idx: u16, command: &ClaimCommand) -> Result<ClaimReply, KeeperError> {
         let handle = &self.shared.claims[usize::from(idx)];
+        if let Some(reply) = handle.read(|table| table.settled(command)) {
+            return Ok(reply);
+        }
         self.propose_anywhere(idx + 1, handle, command).await
     }
 
@@ -220,8 +223,10 @@
 
     async fn claim(&self, command: ClaimCommand) -> Result<ClaimReply, KeeperError> {
         let key = match &command {
-            ClaimCommand::Claim(request) => &request.key,
-            ClaimCommand::Withdraw { key, .. } | ClaimCommand::Finish { key, .. } => key,
+            ClaimCommand::Claim(request)
+            | ClaimCommand::Look(request)
+            | ClaimCommand::Withdraw(request) => &request.key,
+            ClaimCommand::Finish { key, .. } => key,
             ClaimCommand::Retire { .. } => {
                 let groups = 0..self.claim_groups();
                 let retire = |idx| self.claim_in(idx, &command);
