Run non-idempotent calls under a claim at the gate

Cause: the gate ran every call alike; a resend elsewhere ran a payment again.

New refusals: unclaimed (503, the keepers can't be asked) and answer-not-kept (410). A report says whether its outcome covers earlier attempts; without that, a refusal of a resend of a non-idempotent call is unknown, not not-run, because only the claims know what became of the attempts before.

Ruled out: the digest of the whole body (holds uploads); a retry of unclaimed calls in other zones (they ask the same keepers); numbering runs of a daemon by its clock alone (the claims name a number that will do when the clock was set back).

--- a/bin/bench/src/cmd/claims.rs
+++ b/bin/bench/src/cmd/claims.rs
@@ -74,7 +74,6 @@
             incarnation: Incarnation(1),
             sequence: number,
         },
-        attempt: 0,
         remember_seconds: REMEMBER_SECONDS,
     })
 }
--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -5,7 +5,13 @@
 //! Exits with 0 after a graceful stop and with 1 when it can't start.
 
 use crate::{dump::DaemonDump, feed::ContractFeed, members::MemberTable};
-use agatehill_backend::{announce, gate::CallGate, inquiry::AttemptLog, registry::ServerRegistry};
+use agatehill_backend::{
+    announce,
+    gate::CallGate,
+    inquiry::AttemptLog,
+    once::{KeeperClaims, OnceGate},
+    registry::ServerRegistry,
+};
 use agatehill_caller::{
     attempt::AttemptRunner,
     contracts::ContractView,
@@ -14,7 +20,7 @@
     routes::RouteView,
 };
 use agatehill_config::DaemonSettings;
-use agatehill_decide::retry::AttemptLedger;
+use agatehill_decide::{name::Incarnation, retry::AttemptLedger};
 use agatehill_operator::inspect::inspect_routes;
 use agatehill_peer::{forward_client::ForwardClient, keeper_client::KeeperClient};
 use agatehill_platform::{
@@ -28,12 +34,16 @@
 use std::{
     path::PathBuf,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, SystemTime},
 };
+use tokio::time::timeout;
 
 /// Time for which a stopping daemon still takes calls while the others learn of it.
 const LEAVE_SPAN: Duration = Duration::from_millis(1_500);
 
+/// Time for the runs that go on without a caller to end and to be recorded.
+const RECORD_LIMIT: Duration = Duration::from_secs(15);
+
 /// Request ids whose attempts are counted at most.
 const LEDGER_REQUESTS_MAX: usize = 1 << 16;
 /// Time for which the attempts of a request id are counted.
@@ -65,17 +75,15 @@
     let clock = MonoClock::open();
     let drain = DrainSignal::open().wrap_err("cannot listen for signals")?;
     let ready = ReadyFlag::default();
-    let entry = Arc::new(open_entry(&settings, clock));
+    let keepers = KeeperClient::spawn(settings.keepers.clone());
+    let entry = Arc::new(open_entry(&settings, &keepers, clock));
     let dump = DaemonDump::new(&settings, entry.clone());
     let health = (ready.clone(), drain.clone());
     let listeners = bind(&settings, &entry, dump, health).await?;
 
     let forward = listeners.forward.local_addr();
     let members = MemberTable::spawn(&settings, entry.runner.clone(), forward);
-    let feed = ContractFeed::spawn(
-        KeeperClient::spawn(settings.keepers.clone()),
-        entry.contracts.clone(),
-    );
+    let feed = ContractFeed::spawn(keepers, entry.contracts.clone());
     feed.in_force().await;
     ready.set(true);
     println!("ready {}", listeners.addresses());
@@ -90,16 +98,24 @@
     members.leave();
     tokio::time::sleep(LEAVE_SPAN).await;
     listeners.stop().await;
+    if timeout(RECORD_LIMIT, entry.runner.gate.recorded())
+        .await
+        .is_err()
+    {
+        spdlog::warn!("runs are left unrecorded; resends will be told that they may have run");
+    }
     spdlog::info!("daemon {} has stopped", settings.name);
     Ok(())
 }
 
-fn open_entry(settings: &DaemonSettings, clock: MonoClock) -> CallEntry {
+fn open_entry(settings: &DaemonSettings, keepers: &KeeperClient, clock: MonoClock) -> CallEntry {
+    let claims = KeeperClaims::open(keepers.clone());
+    let once = OnceGate::open(claims, settings.name.clone(), incarnation());
     let registry = Arc::new(ServerRegistry::open(clock));
     let runner = AttemptRunner {
         daemon: settings.name.clone(),
         routes: RouteView::default(),
-        gate: CallGate::open(registry, clock),
+        gate: CallGate::open(registry, once, clock),
         forward: ForwardClient::open(),
     };
     CallEntry {
@@ -114,6 +130,14 @@
     }
 }
 
+/// Returns a number for this run of the daemon, larger than that of earlier runs.
+///
+/// Where the clock was set back, the claims refuse the number and name one that will do.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    Incarnation(since.map_or(0, |since| since.as_micros() as u64))
+}
+
 async fn bind(
     settings: &DaemonSettings,
     entry: &Arc<CallEntry>,
--- a/crates/backend/src/gate.rs
+++ b/crates/backend/src/gate.rs
@@ -1,14 +1,18 @@
 //! The gate beside a backend server: the one place where calls to it are admitted.
 
+mod claimed;
+
 use crate::{
     chain::{ChainHandle, RunningChain},
     client::{BackendClient, CallFailure},
     held::{BodyGuard, HeldBody},
+    once::{KeeperClaims, OnceGate, read_prefix},
     places::PlaceGuard,
     registry::ServerRegistry,
 };
 use agatehill_decide::{
     chain::{ChainBudget, ChainIndex, ChainRecord},
+    claim::{DIGEST_BODY_BYTES_MAX, RequestDigest},
     gate::{GateCall, GateLoad, GateRefusal, RefusalReason, RunResult},
     outcome::CallOutcome,
     retry::spread_retry_after,
@@ -45,14 +49,20 @@
     registry: Arc<ServerRegistry>,
     client: BackendClient,
     chains: ChainIndex<ChainHandle>,
+    once: OnceGate<KeeperClaims>,
     clock: MonoClock,
 }
 
 impl CallGate {
-    /// Opens the gate of the servers in `registry`.
-    pub fn open(registry: Arc<ServerRegistry>, clock: MonoClock) -> CallGate {
+    /// Opens the gate of the servers in `registry`; `once` guards what must not run twice.
+    pub fn open(
+        registry: Arc<ServerRegistry>,
+        once: OnceGate<KeeperClaims>,
+        clock: MonoClock,
+    ) -> CallGate {
         CallGate {
             registry,
+            once,
             client: BackendClient::open(),
             chains: ChainIndex::default(),
             clock,
@@ -69,6 +79,11 @@
         &self.chains
     }
 
+    /// Waits until every non-idempotent run is recorded; call it when no new call comes.
+    pub async fn recorded(&self) {
+        self.once.finished().await;
+    }
+
     /// Returns the clock that deadlines are counted on.
     pub fn clock(&self) -> MonoClock {
         self.clock
@@ -82,6 +97,9 @@
             return failed(FailureKind::NoServer, CallOutcome::NotRun, None);
         };
         let limit = Duration::from_millis(u64::from(head.deadline_ms));
+        let Ok((digest, req)) = digested(head, req).await else {
+            return failed(FailureKind::Lost, CallOutcome::NotRun, None);
+        };
         let call = GateCall {
             priority: head.priority,
             deadline: self.clock.now() + limit,
@@ -89,9 +107,12 @@
         };
         match server.places.admit(call).await {
             Ok(place) => {
+                let addr = server.announcement.address;
                 let run = self.enter(head, call, place);
-                self.run_admitted(server.announcement.address, call, req, run)
-                    .await
+                if head.remember_hours.is_some() {
+                    return self.run_claimed(addr, (head, call), digest, req, run).await;
+                }
+                self.run_admitted(addr, call, req, run).await
             }
             Err(refusal) => refused(&refusal, server.places.load()),
         }
@@ -117,13 +138,11 @@
         &self,
         addr: std::net::SocketAddr,
         call: GateCall,
-        mut req: Request<CallBody>,
+        req: Request<CallBody>,
         mut run: RunGuard,
     ) -> GateAnswer {
         let left = call.deadline.since(self.clock.now());
-        let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-        req.headers_mut()
-            .insert(DEADLINE_HEADER, HeaderValue::from(millis));
+        let req = with_deadline(req, left);
         match tokio::time::timeout(left, self.client.send(addr, req)).await {
             Ok(Ok(response)) => answered(response, run),
             Ok(Err(failure)) => {
@@ -182,6 +201,30 @@
     }
 }
 
+/// Returns the digest of what `req` asks for, and the same request.
+///
+/// # Errors
+///
+/// The sender broke the body off.
+async fn digested(
+    head: &ForwardHead,
+    req: Request<CallBody>,
+) -> io::Result<(RequestDigest, Request<CallBody>)> {
+    let (parts, body) = req.into_parts();
+    let (prefix, body) = read_prefix(body, DIGEST_BODY_BYTES_MAX).await?;
+    let prefix = &prefix[..prefix.len().min(DIGEST_BODY_BYTES_MAX)];
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let digest = RequestDigest::of(parts.method.as_str(), head.service.as_str(), path, prefix);
+    Ok((digest, Request::from_parts(parts, body)))
+}
+
+fn with_deadline(mut req: Request<CallBody>, left: Duration) -> Request<CallBody> {
+    let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    req.headers_mut()
+        .insert(DEADLINE_HEADER, HeaderValue::from(millis));
+    req
+}
+
 /// Returns whether a backend server refused the call before its work.
 fn is_shed<B>(response: &Response<B>) -> bool {
     response.status() == StatusCode::SERVICE_UNAVAILABLE
--- /dev/null
+++ b/crates/backend/src/gate/claimed.rs
@@ -0,0 +1,133 @@
+//! Runs of non-idempotent calls, under a claim.
+
+use super::{CallGate, GateAnswer, RunGuard, bodiless, failed, is_shed, report, with_deadline};
+use crate::{
+    client::CallFailure,
+    held::HeldBody,
+    once::{OnceEnd, OnceRefusal, OnceRequest, RunEnd, collect_answer, replayed},
+};
+use agatehill_decide::{
+    claim::{ClaimKey, RequestDigest},
+    gate::{GateCall, RunResult},
+    outcome::CallOutcome,
+};
+use agatehill_peer::{
+    body::CallBody,
+    forward::{FailureKind, ForwardHead, ForwardReport},
+};
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::{io, net::SocketAddr};
+use tokio::time::Instant;
+
+/// Seconds in an hour.
+const HOUR_SECONDS: u32 = 3_600;
+
+impl CallGate {
+    /// Runs a call that was admitted, at most once over all its attempts.
+    pub(super) async fn run_claimed(
+        &self,
+        addr: SocketAddr,
+        (head, call): (&ForwardHead, GateCall),
+        digest: RequestDigest,
+        req: Request<CallBody>,
+        run: RunGuard,
+    ) -> GateAnswer {
+        let left = call.deadline.since(self.clock.now());
+        let request = OnceRequest {
+            key: ClaimKey {
+                customer: head.customer.clone(),
+                id: head.request.clone(),
+            },
+            digest,
+            attempt: head.attempt,
+            remember_seconds: head
+                .remember_hours
+                .unwrap_or(0)
+                .saturating_mul(HOUR_SECONDS),
+            deadline: Instant::now() + left,
+        };
+        let gate = self.clone();
+        let running = async move { gate.run_granted(addr, call, req, run).await };
+        match self.once.run(request, running).await {
+            OnceEnd::Ran(answer) => answer,
+            OnceEnd::Replayed(stored) => GateAnswer {
+                report: ForwardReport::new(CallOutcome::Replayed, None),
+                response: replayed(stored),
+            },
+            OnceEnd::Refused(refusal) => refuse(refusal),
+        }
+    }
+
+    /// Sends a call whose claim is granted, without a time limit of its own.
+    async fn run_granted(
+        &self,
+        addr: SocketAddr,
+        call: GateCall,
+        req: Request<CallBody>,
+        mut run: RunGuard,
+    ) -> RunEnd<GateAnswer> {
+        let req = with_deadline(req, call.deadline.since(self.clock.now()));
+        match self.client.send(addr, req).await {
+            Ok(response) => answer(response, run).await,
+            Err(failure) => {
+                run.place.set_result(RunResult::Lost);
+                lost(failure, &run)
+            }
+        }
+    }
+}
+
+fn lost(failure: CallFailure, run: &RunGuard) -> RunEnd<GateAnswer> {
+    match failure {
+        CallFailure::NotSent => RunEnd::NotRun(not_run(FailureKind::Lost, run)),
+        CallFailure::Lost => RunEnd::Unknown(unknown(run)),
+    }
+}
+
+async fn answer(response: Response<Incoming>, mut run: RunGuard) -> RunEnd<GateAnswer> {
+    if is_shed(&response) {
+        run.place.set_result(RunResult::Shed);
+        return RunEnd::NotRun(not_run(FailureKind::Shed, &run));
+    }
+    let report = report(CallOutcome::Answered, None, Some(&run));
+    let stream = |body: Incoming| CallBody::Stream(body.map_err(io::Error::other).boxed_unsync());
+    match collect_answer(response.map(stream)).await {
+        Ok((response, stored)) => {
+            let hold = |body| CallBody::Stream(HeldBody::new(body, run).boxed_unsync());
+            let response = response.map(hold);
+            RunEnd::Answered(GateAnswer { report, response }, stored)
+        }
+        Err(_) => {
+            run.place.set_result(RunResult::Lost);
+            RunEnd::Unknown(unknown(&run))
+        }
+    }
+}
+
+/// Returns the failure of a granted run that never reached the server's work; as the claim was
+/// granted, no earlier attempt did either.
+fn not_run(kind: FailureKind, run: &RunGuard) -> GateAnswer {
+    let mut answer = failed(kind, CallOutcome::NotRun, Some(run));
+    answer.report.covers_earlier = true;
+    answer
+}
+
+fn unknown(run: &RunGuard) -> GateAnswer {
+    failed(FailureKind::Lost, CallOutcome::Unknown, Some(run))
+}
+
+fn refuse(refusal: OnceRefusal) -> GateAnswer {
+    let kind = match refusal {
+        OnceRefusal::AnswerNotKept => FailureKind::AnswerNotKept,
+        OnceRefusal::KeyReused => FailureKind::KeyReused,
+        OnceRefusal::MayHaveRun => FailureKind::Lost,
+        OnceRefusal::StillRunning | OnceRefusal::TwinRunning => FailureKind::Deadline,
+        OnceRefusal::StoreAbsent | OnceRefusal::StoreFull => FailureKind::Unclaimed,
+        OnceRefusal::TwinWithdrew => FailureKind::Shed,
+    };
+    let mut answer = bodiless(failed(kind, refusal.outcome(), None).report);
+    answer.report.covers_earlier = refusal.covers_earlier();
+    answer
+}
--- a/crates/backend/src/once.rs
+++ b/crates/backend/src/once.rs
@@ -4,9 +4,13 @@
 //! that was granted goes on when its caller has gone or its deadline has passed, so that a resend
 //! is told the answer.
 
+mod answer;
 mod claim_guard;
+mod keepers;
 mod store;
 
+pub use answer::{collect_answer, read_prefix, replayed};
+pub use keepers::KeeperClaims;
 pub use store::{ClaimStore, StoreError};
 
 use agatehill_decide::{
@@ -31,7 +35,7 @@
 use tokio_util::task::TaskTracker;
 
 /// Longest wait for a claim.
-const CLAIM_WAIT: Duration = Duration::from_millis(500);
+const CLAIM_WAIT: Duration = Duration::from_millis(1_500);
 /// Pause before a claim whose reply was lost is sent again.
 const CLAIM_PAUSE: Duration = Duration::from_millis(50);
 /// Time after the deadline for which a granted run may still answer, for the caller's resend.
@@ -126,7 +130,7 @@
 pub struct OnceGate<S> {
     store: S,
     daemon: DaemonName,
-    incarnation: Incarnation,
+    incarnation: Arc<AtomicU64>,
     sequence: Arc<AtomicU64>,
     health: Arc<StoreHealth>,
     /// Runs and records that go on without a caller.
@@ -145,7 +149,7 @@
         OnceGate {
             store,
             daemon,
-            incarnation,
+            incarnation: Arc::new(AtomicU64::new(incarnation.0)),
             sequence: Arc::default(),
             health: Arc::default(),
             tasks,
@@ -181,6 +185,12 @@
                 guard.disarm();
                 self.start(claim, fence, deadline, run).await
             }
+            Ok(ClaimReply::Retired(before)) => {
+                // The clock that numbers the runs of this daemon was set back between two of them.
+                let next = before.0 + u64::from(rand::random::<u16>());
+                self.incarnation.fetch_max(next, Ordering::Relaxed);
+                settle(Ok(ClaimReply::Retired(before)), guard)
+            }
             Ok(ClaimReply::Running(_)) => {
                 // The place at the server is free while another gate runs the request.
                 drop(run);
@@ -194,7 +204,7 @@
     fn claim_of(&self, request: OnceRequest) -> ClaimRequest {
         let owner = ClaimOwner {
             daemon: self.daemon.clone(),
-            incarnation: self.incarnation,
+            incarnation: Incarnation(self.incarnation.load(Ordering::Relaxed)),
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
         };
         ClaimRequest {
@@ -336,6 +346,7 @@
         ClaimReply::Full => OnceRefusal::StoreFull,
         ClaimReply::Done | ClaimReply::Withdrawn => OnceRefusal::TwinWithdrew,
         ClaimReply::Running(_) => OnceRefusal::TwinRunning,
+        ClaimReply::Retired(_) => OnceRefusal::StoreAbsent,
         ClaimReply::Unknown | ClaimReply::Absent | ClaimReply::Granted(_) | ClaimReply::Refused => {
             OnceRefusal::MayHaveRun
         }
--- /dev/null
+++ b/crates/backend/src/once/answer.rs
@@ -0,0 +1,89 @@
+//! Bodies on their way through a gate: the prefix of a request, and an answer that is stored.
+
+use agatehill_decide::claim::{ANSWER_BYTES_MAX, AnswerBody, StoredAnswer};
+use agatehill_peer::{body::CallBody, headers::strip_hop};
+use bytes::{Bytes, BytesMut};
+use futures_util::{StreamExt, stream};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header::CONTENT_LENGTH};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use std::{io, pin::pin};
+
+/// Reads `body` up to `limit` bytes or a little more, and returns that prefix and the whole body.
+///
+/// # Errors
+///
+/// The sender broke the body off.
+pub async fn read_prefix(mut body: CallBody, limit: usize) -> io::Result<(Bytes, CallBody)> {
+    let mut prefix = BytesMut::new();
+    loop {
+        if prefix.len() > limit {
+            let prefix = prefix.freeze();
+            return Ok((prefix.clone(), chained(prefix, body)));
+        }
+        match body.frame().await.transpose()?.map(Frame::into_data) {
+            Some(Ok(data)) => prefix.extend_from_slice(&data),
+            // Trailers are not passed on.
+            Some(Err(_)) => {}
+            None => break,
+        }
+    }
+    let prefix = prefix.freeze();
+    Ok((prefix.clone(), CallBody::whole(prefix)))
+}
+
+/// Reads an answer until it ends or is too large to store, and returns it with its stored form.
+///
+/// # Errors
+///
+/// The backend server broke the answer off.
+pub async fn collect_answer(
+    response: Response<CallBody>,
+) -> io::Result<(Response<CallBody>, StoredAnswer)> {
+    let (mut parts, body) = response.into_parts();
+    strip_hop(&mut parts.headers);
+    let limit = usize::try_from(ANSWER_BYTES_MAX).unwrap_or(usize::MAX);
+    let (prefix, body) = read_prefix(body, limit).await?;
+    let stored_body = match &body {
+        CallBody::Whole(_) => AnswerBody::Whole(prefix.to_vec()),
+        CallBody::Stream(_) => AnswerBody::TooLarge,
+    };
+    let stored = StoredAnswer {
+        status: parts.status.as_u16(),
+        headers: stored_headers(&parts.headers),
+        body: stored_body,
+    };
+    Ok((Response::from_parts(parts, body), stored.fit(u64::MAX)))
+}
+
+/// Returns a stored answer in the form that is passed on.
+pub fn replayed(stored: StoredAnswer) -> Response<CallBody> {
+    let body = match stored.body {
+        AnswerBody::Whole(body) => body,
+        AnswerBody::TooLarge => Vec::new(),
+    };
+    let mut response = Response::new(CallBody::whole(body.into()));
+    *response.status_mut() = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
+    for (name, value) in stored.headers {
+        let name = HeaderName::try_from(name);
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(&value)) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
+
+fn stored_headers(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+    let kept = headers.iter().filter(|(name, _)| **name != CONTENT_LENGTH);
+    kept.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()))
+        .collect()
+}
+
+fn chained(prefix: Bytes, rest: CallBody) -> CallBody {
+    let first = stream::iter([Ok(Frame::data(prefix))]);
+    let rest = stream::unfold(rest, |mut rest| async move {
+        let frame = pin!(&mut rest).frame().await?;
+        Some((frame, rest))
+    });
+    CallBody::Stream(BodyExt::boxed_unsync(StreamBody::new(first.chain(rest))))
+}
--- a/crates/backend/src/once/store.rs
+++ b/crates/backend/src/once/store.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 /// Time without a reply after which a command counts as lost.
-const REPLY_WAIT: Duration = Duration::from_millis(250);
+const REPLY_WAIT: Duration = Duration::from_millis(600);
 /// First and longest pause before a record is sent again.
 const RECORD_PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
 
--- a/crates/backend/tests/once.rs
+++ b/crates/backend/tests/once.rs
@@ -23,7 +23,7 @@
 const OPENING: [SendFate; 2] = [SendFate::Arrives; 2];
 
 /// Copies of a claim that a gate sends to a store that doesn't answer.
-const CLAIM_TRIES: usize = 10;
+const CLAIM_TRIES: usize = 29;
 
 #[rstest]
 // Step: claim.
@@ -32,9 +32,9 @@
 #[case::claim_twice(&[SendFate::ArrivesTwice], None, ANSWERED, REPLAYED, 1)]
 #[case::claim_late(&[SendFate::Late], None, ANSWERED, REPLAYED, 1)]
 #[case::claim_silent(&[SendFate::Silent], None, ANSWERED, REPLAYED, 1)]
-#[case::claim_stays_silent(&[SendFate::Silent; 2], None, STORE_ABSENT, ANSWERED, 1)]
+#[case::claim_stays_silent(&[SendFate::Silent; 3], None, STORE_ABSENT, ANSWERED, 1)]
 #[case::store_absent(&[SendFate::NotSent; CLAIM_TRIES], None, STORE_ABSENT, ANSWERED, 1)]
-#[case::all_replies_lost(&[SendFate::ReplyLost; 12], None, STORE_ABSENT, ANSWERED, 1)]
+#[case::all_replies_lost(&[SendFate::ReplyLost; CLAIM_TRIES], None, STORE_ABSENT, ANSWERED, 1)]
 #[case::all_claims_late(&[SendFate::Late; CLAIM_TRIES], None, STORE_ABSENT, ANSWERED, 1)]
 #[case::crash_after_claim(&[SendFate::GateCrash], None, AttemptEnd::NoAnswer, MAY_HAVE_RUN, 0)]
 // Step: run.
@@ -109,7 +109,10 @@
     let world = FakeWorld::default();
     let gate = FakeGate::open("gate-1", &world);
     sleep(Duration::from_millis(10)).await;
-    world.lock().sends.extend([SendFate::NotSent; 40]);
+    world
+        .lock()
+        .sends
+        .extend([SendFate::NotSent; CLAIM_TRIES * 3]);
     assert_eq!(gate.attempt("payment-0").await, STORE_ABSENT);
     let trial = tokio::spawn(gate.attempt("payment-1"));
     tokio::task::yield_now().await;
--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -193,11 +193,14 @@
         let retries = call.budget.left();
         let mut tried = Vec::new();
         let mut next = Some(req);
-        let mut outcome = CallOutcome::NotRun;
+        let mut outcome = before(&call);
         loop {
             let req = next.take().expect("a further attempt has a request");
             next = try_clone(&req);
             let mut answer = self.runner.run(&mut call, req, reach, &mut tried).await;
+            if answer.report.covers_earlier {
+                outcome = answer.report.outcome;
+            }
             outcome = outcome.combine(answer.report.outcome);
             let is_last = next.is_none() || !may_retry(&call, &answer);
             if is_last || !call.budget.spend() {
@@ -211,6 +214,16 @@
     }
 }
 
+/// Returns what is known before the first try of an attempt.
+///
+/// An earlier attempt of a non-idempotent call may have run; only the claims can tell.
+fn before(call: &ActiveCall) -> CallOutcome {
+    if call.is_idempotent() || call.attempt == 0 {
+        return CallOutcome::NotRun;
+    }
+    CallOutcome::Unknown
+}
+
 /// Returns `body`, broken off with an error past `limit` bytes.
 fn limited(body: Body, limit: u64) -> Body {
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
--- a/crates/caller/src/problem.rs
+++ b/crates/caller/src/problem.rs
@@ -190,17 +190,21 @@
 
 fn failure_status(kind: FailureKind) -> StatusCode {
     match kind {
+        FailureKind::AnswerNotKept => StatusCode::GONE,
         FailureKind::Deadline => StatusCode::GATEWAY_TIMEOUT,
         FailureKind::KeyReused => StatusCode::CONFLICT,
         FailureKind::Limit => StatusCode::TOO_MANY_REQUESTS,
         FailureKind::Lost => StatusCode::BAD_GATEWAY,
-        FailureKind::NoServer | FailureKind::Shed => StatusCode::SERVICE_UNAVAILABLE,
+        FailureKind::NoServer | FailureKind::Shed | FailureKind::Unclaimed => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
         FailureKind::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
     }
 }
 
 fn failure_slug(kind: FailureKind) -> &'static str {
     match kind {
+        FailureKind::AnswerNotKept => "answer-not-kept",
         FailureKind::Deadline => "deadline",
         FailureKind::KeyReused => "key-reused",
         FailureKind::Limit => "limit",
@@ -208,11 +212,15 @@
         FailureKind::NoServer => "no-server",
         FailureKind::Quarantined => "quarantined",
         FailureKind::Shed => "shed",
+        FailureKind::Unclaimed => "unclaimed",
     }
 }
 
 fn failure_text(kind: FailureKind) -> &'static str {
     match kind {
+        FailureKind::AnswerNotKept => {
+            "an earlier attempt has run and its answer was too large to keep"
+        }
         FailureKind::Deadline => "the time left to the caller does not suffice",
         FailureKind::KeyReused => "the idempotency-key was used for another request",
         FailureKind::Limit => "a limit of the contract is spent",
@@ -220,6 +228,9 @@
         FailureKind::NoServer => "no backend server of the service can be reached",
         FailureKind::Quarantined => "the request has crashed backend servers",
         FailureKind::Shed => "the backend servers are overloaded",
+        FailureKind::Unclaimed => {
+            "the keepers that see to it that the request runs once can't be reached"
+        }
     }
 }
 
--- a/crates/decide/src/claim.rs
+++ b/crates/decide/src/claim.rs
@@ -168,6 +168,9 @@
         if let Some(reply) = self.look(&request) {
             return reply;
         }
+        if let Some(before) = self.retired_before(&request.owner) {
+            return ClaimReply::Retired(before);
+        }
         if self.is_withdrawn(hash, &request) {
             return ClaimReply::Withdrawn;
         }
@@ -188,13 +191,14 @@
         ClaimReply::Granted(fence)
     }
 
+    fn retired_before(&self, owner: &ClaimOwner) -> Option<Incarnation> {
+        let before = self.retired.get(&owner.daemon)?.before;
+        (owner.incarnation < before).then_some(before)
+    }
+
     fn is_withdrawn(&self, hash: KeyHash, request: &ClaimRequest) -> bool {
-        let owner = &request.owner;
         let is_fenced = |fence: &AttemptFence| request.attempt < fence.attempt;
-        let is_over = |runs: &RetiredRuns| owner.incarnation < runs.before;
-        self.withdrawn.contains(owner)
-            || self.fences.get(&hash).is_some_and(is_fenced)
-            || self.retired.get(&owner.daemon).is_some_and(is_over)
+        self.withdrawn.contains(&request.owner) || self.fences.get(&hash).is_some_and(is_fenced)
     }
 
     fn withdraw(&mut self, request: ClaimRequest) -> ClaimReply {
--- a/crates/decide/src/claim/message.rs
+++ b/crates/decide/src/claim/message.rs
@@ -211,6 +211,8 @@
     Mismatch,
     /// The claimer has withdrawn this very claim, or a later attempt of the request has.
     Withdrawn,
+    /// The claimer's run counts as over; a run from this incarnation on does not.
+    Retired(Incarnation),
     /// Nobody holds the claim.
     Absent,
     /// The table is full; nothing was claimed.
--- a/crates/decide/tests/claim.rs
+++ b/crates/decide/tests/claim.rs
@@ -145,7 +145,7 @@
     vec![claim("a", 1), withdraw("a"), claim("b", 1), answered(1), claim("c", 1)],
     ClaimReply::Running(owner("b", 1)))]
 #[case::restarted_owner(vec![claim("a", 1), retire("a", 2), claim("b", 1)], ClaimReply::Unknown)]
-#[case::late_copy_of_a_run_that_is_over(vec![retire("a", 2), claim("a", 1)], ClaimReply::Withdrawn)]
+#[case::late_copy_of_a_run_that_is_over(vec![retire("a", 2), claim("a", 1)], ClaimReply::Retired(Incarnation(2)))]
 #[case::restart_spares_the_new_run(vec![claim("a", 2), retire("a", 2), claim("a", 2)], granted(1))]
 #[case::restart_spares_other_daemons(vec![claim("a", 1), retire("b", 2), claim("a", 1)], granted(1))]
 #[case::withdraw_after_retire_is_too_late(
--- a/crates/peer/src/forward.rs
+++ b/crates/peer/src/forward.rs
@@ -53,6 +53,8 @@
 /// Why a call was refused or failed.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum FailureKind {
+    /// An earlier attempt has run; its answer was too large to keep.
+    AnswerNotKept,
     /// The remaining time does not suffice or has passed.
     Deadline,
     /// The request id was used for another request.
@@ -65,6 +67,8 @@
     Shed,
     /// The request crashed servers.
     Quarantined,
+    /// The keepers' claims can't be asked, so a non-idempotent request is not run.
+    Unclaimed,
     /// No server of the service can be reached.
     NoServer,
 }
@@ -74,6 +78,8 @@
 pub struct ForwardReport {
     /// What is known about the run.
     pub outcome: CallOutcome,
+    /// Whether the outcome speaks for all earlier attempts of the request too.
+    pub covers_earlier: bool,
     /// Why there is no answer; `None` when there is one.
     pub failure: Option<FailureKind>,
     /// Time after which the caller may ask again, in milliseconds.
@@ -93,6 +99,7 @@
     pub fn new(outcome: CallOutcome, failure: Option<FailureKind>) -> ForwardReport {
         ForwardReport {
             outcome,
+            covers_earlier: false,
             failure,
             retry_after_ms: 0,
             retries_used: 0,
