--- a/bin/keeper/src/hub.rs
+++ b/bin/keeper/src/hub.rs
@@ -136,6 +136,9 @@
 
     async fn claim_in(&self, idx: u16, command: &ClaimCommand) -> Result<ClaimReply, KeeperError> {
         let handle = &self.shared.claims[usize::from(idx)];
+        if let Some(reply) = handle.read(|table| table.settled(command)) {
+            return Ok(reply);
+        }
         self.propose_anywhere(idx + 1, handle, command).await
     }
 
--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -91,6 +91,11 @@
         } else {
             self.forward(&head, req, target).await
         };
+        let report = heard
+            .as_ref()
+            .map_or_else(|report| *report, |answer| answer.report);
+        let unused = lease.tokens().saturating_sub(report.retries_used);
+        call.budget.give_back(lease, unused);
         let now = self.gate.clock().now();
         match heard {
             Ok(answer) => {
@@ -105,7 +110,6 @@
     }
 
     /// Forwards the call; an error is the report of one whose gate was not heard.
-
     async fn forward(
         &self,
         head: &ForwardHead,
@@ -178,7 +182,13 @@
         Some(FailureKind::Lost | FailureKind::NoServer) => AnswerEvidence::Failed,
         Some(FailureKind::Deadline | FailureKind::Shed) => AnswerEvidence::Shed { level },
         // These concern the request alone.
-        Some(FailureKind::KeyReused | FailureKind::Limit | FailureKind::Quarantined) => return,
+        Some(
+            FailureKind::AnswerNotKept
+            | FailureKind::KeyReused
+            | FailureKind::Limit
+            | FailureKind::Quarantined
+            | FailureKind::Unclaimed,
+        ) => return,
     };
     if evidence != AnswerEvidence::Failed {
         target.signal.report(report.load, now);
