--- a/bin/load/src/cmd/mod.rs
+++ b/bin/load/src/cmd/mod.rs
@@ -4,3 +4,4 @@
 pub(crate) mod call;
 pub(crate) mod run;
 pub(crate) mod upload;
+pub(crate) mod watch;
--- a/bin/load/src/cmd/run.rs
+++ b/bin/load/src/cmd/run.rs
@@ -8,6 +8,7 @@
         pace::LoadPace,
         report::LoadReport,
     },
+    process::{ProcessWatch, WatchedProcess},
 };
 use bytes::Bytes;
 use eyre::{OptionExt, Result};
@@ -77,6 +78,9 @@
     /// Seed of the calls; also the first part of each idempotency-key.
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// A process whose use is printed to standard error, `NAME=PID`; repeatable.
+    #[arg(long = "watch")]
+    watched: Vec<WatchedProcess>,
     /// Prints the report as JSON.
     #[arg(long)]
     json: bool,
@@ -92,6 +96,8 @@
         poisson: args.poisson,
         seed: args.seed,
     };
+    let span = pace.span;
+    let watch = ProcessWatch::open(&args.watched)?;
     let (records, mut received) = mpsc::unbounded_channel();
     let handle = Handle::current();
     let pacer = task::spawn_blocking(move || {
@@ -114,6 +120,10 @@
     } else {
         print!("{summary}");
     }
+    let calls = (args.rate * span.as_secs_f64()) as u64;
+    for used in watch.end(span, calls)? {
+        eprintln!("{used}");
+    }
     Ok(())
 }
 
--- a/bin/load/src/main.rs
+++ b/bin/load/src/main.rs
@@ -3,6 +3,7 @@
 mod client;
 mod cmd;
 mod load;
+mod process;
 mod standin;
 
 use clap::{Parser, Subcommand};
@@ -26,6 +27,8 @@
     Run(cmd::run::Args),
     /// Streams one large body and compares what arrived.
     Upload(cmd::upload::Args),
+    /// Shows what running processes use.
+    Watch(cmd::watch::Args),
 }
 
 #[tokio::main]
@@ -35,6 +38,7 @@
         Command::Call(args) => cmd::call::run(args).await,
         Command::Run(args) => cmd::run::run(args).await,
         Command::Upload(args) => cmd::upload::run(args).await,
+        Command::Watch(args) => cmd::watch::run(args).await,
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/bin/load/src/process.rs
@@ -0,0 +1,128 @@
+//! Processor time and memory of other processes, from `/proc`.
+
+use eyre::{OptionExt, Result, WrapErr};
+use std::{fmt, fs, str::FromStr, time::Duration};
+
+/// Clock ticks a second in `/proc/PID/stat` (`USER_HZ`).
+const TICKS_PER_SECOND: u64 = 100;
+
+/// Fields of `/proc/PID/stat` between the command's name and the user time.
+const FIELDS_BEFORE_TIMES: usize = 11;
+
+/// A process to watch, written `NAME=PID`.
+#[derive(Clone, Debug)]
+pub(crate) struct WatchedProcess {
+    name: String,
+    pid: u32,
+}
+
+impl FromStr for WatchedProcess {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<WatchedProcess, String> {
+        let wrong = || format!("\"{text}\" is not NAME=PID");
+        let (name, pid) = text.split_once('=').ok_or_else(wrong)?;
+        Ok(WatchedProcess {
+            name: name.to_owned(),
+            pid: pid.parse().map_err(|_| wrong())?,
+        })
+    }
+}
+
+/// What a process has used so far.
+#[derive(Clone, Copy, Debug)]
+struct ProcessSample {
+    cpu: Duration,
+    resident_kib: u64,
+}
+
+/// Watches processes from its opening on.
+pub(crate) struct ProcessWatch {
+    processes: Vec<(WatchedProcess, ProcessSample)>,
+}
+
+/// What a process has used over a watch.
+#[derive(Clone, Debug)]
+pub(crate) struct ProcessUse {
+    name: String,
+    cpu: Duration,
+    resident_kib: u64,
+    span: Duration,
+    calls: u64,
+}
+
+impl ProcessWatch {
+    /// Takes the first sample of `processes`.
+    pub(crate) fn open(processes: &[WatchedProcess]) -> Result<ProcessWatch> {
+        let first = |process: &WatchedProcess| Ok((process.clone(), process.sample()?));
+        Ok(ProcessWatch {
+            processes: processes.iter().map(first).collect::<Result<_>>()?,
+        })
+    }
+
+    /// Takes the last sample, `span` after the first and after `calls` calls.
+    pub(crate) fn end(self, span: Duration, calls: u64) -> Result<Vec<ProcessUse>> {
+        let mut uses = Vec::new();
+        for (process, first) in self.processes {
+            let last = process.sample()?;
+            uses.push(ProcessUse {
+                name: process.name,
+                cpu: last.cpu.saturating_sub(first.cpu),
+                resident_kib: last.resident_kib,
+                span,
+                calls,
+            });
+        }
+        Ok(uses)
+    }
+}
+
+impl WatchedProcess {
+    fn sample(&self) -> Result<ProcessSample> {
+        let read = |file: &str| {
+            let path = format!("/proc/{}/{file}", self.pid);
+            fs::read_to_string(&path).wrap_err_with(|| format!("cannot read {path}"))
+        };
+        Ok(ProcessSample {
+            cpu: parse_cpu(&read("stat")?).ok_or_eyre("stat has no processor time")?,
+            resident_kib: parse_resident(&read("status")?).ok_or_eyre("status has no VmRSS")?,
+        })
+    }
+}
+
+impl fmt::Display for ProcessUse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let share = self.cpu.as_secs_f64() / self.span.as_secs_f64();
+        let resident = self.resident_kib as f64 / 1024.0;
+        write!(
+            f,
+            "process {}: core={:.2}% resident={resident:.1} MiB",
+            self.name,
+            share * 100.0
+        )?;
+        if self.calls > 0 {
+            let micros = self.cpu.as_secs_f64() * 1e6 / self.calls as f64;
+            write!(f, " cpu_us_per_call={micros:.1}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Returns user and system time from the text of `/proc/PID/stat`.
+fn parse_cpu(stat: &str) -> Option<Duration> {
+    let (_, fields) = stat.rsplit_once(')')?;
+    let mut times = fields.split_whitespace().skip(FIELDS_BEFORE_TIMES);
+    let user: u64 = times.next()?.parse().ok()?;
+    let system: u64 = times.next()?.parse().ok()?;
+    Some(Duration::from_millis(
+        (user + system) * 1_000 / TICKS_PER_SECOND,
+    ))
+}
+
+/// Returns the resident size from the text of `/proc/PID/status`, in KiB.
+fn parse_resident(status: &str) -> Option<u64> {
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
