--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod contract;
 pub mod contract_book;
 pub mod deadline;
+pub mod digest;
 pub mod document;
 pub mod gate;
 pub mod inquiry;
