--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod digest;
 pub mod document;
 pub mod gate;
-mod hash;
 pub mod inquiry;
 pub mod level;
 pub mod limit;
@@ -28,3 +27,5 @@
 pub mod route;
 pub mod state;
 pub mod time;
+
+mod hash;
