Catch up with several keepers and the zone before a daemon opens

Cause: a daemon took its first contracts from one keeper. Beside one that lags it would serve an older contract than it had in force; without any keeper it never opened. Change: before it opens, a daemon asks all its keepers and up to three of its seeds and takes the newest; while no keeper is in touch with a leader it looks at a random daemon of its zone every 3 s. Daemons serve their contracts over the control port.

--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -79,13 +79,15 @@
     let keepers = KeeperClient::spawn(settings.keepers.clone());
     let entry = Arc::new(open_entry(&settings, &keepers, clock));
     let forward = bind_forward(&settings, &entry).await?;
-    let members = join(&settings, &entry, forward.local_addr()).await?;
+    let feed = ContractFeed::open(keepers, entry.contracts.clone());
+    let members = join(&settings, &entry, forward.local_addr(), &feed).await?;
     let dump = DaemonDump::new(&settings, entry.clone(), members.view());
     let health = (ready.clone(), drain.clone());
     let listeners = bind(&settings, &entry, forward, dump, health).await?;
 
-    let feed = ContractFeed::spawn(keepers, entry.contracts.clone());
-    feed.in_force().await;
+    let seeds: Vec<_> = settings.seeds.iter().map(|seed| seed.control).collect();
+    feed.catch_up(&seeds).await;
+    feed.spawn(members.view());
     ready.set(true);
     println!("ready {}", listeners.addresses());
     spdlog::info!(
@@ -146,11 +148,13 @@
     settings: &DaemonSettings,
     entry: &CallEntry,
     forward: SocketAddr,
+    feed: &ContractFeed,
 ) -> eyre::Result<MemberTable> {
     let runner = &entry.runner;
     let (registry, routes) = (runner.gate.registry(), runner.routes.clone());
     let listen = settings.listen;
-    MemberTable::bind(settings, registry, routes, forward, runner.gate.clock())
+    let (contracts, clock) = (feed.page(), runner.gate.clock());
+    MemberTable::bind(settings, registry, routes, forward, contracts, clock)
         .await
         .wrap_err_with(|| {
             format!(
--- a/bin/daemon/src/feed.rs
+++ b/bin/daemon/src/feed.rs
@@ -1,71 +1,145 @@
-//! Keeps the contracts in force up to date with the keepers.
+//! Keeps the contracts in force up to date with the keepers, and with other daemons while the
+//! keepers can't be reached.
 
 use agatehill_caller::contracts::ContractView;
 use agatehill_decide::contract::ContractSpec;
 use agatehill_peer::{
+    control::ControlClient,
+    gossip::PeerSnapshot,
     keeper::{ContractText, FeedPage},
     keeper_client::KeeperClient,
 };
-use std::{sync::Arc, time::Duration};
+use futures_util::future::join_all;
+use rand::seq::IteratorRandom;
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 use tokio::sync::watch;
 
 /// Time for which a feed request waits for something new.
-const FEED_WAIT: Duration = Duration::from_secs(10);
-/// Pause after no keeper answered.
+const FEED_WAIT: Duration = Duration::from_secs(1);
+/// Pause after nobody answered.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Time between two looks at another daemon's contracts while no keeper is in touch with a leader.
+const PEER_INTERVAL: Duration = Duration::from_secs(3);
+/// Daemons that are asked before this one opens.
+const START_PEERS_MAX: usize = 3;
 
-/// A running feed of contracts.
+/// The contracts in force and where they come from.
 #[derive(Debug)]
 pub(crate) struct ContractFeed {
-    position: watch::Receiver<Option<u64>>,
+    keepers: KeeperClient,
+    peers: ControlClient,
+    contracts: ContractView,
+    /// All contracts in force, as text, for daemons that ask.
+    page: watch::Sender<Arc<FeedPage>>,
 }
 
 impl ContractFeed {
-    /// Spawns the feed from `keepers` into `contracts`.
-    pub(crate) fn spawn(keepers: KeeperClient, contracts: ContractView) -> ContractFeed {
-        let (tx, position) = watch::channel(None);
-        tokio::spawn(follow(keepers, contracts, tx));
-        ContractFeed { position }
+    /// Opens a feed from `keepers` into `contracts`.
+    pub(crate) fn open(keepers: KeeperClient, contracts: ContractView) -> ContractFeed {
+        ContractFeed {
+            keepers,
+            peers: ControlClient::default(),
+            contracts,
+            page: watch::channel(Arc::default()).0,
+        }
     }
 
-    /// Waits until a keeper's contracts are in force.
-    pub(crate) async fn in_force(&self) {
-        let mut rx = self.position.clone();
-        // The sender lives as long as the process.
-        let _ = rx.wait_for(Option::is_some).await;
+    /// Returns the contracts in force, as text.
+    pub(crate) fn page(&self) -> watch::Receiver<Arc<FeedPage>> {
+        self.page.subscribe()
     }
-}
 
-async fn follow(keepers: KeeperClient, contracts: ContractView, tx: watch::Sender<Option<u64>>) {
-    let mut after = 0;
-    loop {
-        let wait = if tx.borrow().is_none() {
-            Duration::ZERO
-        } else {
-            FEED_WAIT
-        };
-        match keepers.feed(after, wait).await {
-            Ok(page) => {
-                after = apply(&page, &contracts).max(after);
-                tx.send_replace(Some(after));
+    /// Waits until the newest contracts that keepers and the daemons at `seeds` know are in force.
+    ///
+    /// Several are asked, so that a daemon that restarts beside a keeper that lags does not serve an
+    /// older contract than it had in force.
+    pub(crate) async fn catch_up(&self, seeds: &[SocketAddr]) {
+        loop {
+            let asked = seeds.iter().take(START_PEERS_MAX);
+            let peers = join_all(asked.map(|seed| self.peers.contracts(*seed)));
+            let (newest, pages) = tokio::join!(self.keepers.newest(0), peers);
+            let pages: Vec<_> = pages.into_iter().flatten().collect();
+            let is_known = newest.is_ok() || pages.iter().any(|page| page.position > 0);
+            for page in newest.iter().chain(&pages) {
+                self.merge(page);
+            }
+            if is_known {
+                return;
             }
-            Err(_) => {
-                metrics::counter!("agatehill_feed_failures_total").increment(1);
-                tokio::time::sleep(RETRY_PAUSE).await;
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Spawns the feed; `members` are asked while no keeper is in touch with a leader.
+    pub(crate) fn spawn(self, members: watch::Receiver<Arc<PeerSnapshot>>) {
+        tokio::spawn(self.follow(members));
+    }
+
+    async fn follow(self, members: watch::Receiver<Arc<PeerSnapshot>>) {
+        let mut asked = Instant::now();
+        loop {
+            let after = self.page.borrow().position;
+            let is_current = match self.keepers.feed(after, FEED_WAIT).await {
+                Ok(page) => {
+                    self.merge(&page);
+                    page.current
+                }
+                Err(_) => {
+                    metrics::counter!("agatehill_feed_failures_total").increment(1);
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                    false
+                }
+            };
+            if !is_current && asked.elapsed() >= PEER_INTERVAL {
+                asked = Instant::now();
+                self.ask_member(&members).await;
             }
         }
     }
+
+    /// Takes over what a random daemon of the zone has in force.
+    async fn ask_member(&self, members: &watch::Receiver<Arc<PeerSnapshot>>) {
+        let snapshot = members.borrow().clone();
+        let Some(member) = snapshot.members.iter().choose(&mut rand::rng()) else {
+            return;
+        };
+        if let Some(page) = self.peers.contracts(member.record.control).await {
+            self.merge(&page);
+        }
+    }
+
+    /// Puts the contracts of `page` in force that are newer.
+    fn merge(&self, page: &FeedPage) {
+        let specs: Vec<_> = page.contracts.iter().filter_map(parse).collect();
+        let applied = self.contracts.apply(&specs);
+        self.page.send_if_modified(|own| merge_page(own, page));
+        if applied > 0 {
+            spdlog::info!("contracts in force up to position {}", page.position);
+        }
+        metrics::gauge!("agatehill_contract_position").set(self.page.borrow().position as f64);
+    }
 }
 
-/// Puts the contracts of `page` in force and returns its position.
-fn apply(page: &FeedPage, contracts: &ContractView) -> u64 {
-    let specs: Vec<_> = page.contracts.iter().filter_map(parse).collect();
-    let applied = contracts.apply(&specs);
-    if applied > 0 {
-        spdlog::info!("contracts in force up to position {}", page.position);
+/// Takes what is newer in `page` over into `own`; returns whether anything was.
+fn merge_page(own: &mut Arc<FeedPage>, page: &FeedPage) -> bool {
+    if page.contracts.is_empty() && page.position <= own.position {
+        return false;
+    }
+    let own = Arc::make_mut(own);
+    own.position = own.position.max(page.position);
+    for contract in &page.contracts {
+        let same = |old: &&mut ContractText| old.customer == contract.customer;
+        match own.contracts.iter_mut().find(same) {
+            Some(old) if old.revision >= contract.revision => {}
+            Some(old) => *old = contract.clone(),
+            None => own.contracts.push(contract.clone()),
+        }
     }
-    metrics::gauge!("agatehill_contract_position").set(page.position as f64);
-    page.position
+    true
 }
 
 fn parse(contract: &ContractText) -> Option<Arc<ContractSpec>> {
--- a/bin/daemon/src/members.rs
+++ b/bin/daemon/src/members.rs
@@ -10,7 +10,10 @@
     route::{RouteBook, ServerKey, ServerState, ServerView},
     time::MonoTime,
 };
-use agatehill_peer::gossip::{GossipHandle, GossipSettings, PeerSnapshot, PeerZone};
+use agatehill_peer::{
+    gossip::{GossipHandle, GossipSettings, PeerSnapshot, PeerZone},
+    keeper::FeedPage,
+};
 use agatehill_platform::clock::MonoClock;
 use std::{
     collections::HashSet,
@@ -47,9 +50,11 @@
         registry: &Arc<ServerRegistry>,
         routes: RouteView,
         forward: SocketAddr,
+        contracts: watch::Receiver<Arc<FeedPage>>,
         clock: MonoClock,
     ) -> io::Result<MemberTable> {
-        let gossip = Arc::new(GossipHandle::bind(gossip_settings(settings, forward)).await?);
+        let gossip =
+            Arc::new(GossipHandle::bind(gossip_settings(settings, forward, contracts)).await?);
         let (leaving, left) = watch::channel(false);
         let upkeep = TableUpkeep {
             place: LocalPlace {
@@ -85,7 +90,11 @@
     }
 }
 
-fn gossip_settings(settings: &DaemonSettings, forward: SocketAddr) -> GossipSettings {
+fn gossip_settings(
+    settings: &DaemonSettings,
+    forward: SocketAddr,
+    contracts: watch::Receiver<Arc<FeedPage>>,
+) -> GossipSettings {
     let seeds = settings.seeds.iter().map(|seed| MemberSeed {
         gossip: seed.gossip,
         control: seed.control,
@@ -99,6 +108,7 @@
         control: settings.listen.control,
         forward,
         seeds: seeds.collect(),
+        contracts,
     }
 }
 
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -1,6 +1,9 @@
-//! Control messages between daemons: whole tables of members, and digests of zones.
+//! Control messages between daemons: whole tables of members, digests of zones, and contracts.
 
-use crate::codec::{PostcardCodec, message_frames};
+use crate::{
+    codec::{PostcardCodec, message_frames},
+    keeper::FeedPage,
+};
 use agatehill_decide::{
     digest::{DigestAsk, DigestReply},
     member::MemberExchange,
@@ -45,6 +48,9 @@
 
     /// Answers what other daemons ask about zones; `None` while the daemon stops.
     fn digests(&self, ask: DigestAsk) -> impl Future<Output = Option<DigestReply>> + Send;
+
+    /// Returns the contracts in force here.
+    fn contracts(&self) -> impl Future<Output = FeedPage> + Send;
 }
 
 #[derive(Clone)]
@@ -58,12 +64,16 @@
     async fn digests(self, _: Context, ask: DigestAsk) -> Option<DigestReply> {
         self.0.digests(ask).await
     }
+
+    async fn contracts(self, _: Context) -> FeedPage {
+        self.0.contracts().await
+    }
 }
 
 mod wire {
     #![allow(missing_docs)] // tarpc generates items without documentation.
 
-    use super::{DigestAsk, DigestReply, MemberExchange};
+    use super::{DigestAsk, DigestReply, FeedPage, MemberExchange};
 
     /// The wire form of [`super::ControlService`].
     #[tarpc::service]
@@ -72,6 +82,8 @@
         async fn exchange(table: MemberExchange) -> Option<MemberExchange>;
         /// Returns what has changed in the digests.
         async fn digests(ask: DigestAsk) -> Option<DigestReply>;
+        /// Returns the contracts in force.
+        async fn contracts() -> FeedPage;
     }
 }
 
@@ -176,6 +188,13 @@
         reply
     }
 
+    /// Asks the daemon at `addr` for its contracts; `None` without an answer in time.
+    pub async fn contracts(&self, addr: SocketAddr) -> Option<FeedPage> {
+        let client = dial(addr).await?;
+        let asked = time::timeout(REQUEST_SPAN, client.contracts(deadline()));
+        asked.await.ok()?.ok()
+    }
+
     fn pool(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, PeerControlClient>> {
         self.pool.lock().expect("no holder of the pool panics")
     }
--- a/crates/peer/src/gossip.rs
+++ b/crates/peer/src/gossip.rs
@@ -1,6 +1,9 @@
 //! Runs a daemon's membership and its part in the digests over UDP and control messages.
 
-use crate::control::{ControlClient, ControlServer, ControlService};
+use crate::{
+    control::{ControlClient, ControlServer, ControlService},
+    keeper::FeedPage,
+};
 use agatehill_decide::{
     digest::{
         DigestAsk, DigestInput, DigestNode, DigestOutput, DigestReply, DigestRow, DigestSettings,
@@ -45,6 +48,8 @@
     pub forward: SocketAddr,
     /// Daemons to join, of its own and of other zones.
     pub seeds: Vec<MemberSeed>,
+    /// The contracts in force, for daemons that ask.
+    pub contracts: watch::Receiver<Arc<FeedPage>>,
 }
 
 /// Another daemon of the zone.
@@ -115,7 +120,7 @@
         settings.control = listener.local_addr()?;
         let (events, waiting) = mpsc::channel(EVENTS_MAX);
         let (publish, view) = watch::channel(Arc::default());
-        let control = ControlServer::spawn(listener, ControlDesk(events.downgrade()))?;
+        let control = ControlServer::spawn(listener, ControlDesk::new(&events, &settings))?;
         let gossip = settings.gossip;
         let task = GossipTask::new(settings, socket, events.downgrade(), publish);
         tokio::spawn(task.run(waiting));
@@ -165,22 +170,38 @@
 
 /// Passes control messages of other daemons on to the task.
 #[derive(Clone, Debug)]
-struct ControlDesk(mpsc::WeakSender<GossipEvent>);
+struct ControlDesk {
+    events: mpsc::WeakSender<GossipEvent>,
+    contracts: watch::Receiver<Arc<FeedPage>>,
+}
+
+impl ControlDesk {
+    fn new(events: &mpsc::Sender<GossipEvent>, settings: &GossipSettings) -> ControlDesk {
+        ControlDesk {
+            events: events.downgrade(),
+            contracts: settings.contracts.clone(),
+        }
+    }
+}
 
 impl ControlService for ControlDesk {
     async fn exchange(&self, table: MemberExchange) -> Option<MemberExchange> {
         let (tx, rx) = oneshot::channel();
-        let events = self.0.upgrade()?;
+        let events = self.events.upgrade()?;
         events.send(GossipEvent::Asked(table, tx)).await.ok()?;
         rx.await.ok()
     }
 
     async fn digests(&self, ask: DigestAsk) -> Option<DigestReply> {
         let (tx, rx) = oneshot::channel();
-        let events = self.0.upgrade()?;
+        let events = self.events.upgrade()?;
         events.send(GossipEvent::Digests(ask, tx)).await.ok()?;
         rx.await.ok()
     }
+
+    async fn contracts(&self) -> FeedPage {
+        FeedPage::clone(&self.contracts.borrow())
+    }
 }
 
 struct GossipTask {
--- a/crates/peer/tests/gossip.rs
+++ b/crates/peer/tests/gossip.rs
@@ -27,6 +27,7 @@
         control: any,
         forward: SocketAddr::from(([127, 0, 0, 1], 9_000)),
         seeds: seeds.iter().map(seed).collect(),
+        contracts: tokio::sync::watch::channel(std::sync::Arc::default()).1,
     };
     let handle = GossipHandle::bind(settings).await.unwrap();
     handle.announce(vec![note(ServerState::Serving)]).await;
