--- a/bin/keeper/src/hub.rs
+++ b/bin/keeper/src/hub.rs
@@ -1,4 +1,4 @@
-//! The keeper's groups, as daemons, operators and other keepers see them.
+//! The keeper's groups, and which of them a command goes to.
 
 use crate::{
     group::{GroupHandle, ProposeError},
@@ -7,40 +7,29 @@
 use agatehill_config::KeeperSettings;
 use agatehill_decide::{
     claim::{ClaimCommand, ClaimReply, ClaimTable},
-    contract_book::{ContractBook, ContractRecord, PutContract, PutReply},
+    contract_book::{ContractBook, ContractRecord},
     name::{CustomerName, Incarnation, KeeperName},
-    replica::{MemberKey, ReplicaEnvelope, ReplicaSettings},
-};
-use agatehill_operator::{
-    contracts::{ContractReport, ContractService, PutError, RevisionReport, check_contract},
-    inspect::StateDump,
+    replica::{MemberKey, ReplicaSettings},
 };
 use agatehill_peer::{
-    keeper::{ContractText, FeedPage, KeeperError, KeeperService},
+    keeper::{ContractText, FeedPage, KeeperError},
     keeper_client::{KeeperLink, LinkError},
 };
 use agatehill_platform::clock::MonoClock;
 use agatehill_store::{DataFolder, StoreError};
 use serde::{Serialize, de::DeserializeOwned};
-use serde_json::json;
-use std::{
-    collections::HashMap,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 /// The group of the contracts; those of the claims follow.
-const CONTRACT_GROUP: u16 = 0;
-/// Longest wait of a feed request.
-const FEED_WAIT_MAX: Duration = Duration::from_secs(30);
-/// Time between two looks of a waiting feed at the replica.
-const FEED_LOOK: Duration = Duration::from_millis(200);
+pub(crate) const CONTRACT_GROUP: u16 = 0;
 /// Time limit of a command that is passed on to the keeper that leads.
 const FORWARD_SPAN: Duration = Duration::from_secs(2);
 /// Time between two messages of a leader.
 const HEARTBEAT: Duration = Duration::from_millis(100);
 /// Shortest time without a leader before an election.
 const ELECTION: Duration = Duration::from_millis(800);
+/// Size of the parts in which a snapshot is sent, in bytes.
+const PART_BYTES: usize = 1 << 20;
 
 /// All groups of one keeper; clones share them.
 #[derive(Clone)]
@@ -88,11 +77,23 @@
         })
     }
 
-    fn book(&self) -> &GroupHandle<ContractBook> {
+    /// Returns the settings.
+    pub(crate) fn settings(&self) -> &KeeperSettings {
+        &self.shared.settings
+    }
+
+    /// Returns the groups of the claims.
+    pub(crate) fn claims(&self) -> &[GroupHandle<ClaimTable>] {
+        &self.shared.claims
+    }
+
+    /// Returns the group of the contracts.
+    pub(crate) fn book(&self) -> &GroupHandle<ContractBook> {
         &self.shared.book
     }
 
-    fn feed_page(&self, after: u64) -> FeedPage {
+    /// Returns the contracts that are newer than log position `after`.
+    pub(crate) fn feed_page(&self, after: u64) -> FeedPage {
         // Read before the state: what is applied meanwhile makes the page only newer.
         let current = self.book().status().current;
         self.book().read(|book| FeedPage {
@@ -103,7 +104,7 @@
     }
 
     /// Proposes `command` here or, if another keeper leads the group, there.
-    async fn propose_anywhere<S>(
+    pub(crate) async fn propose_anywhere<S>(
         &self,
         group: u16,
         handle: &GroupHandle<S>,
@@ -134,7 +135,12 @@
         postcard::from_bytes(&reply).map_err(|_| KeeperError::Unknown)
     }
 
-    async fn claim_in(&self, idx: u16, command: &ClaimCommand) -> Result<ClaimReply, KeeperError> {
+    /// Runs a command in the claim group `idx`.
+    pub(crate) async fn claim_in(
+        &self,
+        idx: u16,
+        command: &ClaimCommand,
+    ) -> Result<ClaimReply, KeeperError> {
         let handle = &self.shared.claims[usize::from(idx)];
         if let Some(reply) = handle.read(|table| table.settled(command)) {
             return Ok(reply);
@@ -142,11 +148,13 @@
         self.propose_anywhere(idx + 1, handle, command).await
     }
 
-    fn claim_groups(&self) -> u16 {
+    /// Returns the number of claim groups.
+    pub(crate) fn claim_groups(&self) -> u16 {
         self.shared.claims.len() as u16
     }
 
-    fn error(&self, error: ProposeError) -> KeeperError {
+    /// Returns what a keeper that asked this one is told.
+    pub(crate) fn error(&self, error: ProposeError) -> KeeperError {
         let leader = match error {
             ProposeError::Unknown => return KeeperError::Unknown,
             ProposeError::NotLeader(leader) => leader,
@@ -187,151 +195,13 @@
                 .collect(),
             heartbeat: HEARTBEAT,
             election: ELECTION,
+            part_bytes: PART_BYTES,
         };
         let folder = self.folder.group_path(group);
         GroupHandle::open(replica, &folder, self.clock, self.outbox.of_group(group))
     }
 }
 
-impl KeeperService for KeeperHub {
-    async fn feed(&self, after: u64, wait: Duration) -> Result<FeedPage, KeeperError> {
-        let end = Instant::now() + wait.min(FEED_WAIT_MAX);
-        let mut applied = self.book().applied();
-        let is_newer = |book: &ContractBook| book.position() > after;
-        while Instant::now() < end && self.book().status().current && !self.book().read(is_newer) {
-            let left = end.saturating_duration_since(Instant::now());
-            // Looks up now and then to see whether the leader can still be heard.
-            let _ = tokio::time::timeout(left.min(FEED_LOOK), applied.changed()).await;
-        }
-        Ok(self.feed_page(after))
-    }
-
-    async fn put_contract(
-        &self,
-        customer: CustomerName,
-        text: String,
-    ) -> Result<PutReply, KeeperError> {
-        let spec = check_contract(&customer, &text).map_err(KeeperError::Invalid)?;
-        let put = PutContract {
-            customer,
-            revision: spec.revision,
-            text: text.into(),
-        };
-        self.propose_anywhere(CONTRACT_GROUP, self.book(), &put)
-            .await
-    }
-
-    async fn claim(&self, command: ClaimCommand) -> Result<ClaimReply, KeeperError> {
-        let key = match &command {
-            ClaimCommand::Claim(request)
-            | ClaimCommand::Look(request)
-            | ClaimCommand::Withdraw(request) => &request.key,
-            ClaimCommand::Finish { key, .. } => key,
-            ClaimCommand::Retire { .. } => {
-                let groups = 0..self.claim_groups();
-                let retire = |idx| self.claim_in(idx, &command);
-                let replies = futures_util::future::join_all(groups.map(retire)).await;
-                let all: Result<Vec<_>, _> = replies.into_iter().collect();
-                return all.map(|_| ClaimReply::Done);
-            }
-            ClaimCommand::Tick { .. } => {
-                let reason = "only keepers age the claims".to_owned();
-                return Err(KeeperError::Invalid(reason));
-            }
-        };
-        let idx = key.hash().group(self.claim_groups());
-        self.claim_in(idx, &command).await
-    }
-
-    async fn propose(&self, group: u16, command: Vec<u8>) -> Result<Vec<u8>, KeeperError> {
-        if group == CONTRACT_GROUP {
-            let reply = self.book().propose_bytes(command).await;
-            return encode(reply.map_err(|e| self.error(e))?);
-        }
-        let Some(claims) = self.shared.claims.get(usize::from(group) - 1) else {
-            let reason = format!("group {group} does not exist");
-            return Err(KeeperError::Invalid(reason));
-        };
-        let reply = claims.propose_bytes(command).await;
-        encode(reply.map_err(|e| self.error(e))?)
-    }
-
-    async fn deliver(&self, envelopes: Vec<ReplicaEnvelope>) {
-        for envelope in envelopes {
-            let group = envelope.group;
-            if group == CONTRACT_GROUP {
-                self.book().deliver(envelope);
-            } else if let Some(claims) = self.shared.claims.get(usize::from(group) - 1) {
-                claims.deliver(envelope);
-            }
-        }
-    }
-}
-
-impl ContractService for KeeperHub {
-    async fn put(&self, customer: CustomerName, text: String) -> Result<PutReply, PutError> {
-        let put = self.put_contract(customer, text).await;
-        put.map_err(|error| match error {
-            KeeperError::Invalid(reason) => PutError::Invalid(reason),
-            KeeperError::Unknown => PutError::Unknown,
-            KeeperError::NotLeader { .. } | KeeperError::Unreachable => PutError::Unavailable,
-        })
-    }
-
-    fn is_current(&self) -> bool {
-        self.book().status().current
-    }
-
-    fn get(&self, customer: &CustomerName) -> Option<ContractReport> {
-        self.book().read(|book| {
-            let record = book.get(customer)?;
-            Some(contract_report((customer, record)))
-        })
-    }
-
-    fn list(&self) -> Vec<ContractReport> {
-        self.book()
-            .read(|book| book.iter().map(contract_report).collect())
-    }
-
-    fn log(&self, customer: &CustomerName) -> Option<Vec<RevisionReport>> {
-        self.book().read(|book| {
-            let log = book.get(customer)?.log();
-            Some(log.into_iter().map(RevisionReport::from).collect())
-        })
-    }
-}
-
-impl StateDump for KeeperHub {
-    fn dump(&self) -> serde_json::Value {
-        let shared = &self.shared;
-        let claim_group = |handle: &GroupHandle<ClaimTable>| {
-            handle.read(|table| {
-                json!({
-                    "replica": handle.status(),
-                    "claims": table.len(),
-                    "running": table.running(),
-                    "bytes": table.bytes(),
-                    "clock_seconds": table.clock(),
-                })
-            })
-        };
-        json!({
-            "keeper": shared.settings.name,
-            "region": shared.settings.region,
-            "availability_zone": shared.settings.availability_zone,
-            "position": self.book().read(ContractBook::position),
-            "replica": self.book().status(),
-            "contracts": self.list(),
-            "claim_groups": shared.claims.iter().map(claim_group).collect::<Vec<_>>(),
-        })
-    }
-}
-
-fn encode<T: Serialize>(reply: T) -> Result<Vec<u8>, KeeperError> {
-    Ok(postcard::to_stdvec(&reply).expect("replies are serialisable"))
-}
-
 fn contract_text((customer, record): (&CustomerName, &ContractRecord)) -> ContractText {
     ContractText {
         customer: customer.clone(),
@@ -339,11 +209,3 @@
         text: record.text().clone(),
     }
 }
-
-fn contract_report((customer, record): (&CustomerName, &ContractRecord)) -> ContractReport {
-    ContractReport {
-        customer: customer.clone(),
-        latest: record.latest().into(),
-        text: record.text().clone(),
-    }
-}
--- a/bin/keeper/src/main.rs
+++ b/bin/keeper/src/main.rs
@@ -5,6 +5,7 @@
 mod group;
 mod hub;
 mod outbox;
+mod service;
 
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
--- a/bin/keeper/src/outbox.rs
+++ b/bin/keeper/src/outbox.rs
@@ -95,9 +95,7 @@
 fn envelope_bytes(envelope: &ReplicaEnvelope) -> usize {
     match &envelope.message {
         ReplicaMessage::Append { entries, .. } => entries.iter().map(|e| e.payload.bytes()).sum(),
-        ReplicaMessage::Form(snapshot) | ReplicaMessage::Install { snapshot, .. } => {
-            snapshot.data.len()
-        }
+        ReplicaMessage::Install { part, .. } => part.len(),
         _ => 0,
     }
 }
--- /dev/null
+++ b/bin/keeper/src/service.rs
@@ -0,0 +1,172 @@
+//! What daemons, operators and other keepers ask of a keeper.
+
+use crate::{
+    group::GroupHandle,
+    hub::{CONTRACT_GROUP, KeeperHub},
+};
+use agatehill_decide::{
+    claim::{ClaimCommand, ClaimReply, ClaimTable},
+    contract_book::{ContractBook, ContractRecord, PutContract, PutReply},
+    name::CustomerName,
+    replica::ReplicaEnvelope,
+};
+use agatehill_operator::{
+    contracts::{ContractReport, ContractService, PutError, RevisionReport, check_contract},
+    inspect::StateDump,
+};
+use agatehill_peer::keeper::{FeedPage, KeeperError, KeeperService};
+use serde::Serialize;
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+/// Longest wait of a feed request.
+const FEED_WAIT_MAX: Duration = Duration::from_secs(30);
+/// Time between two looks of a waiting feed at the replica.
+const FEED_LOOK: Duration = Duration::from_millis(200);
+
+impl KeeperService for KeeperHub {
+    async fn feed(&self, after: u64, wait: Duration) -> Result<FeedPage, KeeperError> {
+        let end = Instant::now() + wait.min(FEED_WAIT_MAX);
+        let mut applied = self.book().applied();
+        let is_newer = |book: &ContractBook| book.position() > after;
+        while Instant::now() < end && self.book().status().current && !self.book().read(is_newer) {
+            let left = end.saturating_duration_since(Instant::now());
+            // Looks up now and then to see whether the leader can still be heard.
+            let _ = tokio::time::timeout(left.min(FEED_LOOK), applied.changed()).await;
+        }
+        Ok(self.feed_page(after))
+    }
+
+    async fn put_contract(
+        &self,
+        customer: CustomerName,
+        text: String,
+    ) -> Result<PutReply, KeeperError> {
+        let spec = check_contract(&customer, &text).map_err(KeeperError::Invalid)?;
+        let put = PutContract {
+            customer,
+            revision: spec.revision,
+            text: text.into(),
+        };
+        self.propose_anywhere(CONTRACT_GROUP, self.book(), &put)
+            .await
+    }
+
+    async fn claim(&self, command: ClaimCommand) -> Result<ClaimReply, KeeperError> {
+        let key = match &command {
+            ClaimCommand::Claim(request)
+            | ClaimCommand::Look(request)
+            | ClaimCommand::Withdraw(request) => &request.key,
+            ClaimCommand::Finish { key, .. } => key,
+            ClaimCommand::Retire { .. } => {
+                let groups = 0..self.claim_groups();
+                let retire = |idx| self.claim_in(idx, &command);
+                let replies = futures_util::future::join_all(groups.map(retire)).await;
+                let all: Result<Vec<_>, _> = replies.into_iter().collect();
+                return all.map(|_| ClaimReply::Done);
+            }
+            ClaimCommand::Tick { .. } => {
+                let reason = "only keepers age the claims".to_owned();
+                return Err(KeeperError::Invalid(reason));
+            }
+        };
+        let idx = key.hash().group(self.claim_groups());
+        self.claim_in(idx, &command).await
+    }
+
+    async fn propose(&self, group: u16, command: Vec<u8>) -> Result<Vec<u8>, KeeperError> {
+        if group == CONTRACT_GROUP {
+            let reply = self.book().propose_bytes(command).await;
+            return encode(reply.map_err(|e| self.error(e))?);
+        }
+        let Some(claims) = self.claims().get(usize::from(group) - 1) else {
+            let reason = format!("group {group} does not exist");
+            return Err(KeeperError::Invalid(reason));
+        };
+        let reply = claims.propose_bytes(command).await;
+        encode(reply.map_err(|e| self.error(e))?)
+    }
+
+    async fn deliver(&self, envelopes: Vec<ReplicaEnvelope>) {
+        for envelope in envelopes {
+            let group = envelope.group;
+            if group == CONTRACT_GROUP {
+                self.book().deliver(envelope);
+            } else if let Some(claims) = self.claims().get(usize::from(group) - 1) {
+                claims.deliver(envelope);
+            }
+        }
+    }
+}
+
+impl ContractService for KeeperHub {
+    async fn put(&self, customer: CustomerName, text: String) -> Result<PutReply, PutError> {
+        let put = self.put_contract(customer, text).await;
+        put.map_err(|error| match error {
+            KeeperError::Invalid(reason) => PutError::Invalid(reason),
+            KeeperError::Unknown => PutError::Unknown,
+            KeeperError::NotLeader { .. } | KeeperError::Unreachable => PutError::Unavailable,
+        })
+    }
+
+    fn is_current(&self) -> bool {
+        self.book().status().current
+    }
+
+    fn get(&self, customer: &CustomerName) -> Option<ContractReport> {
+        self.book().read(|book| {
+            let record = book.get(customer)?;
+            Some(contract_report((customer, record)))
+        })
+    }
+
+    fn list(&self) -> Vec<ContractReport> {
+        self.book()
+            .read(|book| book.iter().map(contract_report).collect())
+    }
+
+    fn log(&self, customer: &CustomerName) -> Option<Vec<RevisionReport>> {
+        self.book().read(|book| {
+            let log = book.get(customer)?.log();
+            Some(log.into_iter().map(RevisionReport::from).collect())
+        })
+    }
+}
+
+impl StateDump for KeeperHub {
+    fn dump(&self) -> serde_json::Value {
+        let settings = self.settings();
+        let claim_group = |handle: &GroupHandle<ClaimTable>| {
+            handle.read(|table| {
+                json!({
+                    "replica": handle.status(),
+                    "claims": table.len(),
+                    "running": table.running(),
+                    "bytes": table.bytes(),
+                    "clock_seconds": table.clock(),
+                })
+            })
+        };
+        json!({
+            "keeper": settings.name,
+            "region": settings.region,
+            "availability_zone": settings.availability_zone,
+            "position": self.book().read(ContractBook::position),
+            "replica": self.book().status(),
+            "contracts": self.list(),
+            "claim_groups": self.claims().iter().map(claim_group).collect::<Vec<_>>(),
+        })
+    }
+}
+
+fn encode<T: Serialize>(reply: T) -> Result<Vec<u8>, KeeperError> {
+    Ok(postcard::to_stdvec(&reply).expect("replies are serialisable"))
+}
+
+fn contract_report((customer, record): (&CustomerName, &ContractRecord)) -> ContractReport {
+    ContractReport {
+        customer: customer.clone(),
+        latest: record.latest().into(),
+        text: record.text().clone(),
+    }
+}
--- a/crates/decide/src/replica.rs
+++ b/crates/decide/src/replica.rs
@@ -19,19 +19,22 @@
 mod elect;
 mod follow;
 mod form;
+mod install;
+mod interface;
 mod lead;
 mod log;
 mod message;
 mod node;
+mod repair;
 
 pub use self::{
+    interface::{
+        PersistBatch, RecoveredState, ReplicaInput, ReplicaOutput, ReplicaSettings, ReplicaStatus,
+    },
     log::ReplicaLog,
     message::{
         AppendResult, EntryPayload, GroupConfig, HardState, LogEntry, MemberKey, ReplicaEnvelope,
         ReplicaMessage, ReplicaSnapshot, SnapshotMeta,
     },
-    node::{
-        PersistBatch, RecoveredState, ReplicaInput, ReplicaNode, ReplicaOutput, ReplicaSettings,
-        ReplicaStatus,
-    },
+    node::ReplicaNode,
 };
--- a/crates/decide/src/replica/elect.rs
+++ b/crates/decide/src/replica/elect.rs
@@ -1,9 +1,10 @@
 //! Elections: a probe first, then a vote in a new term.
 
 use super::{
+    interface::ReplicaOutput,
     lead::LeaderState,
     message::{EntryPayload, LogEntry, MemberKey, ReplicaMessage},
-    node::{ReplicaNode, ReplicaOutput, ReplicaRole},
+    node::{ReplicaNode, ReplicaRole},
 };
 use std::{collections::BTreeSet, time::Duration};
 
--- a/crates/decide/src/replica/follow.rs
+++ b/crates/decide/src/replica/follow.rs
@@ -1,8 +1,10 @@
 //! The follower's side of replication.
 
 use super::{
-    message::{AppendResult, LogEntry, MemberKey, ReplicaMessage, ReplicaSnapshot},
-    node::{ReplicaNode, ReplicaOutput, ReplicaRole},
+    install::IncomingSnapshot,
+    interface::ReplicaOutput,
+    message::{AppendResult, LogEntry, MemberKey, ReplicaMessage, ReplicaSnapshot, SnapshotMeta},
+    node::{ReplicaNode, ReplicaRole},
 };
 
 impl ReplicaNode {
@@ -40,27 +42,54 @@
         self.apply_committed();
     }
 
-    pub(super) fn on_install(&mut self, from: MemberKey, term: u64, snapshot: ReplicaSnapshot) {
+    pub(super) fn on_install(
+        &mut self,
+        from: MemberKey,
+        term: u64,
+        meta: SnapshotMeta,
+        (offset, total): (u64, u64),
+        part: &[u8],
+    ) {
         if self.is_forming() {
-            if term < self.hard.term || !self.may_follow(&from) {
+            if !self.may_follow(&from) {
                 return;
             }
-            self.role = ReplicaRole::Follower;
-        }
-        if !self.accept_leader(&from, term) {
+            self.observe_term(term);
+        } else if !self.accept_leader(&from, term) {
             return self.reply_append(from, AppendResult::Mismatch(0));
         }
-        let index = snapshot.meta.index;
-        if index > self.commit {
-            self.log.install(snapshot.clone());
-            self.commit = index;
-            self.applied = index;
-            self.persist_whole();
-            self.out.push(ReplicaOutput::Restore(snapshot));
+        if term < self.hard.term {
+            return;
         }
+        let index = meta.index;
+        if index <= self.commit {
+            return self.reply_append(from, AppendResult::Matched(index));
+        }
+        let mut incoming = match self.incoming.take().filter(|i| i.is(&meta)) {
+            Some(incoming) => incoming,
+            None => IncomingSnapshot::new(meta),
+        };
+        let bytes = incoming.append(offset, part);
+        if bytes < total {
+            self.incoming = Some(incoming);
+            return self.reply_append(from, AppendResult::Received { index, bytes });
+        }
+        self.install(incoming.finish());
+        self.accept_leader(&from, term);
         self.reply_append(from, AppendResult::Matched(index));
     }
 
+    fn install(&mut self, snapshot: ReplicaSnapshot) {
+        if self.is_forming() {
+            self.role = ReplicaRole::Follower;
+        }
+        self.log.install(snapshot.clone());
+        self.commit = snapshot.meta.index;
+        self.applied = snapshot.meta.index;
+        self.persist_whole();
+        self.out.push(ReplicaOutput::Restore(snapshot));
+    }
+
     fn accept_leader(&mut self, from: &MemberKey, term: u64) -> bool {
         if term < self.hard.term {
             return false;
--- a/crates/decide/src/replica/form.rs
+++ b/crates/decide/src/replica/form.rs
@@ -5,8 +5,9 @@
 //! founder that loses its disk half-way can't form a second group beside the first.
 
 use super::{
+    interface::ReplicaOutput,
     message::{GroupConfig, MemberKey, ReplicaMessage, ReplicaSnapshot, SnapshotMeta},
-    node::{ReplicaNode, ReplicaOutput, ReplicaRole},
+    node::{ReplicaNode, ReplicaRole},
 };
 use crate::{
     name::{Incarnation, KeeperName},
--- a/crates/decide/src/replica/lead.rs
+++ b/crates/decide/src/replica/lead.rs
@@ -1,8 +1,10 @@
 //! The leader's side of replication, and the replacement of voters that lost their disk.
 
 use super::{
-    message::{AppendResult, EntryPayload, GroupConfig, LogEntry, MemberKey, ReplicaMessage},
-    node::{ReplicaNode, ReplicaOutput, ReplicaRole},
+    install::OutgoingSnapshot,
+    interface::ReplicaOutput,
+    message::{AppendResult, EntryPayload, LogEntry, MemberKey, ReplicaMessage},
+    node::{ReplicaNode, ReplicaRole},
 };
 use crate::{
     name::{Incarnation, KeeperName},
@@ -15,15 +17,15 @@
 
 /// Size of commands after which a message takes no further entry, in bytes.
 const APPEND_BYTES: usize = 1 << 20;
-/// Heartbeats after which a snapshot without an answer is sent again.
-const INSTALL_HEARTBEATS: u32 = 50;
+/// Heartbeats after which a part of a snapshot without an answer is sent again.
+const PART_HEARTBEATS: u32 = 10;
 
 /// What a leader knows.
 #[derive(Debug)]
 pub(super) struct LeaderState {
     /// The first entry of its term.
-    first_index: u64,
-    followers: BTreeMap<KeeperName, FollowerProgress>,
+    pub(super) first_index: u64,
+    pub(super) followers: BTreeMap<KeeperName, FollowerProgress>,
     /// Tokens of commands in flight, by index.
     tokens: BTreeMap<u64, u64>,
     heartbeat_at: MonoTime,
@@ -31,15 +33,15 @@
 
 /// How far a follower's log is known to agree.
 #[derive(Debug)]
-struct FollowerProgress {
-    incarnation: Option<Incarnation>,
+pub(super) struct FollowerProgress {
+    pub(super) incarnation: Option<Incarnation>,
     /// Incarnations whose disk is lost; late messages of theirs are ignored.
     lost: BTreeSet<Incarnation>,
     next: u64,
-    matched: u64,
-    heard_at: MonoTime,
-    /// Until when a snapshot is on its way.
-    install_until: Option<MonoTime>,
+    pub(super) matched: u64,
+    pub(super) heard_at: MonoTime,
+    /// The snapshot on its way.
+    outgoing: Option<OutgoingSnapshot>,
 }
 
 impl LeaderState {
@@ -51,7 +53,7 @@
                 next: first_index,
                 matched: 0,
                 heard_at: now,
-                install_until: None,
+                outgoing: None,
             };
             (name, progress)
         };
@@ -85,7 +87,7 @@
         if let Some(old) = self.incarnation.filter(|old| *old != incarnation) {
             self.lost.insert(old);
             self.matched = 0;
-            self.install_until = None;
+            self.outgoing = None;
         }
         self.incarnation = Some(incarnation);
         self.heard_at = now;
@@ -160,13 +162,19 @@
             _ if term < self.hard.term => {}
             AppendResult::Matched(index) if index <= last => {
                 progress.matched = progress.matched.max(index);
-                progress.next = match progress.install_until.take() {
+                progress.next = match progress.outgoing.take() {
                     Some(_) => index + 1,
                     None => progress.next.max(index + 1),
                 };
                 more = progress.next <= last;
             }
             AppendResult::Matched(_) => {}
+            AppendResult::Received { index, bytes } => {
+                if let Some(outgoing) = &mut progress.outgoing {
+                    outgoing.acknowledge(index, bytes);
+                    more = true;
+                }
+            }
             AppendResult::Mismatch(hint) => {
                 let next = hint.max(progress.matched + 1);
                 more = next < progress.next;
@@ -235,28 +243,31 @@
     /// Sends `name` what it lacks; an empty message only if `always`.
     fn replicate(&mut self, name: &KeeperName, always: bool) {
         let (now, last, term) = (self.now, self.log.last_index(), self.hard.term);
-        let install_span = self.settings.heartbeat * INSTALL_HEARTBEATS;
+        let patience = self.settings.heartbeat * PART_HEARTBEATS;
+        let part_bytes = self.settings.part_bytes;
         let ReplicaRole::Leader(leader) = &mut self.role else {
             return;
         };
         let Some(progress) = leader.followers.get_mut(name) else {
             return;
         };
-        let installing = progress.install_until.is_some_and(|until| now < until);
-        let idle = progress.next > last || installing;
-        if idle && !always {
-            return;
+        if self.log.term(progress.next.max(1) - 1).is_none() && progress.outgoing.is_none() {
+            let snapshot = self.log.snapshot().clone();
+            progress.outgoing = Some(OutgoingSnapshot::new(snapshot, part_bytes));
         }
-        if installing {
+        if let Some(outgoing) = &mut progress.outgoing {
+            let part = outgoing.due(term, now, patience);
+            // Until the snapshot is there, entries would only be refused; a heartbeat is not.
             progress.next = last + 1;
+            if let Some(part) = part {
+                return self.send(name.clone(), part);
+            }
         }
-        let prev_index = progress.next.max(1) - 1;
-        let Some(prev_term) = self.log.term(prev_index) else {
-            let snapshot = self.log.snapshot().clone();
-            progress.next = snapshot.meta.index + 1;
-            progress.install_until = Some(now + install_span);
-            return self.send(name.clone(), ReplicaMessage::Install { term, snapshot });
-        };
+        if progress.next > last && !always {
+            return;
+        }
+        let prev_index = progress.next - 1;
+        let prev_term = self.log.term(prev_index).expect("the entry is held");
         let entries = self.log.page(prev_index + 1, APPEND_BYTES);
         progress.next = prev_index + 1 + entries.len() as u64;
         let append = ReplicaMessage::Append {
@@ -282,51 +293,4 @@
         let config = self.config();
         config.voters.iter().filter(hears).count() >= config.quorum()
     }
-
-    /// Replaces one voter that came back without its disk: out first, in when that is committed.
-    fn repair_voters(&mut self) {
-        let ReplicaRole::Leader(leader) = &self.role else {
-            return;
-        };
-        let (config_index, config) = self.log.config();
-        if self.commit < config_index.max(leader.first_index) {
-            return;
-        }
-        let names = self.settings.voters.iter();
-        let Some(config) = names
-            .filter_map(|name| self.repair(leader, config, name))
-            .next()
-        else {
-            return;
-        };
-        let entry = LogEntry {
-            index: self.log.last_index() + 1,
-            term: self.hard.term,
-            payload: EntryPayload::Config(config),
-        };
-        self.append_own(vec![entry]);
-    }
-
-    /// Returns the next configuration on the way to the present incarnation of `name`.
-    fn repair(
-        &self,
-        leader: &LeaderState,
-        config: &GroupConfig,
-        name: &KeeperName,
-    ) -> Option<GroupConfig> {
-        let progress = leader.followers.get(name)?;
-        let key = MemberKey {
-            name: name.clone(),
-            incarnation: progress.incarnation?,
-        };
-        let fresh = self.now.since(progress.heard_at) < self.settings.election;
-        let caught_up = progress.matched >= self.commit;
-        if config.contains(&key) || !fresh || !caught_up {
-            return None;
-        }
-        if config.voter(name).is_some() {
-            return Some(config.without(name));
-        }
-        Some(config.with(key))
-    }
 }
--- a/crates/decide/src/replica/message.rs
+++ b/crates/decide/src/replica/message.rs
@@ -180,12 +180,19 @@
         /// The last committed entry.
         commit: u64,
     },
-    /// The leader's snapshot, for a receiver that lacks entries which are in no log any more.
+    /// A part of the leader's snapshot, for a receiver that lacks entries which are in no log any
+    /// more.
     Install {
         /// The leader's term.
         term: u64,
-        /// The snapshot.
-        snapshot: ReplicaSnapshot,
+        /// The prefix that the snapshot covers.
+        meta: SnapshotMeta,
+        /// Where the part begins in the state, in bytes.
+        offset: u64,
+        /// Size of the whole state, in bytes.
+        total: u64,
+        /// The part.
+        part: Vec<u8>,
     },
     /// Answers an [`ReplicaMessage::Append`] or [`ReplicaMessage::Install`], after it is durable.
     AppendReply {
@@ -201,6 +208,13 @@
 pub enum AppendResult {
     /// Up to this entry, durably.
     Matched(u64),
+    /// Not yet; of the snapshot up to entry `index` the first `bytes` bytes have come.
+    Received {
+        /// The last entry that the snapshot covers.
+        index: u64,
+        /// How much of it has come.
+        bytes: u64,
+    },
     /// Not at the entry before those sent; the leader should go on at or before this entry.
     Mismatch(u64),
 }
--- a/crates/decide/src/replica/node.rs
+++ b/crates/decide/src/replica/node.rs
@@ -1,8 +1,12 @@
-//! One replica of one group: its inputs, its outputs and its roles.
+//! One replica of one group: its state, and what it does with each input.
 
 use super::{
     elect::ElectionState,
     form::FormationState,
+    install::IncomingSnapshot,
+    interface::{
+        PersistBatch, RecoveredState, ReplicaInput, ReplicaOutput, ReplicaSettings, ReplicaStatus,
+    },
     lead::LeaderState,
     log::ReplicaLog,
     message::{
@@ -11,123 +15,7 @@
     },
 };
 use crate::{name::KeeperName, time::MonoTime};
-use serde::Serialize;
-use std::{sync::Arc, time::Duration};
-
-/// What a replica is told when it starts.
-#[derive(Clone, Debug)]
-pub struct ReplicaSettings {
-    /// The group.
-    pub group: u16,
-    /// This keeper and its disk.
-    pub key: MemberKey,
-    /// All keepers, this one included.
-    pub keepers: Vec<KeeperName>,
-    /// Those of them that vote.
-    pub voters: Vec<KeeperName>,
-    /// Time between two messages of a leader to each other replica.
-    pub heartbeat: Duration,
-    /// Shortest time without a leader before an election; the longest is twice as long.
-    pub election: Duration,
-}
-
-/// What a replica finds on its disk when it starts.
-#[derive(Clone, Debug, Default)]
-pub struct RecoveredState {
-    /// Term, vote and promise.
-    pub hard: HardState,
-    /// The snapshot, if there is one.
-    pub snapshot: Option<ReplicaSnapshot>,
-    /// The entries after it.
-    pub entries: Vec<LogEntry>,
-}
-
-/// What a driver tells a replica.
-#[derive(Clone, Debug)]
-pub enum ReplicaInput {
-    /// A message of another replica.
-    Message(ReplicaEnvelope),
-    /// Time has passed; at least a few times in a heartbeat.
-    Tick,
-    /// Commands to be replicated, each with a token that comes back with its fate.
-    Propose(Vec<(u64, Arc<[u8]>)>),
-    /// All outputs so far are durable.
-    Persisted,
-    /// The state after the entry `index`, which was applied, serialised.
-    Compact {
-        /// The last entry that the state covers.
-        index: u64,
-        /// The state.
-        data: Arc<[u8]>,
-    },
-}
-
-/// What must be durable before later outputs are carried out.
-#[derive(Clone, Debug, Default)]
-pub struct PersistBatch {
-    /// Term, vote and promise, if they have changed.
-    pub hard: Option<HardState>,
-    /// A snapshot; with one, `entries` is the whole log after it.
-    pub snapshot: Option<ReplicaSnapshot>,
-    /// Entries to append; the first takes the place of its index and all after it.
-    pub entries: Vec<LogEntry>,
-}
-
-/// What a driver is to do.
-#[derive(Clone, Debug)]
-pub enum ReplicaOutput {
-    /// Send a message; it may get lost.
-    Send(ReplicaEnvelope),
-    /// Write and sync.
-    Persist(PersistBatch),
-    /// Apply a committed entry; `token` is set if it was proposed here.
-    Apply {
-        /// The entry.
-        entry: LogEntry,
-        /// The token that the command was proposed with.
-        token: Option<u64>,
-    },
-    /// Replace the state.
-    Restore(ReplicaSnapshot),
-    /// A command was not proposed: another keeper leads.
-    Refused {
-        /// The token that the command was proposed with.
-        token: u64,
-        /// The leader, when known.
-        leader: Option<KeeperName>,
-    },
-    /// A command was proposed but its fate will not be known here.
-    Dropped {
-        /// The token that the command was proposed with.
-        token: u64,
-    },
-    /// This replica leads from now on.
-    Lead {
-        /// Its term.
-        term: u64,
-    },
-}
-
-/// What a replica is at the moment, for dumps.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
-pub struct ReplicaStatus {
-    /// `leader`, `candidate`, `follower` or `forming`.
-    pub role: &'static str,
-    /// The latest term.
-    pub term: u64,
-    /// The keeper that leads, when known.
-    pub leader: Option<KeeperName>,
-    /// The last entry.
-    pub last_index: u64,
-    /// The last committed entry.
-    pub commit: u64,
-    /// The last entry that the snapshot covers.
-    pub snapshot: u64,
-    /// The voters.
-    pub voters: Vec<String>,
-    /// Whether the applied state is as new as the leader's was a moment ago.
-    pub current: bool,
-}
+use std::sync::Arc;
 
 /// What a replica does at the moment.
 #[derive(Debug)]
@@ -154,6 +42,8 @@
     pub(super) heard_at: Option<MonoTime>,
     /// When a leader last said that all that is committed has been applied here.
     pub(super) current_at: Option<MonoTime>,
+    /// A leader's snapshot of which parts have come.
+    pub(super) incoming: Option<IncomingSnapshot>,
     pub(super) election_at: MonoTime,
     pub(super) now: MonoTime,
     pub(super) random: u64,
@@ -192,6 +82,7 @@
             applied: start,
             heard_at: None,
             current_at: None,
+            incoming: None,
             election_at: MonoTime::ZERO,
             now,
             random,
@@ -296,7 +187,13 @@
                 entries,
                 commit,
             } => self.on_append(from, term, (prev_index, prev_term), entries, commit),
-            ReplicaMessage::Install { term, snapshot } => self.on_install(from, term, snapshot),
+            ReplicaMessage::Install {
+                term,
+                meta,
+                offset,
+                total,
+                part,
+            } => self.on_install(from, term, meta, (offset, total), &part),
             ReplicaMessage::AppendReply { term, result } => {
                 self.on_append_reply(from, term, result)
             }
--- a/crates/decide/tests/replica.rs
+++ b/crates/decide/tests/replica.rs
@@ -117,6 +117,7 @@
             voters: names,
             heartbeat: Duration::from_millis(50),
             election: Duration::from_millis(300),
+            part_bytes: 100,
         };
         let node = ReplicaNode::open(settings, disk.clone(), now, 0);
         LoneVoter { disk, node, now }
--- a/crates/decide/tests/replica_bed/mod.rs
+++ b/crates/decide/tests/replica_bed/mod.rs
@@ -258,6 +258,7 @@
                 voters: names[..self.settings.voters].to_vec(),
                 heartbeat: Duration::from_millis(50),
                 election: Duration::from_millis(300),
+                part_bytes: 100,
             };
             let snapshot = keeper.disk.snapshot.as_ref();
             let start = snapshot.map_or(0, |s| s.meta.index);
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -7,7 +7,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 /// Longest message, in bytes.
-pub const MESSAGE_BYTES_MAX: usize = 256 << 20;
+pub const MESSAGE_BYTES_MAX: usize = 16 << 20;
 
 /// Encodes and decodes one message as postcard.
 #[derive(Clone, Copy, Debug, Default)]
