--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -105,7 +105,6 @@
     }
 
     /// Forwards the call; an error is the report of one whose gate was not heard.
-
     async fn forward(
         &self,
         head: &ForwardHead,
--- a/crates/decide/tests/member.rs
+++ b/crates/decide/tests/member.rs
@@ -139,9 +139,12 @@
     assert!(net.all_offer(&expected));
 }
 
-#[test]
-fn a_stall_of_all_members_costs_nobody() {
-    let mut net = settled(8, 1);
+#[rstest]
+fn a_stall_of_all_members_costs_nobody(
+    #[values(2, 3, 8)] count: usize,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let mut net = settled(count, seed);
     let all = net.living();
     all.iter().for_each(|idx| net.pause(*idx, true));
     net.run(secs(20));
