--- a/tests/src/bed.rs
+++ b/tests/src/bed.rs
@@ -7,8 +7,9 @@
 use std::{
     fmt::Write,
     fs,
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::PathBuf,
+    sync::atomic::{AtomicU16, Ordering},
     time::Duration,
 };
 use tempfile::TempDir;
@@ -16,6 +17,9 @@
 /// Time for an installation to settle, on a busy machine.
 pub const SETTLE_LIMIT: Duration = Duration::from_secs(30);
 
+/// First port that a test process hands out.
+const FIRST_PORT: u16 = 10_000;
+
 /// Where a process of the test stands.
 #[derive(Clone, Copy, Debug)]
 pub struct TestZone {
@@ -242,14 +246,29 @@
     }
 }
 
-/// Returns a TCP address on loopback that was free just now.
+/// Returns a TCP address on loopback that no other test process uses.
 pub fn free_tcp() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound address")
+    free_addr(|addr| TcpListener::bind(addr).is_ok())
 }
 
-/// Returns a UDP address on loopback that was free just now.
+/// Returns a UDP address on loopback that no other test process uses.
 pub fn free_udp() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("a bound address")
+    free_addr(|addr| UdpSocket::bind(addr).is_ok())
+}
+
+/// Returns an address of this test process's own loopback IP for which `is_free` holds.
+///
+/// A port on 127.0.0.1 that is free now may be taken by anybody's outgoing connection before the
+/// process under test binds it; nobody connects from an IP that is made of this process's id.
+fn free_addr(is_free: impl Fn(SocketAddr) -> bool) -> SocketAddr {
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    let [_, high, mid, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 128 | high, mid, low);
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let addr = SocketAddr::from((ip, port));
+        if is_free(addr) {
+            return addr;
+        }
+    }
 }
