Test that an attempt uses its whole share of the retries

Cause: the lines that give unspent retries back had been lost; no test saw it, as the loss is stricter than the bound. Change: a test with four servers that refuse everything: 3 tries of 5 are the first attempt's share. Ruled out: nothing.

--- a/tests/tests/retry_bound.rs
+++ b/tests/tests/retry_bound.rs
@@ -41,12 +41,7 @@
         let more = if hop + 1 < depth { &more[..] } else { &[] };
         servers.push(bed.start_backend(daemon, &format!("s{hop}"), more));
     }
-    let operator = daemon.addr("operator");
-    eventually("all servers are known", SETTLE_LIMIT, || async {
-        let dump = bed.client.get(operator, "/dump").await;
-        dump.is_some_and(|dump| dump.json()["routes"].as_array().map(Vec::len) == Some(depth))
-    })
-    .await;
+    routes_known(bed, daemon, depth).await;
     servers
 }
 
@@ -98,3 +93,52 @@
         );
     }
 }
+
+/// Retries that a try does not spend go back to the budget: an attempt makes all tries of its share.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_attempt_uses_its_whole_share() {
+    /// Of 5 tries, the first attempt's share.
+    const SHARE: u64 = 3;
+
+    let mut bed = TestBed::open(&[ZONE]);
+    let keepers = bed.start_keepers();
+    let text = contract(1).replace("retries_per_request = 2", "retries_per_request = 4");
+    bed.put_contract(keepers[0].addr("operator"), "dansk", &text)
+        .await;
+    let spec = bed.add_daemon(ZONE);
+    let daemon = bed.start_daemon(&spec);
+    let full = ["--shed", "--slots", "0", "--report-slots", "1"];
+    let servers: Vec<_> = (0..4)
+        .map(|_| bed.start_backend(&daemon, "s0", &full))
+        .collect();
+    routes_known(&bed, &daemon, servers.len()).await;
+
+    let headers = [("agatehill-customer", "dansk"), ("idempotency-key", "r-1")];
+    let sent = bed
+        .client
+        .send("GET", daemon.addr("caller"), "/call/s0/x/ok", &headers, "");
+    let answer = sent.await.expect("an answer");
+    assert_eq!(
+        (answer.status.as_u16(), answer.header("agatehill-outcome")),
+        (503, "not-run")
+    );
+    let mut tries = 0;
+    for server in &servers {
+        let runs = bed
+            .client
+            .get(server.addr("address"), "/_runs")
+            .await
+            .expect("its counts");
+        tries += runs.json()["shed"].as_u64().expect("a count");
+    }
+    assert_eq!(tries, SHARE);
+}
+
+async fn routes_known(bed: &TestBed, daemon: &ProcessGuard, count: usize) {
+    let operator = daemon.addr("operator");
+    eventually("all servers are known", SETTLE_LIMIT, || async {
+        let dump = bed.client.get(operator, "/dump").await;
+        dump.is_some_and(|dump| dump.json()["routes"].as_array().map(Vec::len) == Some(count))
+    })
+    .await;
+}
