Probe accepted connections and encode the hop's headers in one pass

Cause: a caller whose connection goes silent held its connection for ever; a call profile showed 2% of the instructions in the hexadecimal encoding. Change: keep-alive probes after 10 s, unacknowledged data closes after 20 s; encoding into one buffer. Ruled out: fewer runtime threads (1, 2, 4 of 12: the same 115 to 130 us of processor time a call and daemon, p99 worse or equal).

--- a/crates/peer/src/forward.rs
+++ b/crates/peer/src/forward.rs
@@ -10,6 +10,7 @@
     outcome::CallOutcome,
     priority::CallPriority,
 };
+use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Uri};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use std::{fmt, net::SocketAddr};
@@ -194,7 +195,9 @@
 
 fn encode<T: Serialize>(value: &T) -> HeaderValue {
     let bytes = postcard::to_allocvec(value).expect("forward types always encode");
-    HeaderValue::try_from(hex::encode(bytes)).expect("hexadecimal digits make a header value")
+    let mut text = vec![0; bytes.len() * 2];
+    hex::encode_to_slice(&bytes, &mut text).expect("two digits a byte");
+    HeaderValue::from_maybe_shared(Bytes::from(text)).expect("hexadecimal digits are visible")
 }
 
 fn decode<T: DeserializeOwned>(headers: &HeaderMap, name: HeaderName) -> Result<T, ForwardError> {
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -7,6 +7,7 @@
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto::Builder, graceful::GracefulShutdown},
 };
+use socket2::{SockRef, TcpKeepalive};
 use std::{
     future::Future, io, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration,
 };
@@ -22,6 +23,14 @@
 const PING_INTERVAL: Duration = Duration::from_secs(5);
 /// Time after which an unanswered keep-alive ping closes an HTTP/2 connection.
 const PING_LIMIT: Duration = Duration::from_secs(5);
+/// Silence on a connection after which the kernel probes whether the other end is there.
+const PROBE_AFTER: Duration = Duration::from_secs(10);
+/// Time between two such probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+/// Unanswered probes that close a connection.
+const PROBES_MAX: u32 = 3;
+/// Time after which unacknowledged data closes a connection.
+const UNACKED_LIMIT: Duration = Duration::from_secs(20);
 /// Pause after a failed accept, for example when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -89,8 +98,7 @@
 ) where
     H: NewHandler + 'static,
 {
-    // Without it, small answers wait for the peer's delayed acknowledgement.
-    let _ = stream.set_nodelay(true);
+    set_options(&stream);
     let service = service_fn(move |req: Request<Incoming>| serve_one(handler.clone(), req, peer));
     let conn = connection_builder()
         .serve_connection(TokioIo::new(stream), service)
@@ -102,6 +110,19 @@
     });
 }
 
+/// Sets the socket's options; without one that the system refuses the connection still works.
+fn set_options(stream: &TcpStream) {
+    // Without it, small answers wait for the peer's delayed acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBES_MAX);
+    let socket = SockRef::from(stream);
+    let _ = socket.set_tcp_keepalive(&probes);
+    let _ = socket.set_tcp_user_timeout(Some(UNACKED_LIMIT));
+}
+
 fn serve_one<H>(
     handler: Arc<H>,
     req: Request<Incoming>,
