Let no refusal of a resend deny the attempts before it

Cause: a refusal that never asked the claims (contract, limits, attempts spent, no server, cut-off zone) said not-run to a resend, although an earlier attempt may have run.

Change: a refusal of a resend says unknown, unless the claims were asked and vouch for all earlier attempts. Resends of child calls are counted as those of callers are.

--- a/crates/caller/src/call.rs
+++ b/crates/caller/src/call.rs
@@ -80,7 +80,8 @@
         })
     }
 
-    /// Takes a call that a backend server makes on behalf of the running call `parent`.
+    /// Takes a call that a backend server makes on behalf of the running call `parent`; `attempt`
+    /// counts its resends.
     ///
     /// # Errors
     ///
@@ -89,7 +90,7 @@
         req: &CallerRequest,
         spec: &ContractSpec,
         operation: &OperationSpec,
-        parent: &ChainRecord<ChainHandle>,
+        (parent, attempt): (&ChainRecord<ChainHandle>, u32),
         now: MonoTime,
     ) -> Result<ActiveCall, CallProblem> {
         let request = request_id(req, operation, parent.chain)?;
@@ -108,7 +109,7 @@
                 .min(ceiling),
             budget: RetryBudget::of_lease(lease.tokens()),
             lease: Some(lease),
-            attempt: 0,
+            attempt,
             remember_hours: (!operation.idempotent).then_some(spec.remember_hours),
         })
     }
--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -5,7 +5,7 @@
     call::ActiveCall,
     contracts::ContractView,
     problem::{CallProblem, OUTCOME_HEADER},
-    request::{CallerRequest, KEY_HEADER, TRACE_HEADER},
+    request::{ATTEMPT_HEADER, CallerRequest, KEY_HEADER, TRACE_HEADER},
     trace,
 };
 use agatehill_backend::{
@@ -54,8 +54,10 @@
 impl CallEntry {
     /// Runs a caller's request and returns its answer.
     pub async fn call(&self, req: Request<Body>) -> Response<CallBody> {
+        let is_resend = is_resend(req.headers());
         match self.try_call(req).await {
             Ok(response) => response,
+            Err(problem) if is_resend => problem.resend_response(),
             Err(problem) => problem.response(),
         }
     }
@@ -141,11 +143,11 @@
         operation: &OperationSpec,
     ) -> Result<ActiveCall, CallProblem> {
         let now = self.runner.gate.clock().now();
+        let attempt = self.attempt_number(head, &spec.customer, now);
         if let Some(parent) = self.parent(head) {
-            return ActiveCall::child(head, spec, operation, &parent, now);
+            return ActiveCall::child(head, spec, operation, (&parent, attempt), now);
         }
         let chain = ChainId(rand::random::<u128>().max(1));
-        let attempt = self.attempt_number(head, &spec.customer, now);
         ActiveCall::root(head, spec, operation, (chain, attempt), now)
     }
 
@@ -214,11 +216,17 @@
     }
 }
 
+/// Returns whether the caller says that it has sent the request before.
+fn is_resend(headers: &HeaderMap) -> bool {
+    let attempt = headers.get(ATTEMPT_HEADER);
+    attempt.is_some_and(|attempt| attempt.as_bytes() != b"0")
+}
+
 /// Returns what is known before the first try of an attempt.
 ///
-/// An earlier attempt of a non-idempotent call may have run; only the claims can tell.
+/// Earlier attempts may have run; only the claims can tell.
 fn before(call: &ActiveCall) -> CallOutcome {
-    if call.is_idempotent() || call.attempt == 0 {
+    if call.attempt == 0 {
         return CallOutcome::NotRun;
     }
     CallOutcome::Unknown
