--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -32,6 +32,7 @@
 use eyre::WrapErr;
 use gotham::router::{Router, build_simple_router};
 use std::{
+    net::SocketAddr,
     path::PathBuf,
     sync::{Arc, Mutex},
     time::{Duration, SystemTime},
@@ -77,12 +78,12 @@
     let ready = ReadyFlag::default();
     let keepers = KeeperClient::spawn(settings.keepers.clone());
     let entry = Arc::new(open_entry(&settings, &keepers, clock));
-    let dump = DaemonDump::new(&settings, entry.clone());
+    let forward = bind_forward(&settings, &entry).await?;
+    let members = join(&settings, &entry, forward.local_addr()).await?;
+    let dump = DaemonDump::new(&settings, entry.clone(), members.view());
     let health = (ready.clone(), drain.clone());
-    let listeners = bind(&settings, &entry, dump, health).await?;
+    let listeners = bind(&settings, &entry, forward, dump, health).await?;
 
-    let forward = listeners.forward.local_addr();
-    let members = MemberTable::spawn(&settings, entry.runner.clone(), forward);
     let feed = ContractFeed::spawn(keepers, entry.contracts.clone());
     feed.in_force().await;
     ready.set(true);
@@ -98,6 +99,7 @@
     members.leave();
     tokio::time::sleep(LEAVE_SPAN).await;
     listeners.stop().await;
+    members.depart().await;
     if timeout(RECORD_LIMIT, entry.runner.gate.recorded())
         .await
         .is_err()
@@ -130,6 +132,34 @@
     }
 }
 
+async fn bind_forward(
+    settings: &DaemonSettings,
+    entry: &Arc<CallEntry>,
+) -> eyre::Result<HttpServer> {
+    let addr = settings.listen.forward;
+    HttpServer::bind(addr, forward_handler(entry.clone()))
+        .await
+        .wrap_err_with(|| format!("cannot bind listen.forward {addr}"))
+}
+
+async fn join(
+    settings: &DaemonSettings,
+    entry: &CallEntry,
+    forward: SocketAddr,
+) -> eyre::Result<MemberTable> {
+    let runner = &entry.runner;
+    let (registry, routes) = (runner.gate.registry(), runner.routes.clone());
+    let listen = settings.listen;
+    MemberTable::bind(settings, registry, routes, forward, runner.gate.clock())
+        .await
+        .wrap_err_with(|| {
+            format!(
+                "cannot bind listen.gossip {} or listen.control {}",
+                listen.gossip, listen.control
+            )
+        })
+}
+
 /// Returns a number for this run of the daemon, larger than that of earlier runs.
 ///
 /// Where the clock was set back, the claims refuse the number and name one that will do.
@@ -141,6 +171,7 @@
 async fn bind(
     settings: &DaemonSettings,
     entry: &Arc<CallEntry>,
+    forward: HttpServer,
     dump: DaemonDump,
     (ready, drain): (ReadyFlag, DrainSignal),
 ) -> eyre::Result<DaemonListeners> {
@@ -152,9 +183,7 @@
         caller: HttpServer::bind(listen.caller, caller_router(entry.clone()))
             .await
             .wrap_err_with(|| format!("cannot bind listen.caller {}", listen.caller))?,
-        forward: HttpServer::bind(listen.forward, forward_handler(entry.clone()))
-            .await
-            .wrap_err_with(|| format!("cannot bind listen.forward {}", listen.forward))?,
+        forward,
         announce: HttpServer::bind(listen.announce, announce)
             .await
             .wrap_err_with(|| format!("cannot bind listen.announce {}", listen.announce))?,
--- a/crates/decide/src/digest/wire.rs
+++ b/crates/decide/src/digest/wire.rs
@@ -1,6 +1,6 @@
 //! What daemons ask and tell about other zones.
 
-use crate::name::{RegionName, ServiceName, ZoneName};
+use crate::name::{DaemonName, RegionName, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -15,8 +15,17 @@
     pub slots: u32,
     /// Load in thousandths of the slots, as the servers report it: a hint.
     pub load_permille: u16,
-    /// Forward addresses of some daemons beside them, which choose a server in their zone.
-    pub entries: Vec<SocketAddr>,
+    /// Some daemons beside them, which choose a server in their zone.
+    pub entries: Vec<ZoneEntry>,
+}
+
+/// A daemon of another zone that takes requests for a service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ZoneEntry {
+    /// The daemon.
+    pub daemon: DaemonName,
+    /// Where it takes forwarded requests.
+    pub forward: SocketAddr,
 }
 
 /// Which zones an ask is about.
@@ -26,6 +35,8 @@
     Own,
     /// The other zones that it has heard from.
     Others,
+    /// No digests, only where other zones can be asked.
+    Relays,
 }
 
 /// Asks for what has changed.
@@ -82,6 +93,6 @@
     pub is_whole: bool,
     /// The zones asked for.
     pub zones: Vec<ZoneDelta>,
-    /// Other zones that it knows of; only in whole replies.
+    /// Other zones that it knows of, when one has come since the last reply.
     pub known: Vec<ZoneRelay>,
 }
