Quarantine requests that crash backend servers, zone-wide

Cause: nothing stopped a request that crashes every server that runs it from reaching the next.

Change: PoisonWatch drives the suspect book for the calls at a gate. A call whose connection is lost asks whether its server still listens; if not, all in flight there are struck and the zone is told before the failure is, on the forward port. Suspects wait for the lane before they ask for a place. A quarantined request gets 422 at once.

Ruled out: counting every lost connection as a crash (an idle connection that the server closes would strike); strikes by gossip only (a caller's resend would overtake them).

--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -10,6 +10,7 @@
     gate::CallGate,
     inquiry::AttemptLog,
     once::{KeeperClaims, OnceGate},
+    poison::PoisonWatch,
     registry::ServerRegistry,
 };
 use agatehill_caller::{
@@ -22,7 +23,9 @@
 use agatehill_config::DaemonSettings;
 use agatehill_decide::{name::Incarnation, retry::AttemptLedger};
 use agatehill_operator::inspect::inspect_routes;
-use agatehill_peer::{forward_client::ForwardClient, keeper_client::KeeperClient};
+use agatehill_peer::{
+    forward_client::ForwardClient, gossip::PeerSnapshot, keeper_client::KeeperClient,
+};
 use agatehill_platform::{
     clock::MonoClock,
     drain::DrainSignal,
@@ -37,7 +40,7 @@
     sync::{Arc, Mutex},
     time::{Duration, SystemTime},
 };
-use tokio::time::timeout;
+use tokio::{sync::watch, time::timeout};
 
 /// Time for which a stopping daemon still takes calls while the others learn of it.
 const LEAVE_SPAN: Duration = Duration::from_millis(1_500);
@@ -84,6 +87,10 @@
     let health = (ready.clone(), drain.clone());
     let listeners = bind(&settings, &entry, forward, dump, health).await?;
 
+    tokio::spawn(follow_peers(
+        members.view(),
+        entry.runner.gate.poison().clone(),
+    ));
     let feed = ContractFeed::spawn(keepers, entry.contracts.clone());
     feed.in_force().await;
     ready.set(true);
@@ -112,12 +119,14 @@
 
 fn open_entry(settings: &DaemonSettings, keepers: &KeeperClient, clock: MonoClock) -> CallEntry {
     let claims = KeeperClaims::open(keepers.clone());
-    let once = OnceGate::open(claims, settings.name.clone(), incarnation());
+    let incarnation = incarnation();
+    let once = OnceGate::open(claims, settings.name.clone(), incarnation);
+    let poison = PoisonWatch::spawn(settings.name.clone(), incarnation, clock);
     let registry = Arc::new(ServerRegistry::open(clock));
     let runner = AttemptRunner {
         daemon: settings.name.clone(),
         routes: RouteView::default(),
-        gate: CallGate::open(registry, once, clock),
+        gate: CallGate::open(registry, once, poison, clock),
         forward: ForwardClient::open(),
     };
     CallEntry {
@@ -160,6 +169,19 @@
         })
 }
 
+/// Keeps the watch told of the daemons that take strikes.
+async fn follow_peers(mut view: watch::Receiver<Arc<PeerSnapshot>>, poison: PoisonWatch) {
+    loop {
+        let snapshot = view.borrow_and_update().clone();
+        let members = snapshot.members.iter();
+        let peers = members.map(|member| member.record.forward).collect();
+        poison.set_peers(peers).await;
+        if view.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Returns a number for this run of the daemon, larger than that of earlier runs.
 ///
 /// Where the clock was set back, the claims refuse the number and name one that will do.
--- a/crates/backend/src/gate.rs
+++ b/crates/backend/src/gate.rs
@@ -8,6 +8,7 @@
     held::{BodyGuard, HeldBody},
     once::{KeeperClaims, OnceGate, read_prefix},
     places::PlaceGuard,
+    poison::{PoisonGuard, PoisonRefusal, PoisonWatch},
     registry::ServerRegistry,
 };
 use agatehill_decide::{
@@ -15,6 +16,7 @@
     claim::{DIGEST_BODY_BYTES_MAX, RequestDigest},
     gate::{GateCall, GateLoad, GateRefusal, RefusalReason, RunResult},
     outcome::CallOutcome,
+    quarantine::RequestFingerprint,
     retry::spread_retry_after,
 };
 use agatehill_peer::{
@@ -50,19 +52,23 @@
     client: BackendClient,
     chains: ChainIndex<ChainHandle>,
     once: OnceGate<KeeperClaims>,
+    poison: PoisonWatch,
     clock: MonoClock,
 }
 
 impl CallGate {
-    /// Opens the gate of the servers in `registry`; `once` guards what must not run twice.
+    /// Opens the gate of the servers in `registry`; `once` guards what must not run twice and
+    /// `poison` what crashes servers.
     pub fn open(
         registry: Arc<ServerRegistry>,
         once: OnceGate<KeeperClaims>,
+        poison: PoisonWatch,
         clock: MonoClock,
     ) -> CallGate {
         CallGate {
             registry,
             once,
+            poison,
             client: BackendClient::open(),
             chains: ChainIndex::default(),
             clock,
@@ -79,6 +85,11 @@
         &self.chains
     }
 
+    /// Returns the watch over requests that crash servers.
+    pub fn poison(&self) -> &PoisonWatch {
+        &self.poison
+    }
+
     /// Waits until every non-idempotent run is recorded; call it when no new call comes.
     pub async fn recorded(&self) {
         self.once.finished().await;
@@ -105,20 +116,34 @@
             deadline: self.clock.now() + limit,
             is_nested: head.is_nested,
         };
-        match server.places.admit(call).await {
-            Ok(place) => {
-                let addr = server.announcement.address;
-                let run = self.enter(head, call, place);
-                if head.remember_hours.is_some() {
-                    return self.run_claimed(addr, (head, call), digest, req, run).await;
-                }
-                self.run_admitted(addr, call, req, run).await
+        let addr = server.announcement.address;
+        let print = RequestFingerprint::of(&head.customer, digest);
+        let mut poison = self.poison.watch(addr, print);
+        let place = loop {
+            if let Err(refusal) = poison.ready(call.deadline).await {
+                return suspected(refusal);
             }
-            Err(refusal) => refused(&refusal, server.places.load()),
+            match server.places.admit(call).await {
+                Ok(place) if poison.start() => break place,
+                // Another suspect has taken the lane meanwhile.
+                Ok(_) => {}
+                Err(refusal) => return refused(&refusal, server.places.load()),
+            }
+        };
+        let run = self.enter(head, call, place, poison);
+        if head.remember_hours.is_some() {
+            return self.run_claimed(addr, (head, call), digest, req, run).await;
         }
+        self.run_admitted(addr, call, req, run).await
     }
 
-    fn enter(&self, head: &ForwardHead, call: GateCall, place: PlaceGuard) -> RunGuard {
+    fn enter(
+        &self,
+        head: &ForwardHead,
+        call: GateCall,
+        place: PlaceGuard,
+        poison: PoisonGuard,
+    ) -> RunGuard {
         let handle = ChainHandle::open(head.retries);
         let guard = self.chains.enter(ChainRecord {
             chain: head.chain,
@@ -130,6 +155,7 @@
         RunGuard {
             chain: RunningChain { handle, guard },
             place,
+            poison,
             retries: head.retries,
         }
     }
@@ -146,7 +172,7 @@
         match tokio::time::timeout(left, self.client.send(addr, req)).await {
             Ok(Ok(response)) => answered(response, run),
             Ok(Err(failure)) => {
-                run.place.set_result(RunResult::Lost);
+                run.lost(failure).await;
                 let outcome = match failure {
                     CallFailure::NotSent => CallOutcome::NotRun,
                     CallFailure::Lost => CallOutcome::Unknown,
@@ -163,6 +189,7 @@
 struct RunGuard {
     chain: RunningChain,
     place: PlaceGuard,
+    poison: PoisonGuard,
     retries: u32,
 }
 
@@ -171,11 +198,25 @@
     fn retries_used(&self) -> u32 {
         self.retries.saturating_sub(self.chain.handle.left())
     }
+
+    /// The connection to the server was lost; returns when the zone knows if that was a crash.
+    async fn lost(&mut self, failure: CallFailure) {
+        self.place.set_result(RunResult::Lost);
+        if failure == CallFailure::Lost {
+            self.poison.lost().await;
+        }
+    }
 }
 
 impl BodyGuard for RunGuard {
     fn complete(&mut self) {
         self.place.set_result(RunResult::Answered);
+        self.poison.answered();
+    }
+
+    fn broken(&mut self) {
+        self.place.set_result(RunResult::Lost);
+        self.poison.broken();
     }
 }
 
@@ -244,6 +285,18 @@
     bodiless(report)
 }
 
+/// Returns the refusal of a request that may crash the server.
+fn suspected(refusal: PoisonRefusal) -> GateAnswer {
+    match refusal {
+        PoisonRefusal::Quarantined(left) => {
+            let mut answer = failed(FailureKind::Quarantined, CallOutcome::NotRun, None);
+            answer.report.retry_after_ms = millis(left);
+            answer
+        }
+        PoisonRefusal::Late => failed(FailureKind::Deadline, CallOutcome::NotRun, None),
+    }
+}
+
 fn failed(kind: FailureKind, outcome: CallOutcome, run: Option<&RunGuard>) -> GateAnswer {
     let mut report = report(outcome, Some(kind), run);
     report.retry_after_ms = millis(spread_retry_after(RETRY_PAUSE, rand::random()));
--- a/crates/backend/src/gate/claimed.rs
+++ b/crates/backend/src/gate/claimed.rs
@@ -72,7 +72,7 @@
         match self.client.send(addr, req).await {
             Ok(response) => answer(response, run).await,
             Err(failure) => {
-                run.place.set_result(RunResult::Lost);
+                run.lost(failure).await;
                 lost(failure, &run)
             }
         }
@@ -100,7 +100,7 @@
             RunEnd::Answered(GateAnswer { report, response }, stored)
         }
         Err(_) => {
-            run.place.set_result(RunResult::Lost);
+            run.lost(CallFailure::Lost).await;
             RunEnd::Unknown(unknown(&run))
         }
     }
--- a/crates/backend/src/held.rs
+++ b/crates/backend/src/held.rs
@@ -11,6 +11,9 @@
 pub trait BodyGuard {
     /// Called once, after the last frame.
     fn complete(&mut self);
+
+    /// Called once, when the sender has broken the body off.
+    fn broken(&mut self) {}
 }
 
 /// Passes `body` through and drops `guard` at its end.
@@ -41,6 +44,8 @@
         };
         if is_whole {
             guard.complete();
+        } else {
+            guard.broken();
         }
     }
 }
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod inquiry;
 pub mod once;
 pub mod places;
+pub mod poison;
 pub mod registry;
--- /dev/null
+++ b/crates/backend/src/poison.rs
@@ -0,0 +1,350 @@
+//! Keeps requests that crash backend servers from crashing more of them.
+//!
+//! Drives [`SuspectBook`] and [`ServerRuns`] for the calls at this daemon's gates. A call whose
+//! connection is lost asks whether its server still listens; if it doesn't, it has crashed.
+
+use agatehill_decide::{
+    name::{DaemonName, Incarnation},
+    quarantine::{
+        CrashId, RequestFingerprint, RunKey, RunVerdict, ServerRuns, StrikeNote, SuspectBook,
+    },
+    time::MonoTime,
+};
+use agatehill_peer::strike::StrikeClient;
+use agatehill_platform::clock::MonoClock;
+use arc_swap::ArcSwap;
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+/// Time between two looks for a free lane.
+const LANE_PAUSE: Duration = Duration::from_millis(20);
+/// Time to find out whether a server still listens.
+const PROBE_LIMIT: Duration = Duration::from_millis(250);
+/// Time between two rounds of forgetting.
+const AGE_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Why a suspect may not run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PoisonRefusal {
+    /// The request has crashed servers; the time says for how long it is held.
+    Quarantined(Duration),
+    /// The lane did not become free in time.
+    Late,
+}
+
+/// The requests in flight at this daemon's servers, and the suspects of the zone.
+#[derive(Clone, Debug)]
+pub struct PoisonWatch {
+    shared: Arc<WatchShared>,
+}
+
+#[derive(Debug)]
+struct WatchShared {
+    clock: MonoClock,
+    state: Mutex<WatchState>,
+    /// Whether the book holds any request, so that ordinary calls needn't look.
+    has_suspects: AtomicBool,
+    /// Forward addresses of the other daemons of the zone.
+    peers: ArcSwap<Vec<SocketAddr>>,
+    client: StrikeClient,
+}
+
+#[derive(Debug)]
+struct WatchState {
+    daemon: DaemonName,
+    incarnation: Incarnation,
+    book: SuspectBook,
+    servers: HashMap<SocketAddr, ServerRuns>,
+    /// Counts the crashes that have got a name.
+    crashes: u64,
+}
+
+impl PoisonWatch {
+    /// Spawns the watch of one run of a daemon.
+    pub fn spawn(daemon: DaemonName, incarnation: Incarnation, clock: MonoClock) -> PoisonWatch {
+        let state = WatchState {
+            daemon,
+            incarnation,
+            book: SuspectBook::default(),
+            servers: HashMap::new(),
+            crashes: 0,
+        };
+        let shared = Arc::new(WatchShared {
+            clock,
+            state: Mutex::new(state),
+            has_suspects: AtomicBool::new(false),
+            peers: ArcSwap::default(),
+            client: StrikeClient::open(),
+        });
+        let weak = Arc::downgrade(&shared);
+        tokio::spawn(async move {
+            while let Some(shared) = weak.upgrade() {
+                shared.change(|state, now| state.book.age(now));
+                drop(shared);
+                sleep(AGE_INTERVAL).await;
+            }
+        });
+        PoisonWatch { shared }
+    }
+
+    /// Takes over the forward addresses of the zone's other daemons; new ones are told all strikes.
+    pub async fn set_peers(&self, peers: Vec<SocketAddr>) {
+        let old = self.shared.peers.swap(Arc::new(peers.clone()));
+        let new: Vec<_> = peers
+            .into_iter()
+            .filter(|peer| !old.contains(peer))
+            .collect();
+        let now = self.shared.clock.now();
+        let notes: Vec<_> = self.shared.lock().book.notes(now).collect();
+        self.shared.client.tell(&new, &notes).await;
+    }
+
+    /// Takes in what a peer tells and returns what it must learn in turn: strikes for the crashes
+    /// that the same requests, in flight here, may cause.
+    pub fn take_in(&self, notes: &[StrikeNote]) -> Vec<StrikeNote> {
+        self.shared.change(|state, now| {
+            let mut own = Vec::new();
+            for note in notes {
+                if state.book.merge(now, *note) && !note.cleared {
+                    own.extend(state.strike_running(now, note.fingerprint));
+                }
+            }
+            own
+        })
+    }
+
+    /// Returns the number of suspects, for a dump.
+    pub fn suspects(&self) -> usize {
+        self.shared.lock().book.len()
+    }
+
+    /// Begins the part of the watch in a call to the server at `addr`.
+    pub fn watch(&self, addr: SocketAddr, fingerprint: RequestFingerprint) -> PoisonGuard {
+        PoisonGuard {
+            shared: self.shared.clone(),
+            addr,
+            fingerprint,
+            run: None,
+            is_told: false,
+            is_answered: false,
+        }
+    }
+}
+
+impl WatchShared {
+    fn lock(&self) -> MutexGuard<'_, WatchState> {
+        self.state.lock().expect("no holder of the watch panics")
+    }
+
+    fn change<T>(&self, change: impl FnOnce(&mut WatchState, MonoTime) -> T) -> T {
+        let mut state = self.lock();
+        let result = change(&mut state, self.clock.now());
+        self.has_suspects
+            .store(!state.book.is_empty(), Ordering::Release);
+        result
+    }
+
+    /// Tells the zone and takes in the replies.
+    async fn tell(&self, notes: Vec<StrikeNote>) {
+        if notes.is_empty() {
+            return;
+        }
+        let replies = self.client.tell(&self.peers.load(), &notes).await;
+        self.change(|state, now| {
+            replies.into_iter().for_each(|note| {
+                state.book.merge(now, note);
+            });
+        });
+    }
+
+    /// Ends `run`, whose connection was lost, and with it all others at its server if that has
+    /// crashed; returns when the zone knows.
+    async fn end_lost(&self, addr: SocketAddr, run: RunKey) {
+        let has_crashed = has_crashed(addr).await;
+        let notes = self.change(|state, now| {
+            if has_crashed {
+                return state.crash(addr, run, now);
+            }
+            state.runs_at(addr).end(run);
+            Vec::new()
+        });
+        self.tell(notes).await;
+    }
+}
+
+impl WatchState {
+    fn runs_at(&mut self, addr: SocketAddr) -> &mut ServerRuns {
+        if !self.servers.contains_key(&addr) {
+            let runs = ServerRuns::new(self.name_crash());
+            self.servers.insert(addr, runs);
+        }
+        self.servers.get_mut(&addr).expect("it was just inserted")
+    }
+
+    fn name_crash(&mut self) -> CrashId {
+        self.crashes += 1;
+        CrashId::of(&self.daemon, self.incarnation, self.crashes)
+    }
+
+    fn verdict(
+        &mut self,
+        now: MonoTime,
+        addr: SocketAddr,
+        print: RequestFingerprint,
+    ) -> RunVerdict {
+        let own = self.runs_at(addr).next_crash();
+        self.book.verdict(now, print, own)
+    }
+
+    /// Strikes all that is in flight at `addr`, unless `run` has ended with an earlier crash.
+    fn crash(&mut self, addr: SocketAddr, run: RunKey, now: MonoTime) -> Vec<StrikeNote> {
+        if !self.runs_at(addr).holds(run) {
+            return Vec::new();
+        }
+        metrics::counter!("agatehill_server_crashes_total").increment(1);
+        let next = self.name_crash();
+        let (crash, struck) = self.runs_at(addr).crash(next);
+        self.book.strike(now, crash, struck)
+    }
+
+    /// Strikes a request for the next crash of each server that runs it.
+    fn strike_running(&mut self, now: MonoTime, print: RequestFingerprint) -> Vec<StrikeNote> {
+        let running = self.servers.values().filter(|runs| runs.contains(print));
+        let crashes: Vec<_> = running.map(ServerRuns::next_crash).collect();
+        let book = &mut self.book;
+        let strike = |crash| book.strike(now, crash, [print]);
+        crashes.into_iter().flat_map(strike).collect()
+    }
+}
+
+/// One call under the watch; ends on drop.
+#[derive(Debug)]
+pub struct PoisonGuard {
+    shared: Arc<WatchShared>,
+    addr: SocketAddr,
+    fingerprint: RequestFingerprint,
+    run: Option<RunKey>,
+    is_told: bool,
+    is_answered: bool,
+}
+
+impl PoisonGuard {
+    /// Waits until the call may be tried: at once, unless it is a suspect.
+    ///
+    /// # Errors
+    ///
+    /// The request is quarantined, or `deadline` passes first.
+    pub async fn ready(&mut self, deadline: MonoTime) -> Result<(), PoisonRefusal> {
+        while self.shared.has_suspects.load(Ordering::Acquire) {
+            match self.look() {
+                (RunVerdict::Free, _) => return Ok(()),
+                (RunVerdict::Quarantined(left), _) => return Err(PoisonRefusal::Quarantined(left)),
+                (RunVerdict::Lane, false) if self.is_told => return Ok(()),
+                (RunVerdict::Lane, false) => self.write_ahead().await,
+                (RunVerdict::Lane, true) => sleep(LANE_PAUSE).await,
+            }
+            if self.shared.clock.now() >= deadline {
+                return Err(PoisonRefusal::Late);
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts the run; false if the call must get [`PoisonGuard::ready`] again.
+    pub fn start(&mut self) -> bool {
+        let (addr, print, is_told) = (self.addr, self.fingerprint, self.is_told);
+        self.run = self.shared.change(|state, now| {
+            let verdict = state.verdict(now, addr, print);
+            if verdict == RunVerdict::Lane && !is_told {
+                return None;
+            }
+            state.runs_at(addr).start(print, verdict)
+        });
+        self.run.is_some()
+    }
+
+    /// The whole answer has come.
+    pub fn answered(&mut self) {
+        self.is_answered = true;
+    }
+
+    /// The connection was lost; returns when the zone knows of the crash, if it was one.
+    pub async fn lost(&mut self) {
+        if let Some(run) = self.run.take() {
+            self.shared.end_lost(self.addr, run).await;
+        }
+    }
+
+    /// The connection was lost in the middle of the answer.
+    pub fn broken(&mut self) {
+        if let Some(run) = self.run.take() {
+            let (shared, addr) = (self.shared.clone(), self.addr);
+            tokio::spawn(async move { shared.end_lost(addr, run).await });
+        }
+    }
+
+    /// Returns the verdict and whether the server's lane is busy.
+    fn look(&self) -> (RunVerdict, bool) {
+        let (addr, print) = (self.addr, self.fingerprint);
+        self.shared.change(|state, now| {
+            let verdict = state.verdict(now, addr, print);
+            (verdict, state.runs_at(addr).lane_busy())
+        })
+    }
+
+    /// Strikes the suspect for the crash that its run may cause, and tells the zone.
+    async fn write_ahead(&mut self) {
+        self.is_told = true;
+        let (addr, print) = (self.addr, self.fingerprint);
+        let notes = self.shared.change(|state, now| {
+            let crash = state.runs_at(addr).next_crash();
+            state.book.strike(now, crash, [print])
+        });
+        self.shared.tell(notes).await;
+    }
+}
+
+impl Drop for PoisonGuard {
+    fn drop(&mut self) {
+        let (addr, print) = (self.addr, self.fingerprint);
+        let notes = self.shared.change(|state, now| {
+            self.run
+                .into_iter()
+                .for_each(|run| state.runs_at(addr).end(run));
+            if self.is_answered {
+                return state.book.clear(now, print);
+            }
+            let runs = state.runs_at(addr);
+            let own = runs.next_crash();
+            if runs.contains(print) {
+                return Vec::new();
+            }
+            state.book.withdraw(now, print, own)
+        });
+        let shared = self.shared.clone();
+        if !notes.is_empty()
+            && let Ok(handle) = tokio::runtime::Handle::try_current()
+        {
+            handle.spawn(async move { shared.tell(notes).await });
+        }
+    }
+}
+
+/// Returns whether nothing listens at `addr` any more.
+async fn has_crashed(addr: SocketAddr) -> bool {
+    let connected = timeout(PROBE_LIMIT, TcpStream::connect(addr)).await;
+    let refused = |e: &io::Error| e.kind() == io::ErrorKind::ConnectionRefused;
+    matches!(connected, Ok(Err(e)) if refused(&e))
+}
--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -30,6 +30,7 @@
         answer_value, asked_attempt,
     },
     headers::strip_hop,
+    strike::{STRIKE_HEADER, strike_value, strikes},
 };
 use gotham::helpers::http::Body;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
@@ -67,6 +68,8 @@
     pub async fn forwarded(&self, req: Request<Body>) -> Response<CallBody> {
         let result = if req.headers().contains_key(ASK_HEADER) {
             self.asked(req.headers())
+        } else if req.headers().contains_key(STRIKE_HEADER) {
+            self.struck(req.headers())
         } else {
             self.try_forwarded(req).await
         };
@@ -81,6 +84,17 @@
         Ok(response)
     }
 
+    /// Takes in strikes against requests that crash servers.
+    fn struck(&self, headers: &HeaderMap) -> Result<Response<CallBody>, CallProblem> {
+        let notes = strikes(headers).map_err(malformed)?;
+        let own = self.runner.gate.poison().take_in(&notes);
+        let mut response = Response::new(CallBody::empty());
+        response
+            .headers_mut()
+            .insert(STRIKE_HEADER, strike_value(&own));
+        Ok(response)
+    }
+
     async fn try_call(&self, req: Request<Body>) -> Result<Response<CallBody>, CallProblem> {
         let (parts, body) = req.into_parts();
         let head = CallerRequest::parse(&parts.uri, &parts.headers)?;
--- a/crates/decide/src/quarantine/lane.rs
+++ b/crates/decide/src/quarantine/lane.rs
@@ -72,6 +72,11 @@
         (std::mem::replace(&mut self.next_crash, next_crash), struck)
     }
 
+    /// Returns whether `run` is in flight.
+    pub fn holds(&self, run: RunKey) -> bool {
+        self.runs.contains_key(run)
+    }
+
     /// Returns whether the request is in flight here, so that a strike against it elsewhere calls
     /// for one for this server's next crash.
     pub fn contains(&self, fingerprint: RequestFingerprint) -> bool {
--- a/crates/peer/src/forward.rs
+++ b/crates/peer/src/forward.rs
@@ -192,12 +192,15 @@
     decode(headers, ASK_HEADER)
 }
 
-fn encode<T: Serialize>(value: &T) -> HeaderValue {
+pub(crate) fn encode<T: Serialize>(value: &T) -> HeaderValue {
     let bytes = postcard::to_allocvec(value).expect("forward types always encode");
     HeaderValue::try_from(hex::encode(bytes)).expect("hexadecimal digits make a header value")
 }
 
-fn decode<T: DeserializeOwned>(headers: &HeaderMap, name: HeaderName) -> Result<T, ForwardError> {
+pub(crate) fn decode<T: DeserializeOwned>(
+    headers: &HeaderMap,
+    name: HeaderName,
+) -> Result<T, ForwardError> {
     let fail = |reason: &str| ForwardError {
         header: name.clone(),
         reason: reason.to_owned(),
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod headers;
 pub mod keeper;
 pub mod keeper_client;
+pub mod strike;
--- /dev/null
+++ b/tests/tests/poison_zone.rs
@@ -0,0 +1,103 @@
+//! A request that crashes every backend server that runs it, sent again and again.
+
+use agatehill_tests::{
+    bed::{SETTLE_LIMIT, TestBed, ZONE},
+    client::{TestClient, eventually},
+    process::ProcessGuard,
+};
+use std::{net::SocketAddr, time::Duration};
+use tokio::task::JoinSet;
+
+const CONTRACT: &str = r#"
+customer = "dansk"
+revision = 1
+calls_per_second = 4000
+calls_in_flight = 1200
+retries_per_request = 2
+remember_hours = 48
+
+[[operation]]
+service = "techreg"
+method = "GET"
+path = "/certificates/{id}"
+class = "critical"
+idempotent = true
+deadline_ms = 10000
+"#;
+
+const SERVERS: usize = 4;
+const BYSTANDERS: usize = 8;
+/// The bound of the design, for one availability zone.
+const CRASHES_MAX: usize = 2;
+
+/// Sends a request under no key, so that each time counts as a new one.
+async fn get(client: &TestClient, addr: SocketAddr, id: &str) -> u16 {
+    let path = format!("/call/techreg/certificates/{id}");
+    let headers = [("agatehill-customer", "dansk")];
+    let answer = client.send("GET", addr, &path, &headers, "").await;
+    answer.map_or(0, |answer| answer.status.as_u16())
+}
+
+fn crashes(backends: &mut [ProcessGuard]) -> usize {
+    let ends = backends
+        .iter_mut()
+        .map(|backend| backend.wait_exit(Duration::ZERO));
+    ends.flatten().count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_servers_crash_at_most_and_bystanders_are_answered() {
+    let mut bed = TestBed::open(&[ZONE]);
+    let keepers = bed.start_keepers();
+    bed.put_contract(keepers[0].addr("operator"), "dansk", CONTRACT)
+        .await;
+    let specs: Vec<_> = (0..SERVERS).map(|_| bed.add_daemon(ZONE)).collect();
+    let daemons: Vec<_> = specs.iter().map(|spec| bed.start_daemon(spec)).collect();
+    let slow = ["--service-ms", "300"];
+    let start = |daemon| bed.start_backend(daemon, "techreg", &slow);
+    let mut backends: Vec<_> = daemons.iter().map(start).collect();
+    for daemon in &daemons {
+        let operator = daemon.addr("operator");
+        eventually("all servers are known", SETTLE_LIMIT, || async {
+            let dump = bed.client.get(operator, "/dump").await;
+            dump.is_some_and(|dump| dump.json()["routes"].as_array().map(Vec::len) == Some(SERVERS))
+        })
+        .await;
+    }
+    let addrs: Vec<_> = daemons.iter().map(|daemon| daemon.addr("caller")).collect();
+
+    let mut bystanders = JoinSet::new();
+    for idx in 0..BYSTANDERS {
+        let (client, addrs) = (bed.client.clone(), addrs.clone());
+        bystanders.spawn(async move {
+            let mut times = 0;
+            for round in 0..16 {
+                let status = get(&client, addrs[round % SERVERS], &format!("by-{idx}")).await;
+                times += u32::from(status == 200);
+            }
+            times
+        });
+    }
+    for round in 0..12 {
+        let status = get(&bed.client, addrs[round % SERVERS], "poison").await;
+        let crashes = crashes(&mut backends);
+        assert!(
+            crashes <= CRASHES_MAX,
+            "{crashes} servers crashed after {} sends",
+            round + 1
+        );
+        if round >= 2 {
+            assert_eq!(status, 422, "send {}", round + 1);
+        }
+    }
+    assert!(crashes(&mut backends) > 0, "the request crashes servers");
+    for (idx, times) in bystanders.join_all().await.into_iter().enumerate() {
+        assert!(times > 0, "a bystander ({idx}) was never answered");
+    }
+    for idx in 0..BYSTANDERS {
+        for addr in &addrs {
+            assert_eq!(get(&bed.client, *addr, &format!("by-{idx}")).await, 200);
+        }
+    }
+    assert!(crashes(&mut backends) <= CRASHES_MAX);
+}
