--- a/crates/peer/src/forward.rs
+++ b/crates/peer/src/forward.rs
@@ -193,14 +193,17 @@
     decode(headers, ASK_HEADER)
 }
 
-fn encode<T: Serialize>(value: &T) -> HeaderValue {
+pub(crate) fn encode<T: Serialize>(value: &T) -> HeaderValue {
     let bytes = postcard::to_allocvec(value).expect("forward types always encode");
     let mut text = vec![0; bytes.len() * 2];
     hex::encode_to_slice(&bytes, &mut text).expect("two digits a byte");
     HeaderValue::from_maybe_shared(Bytes::from(text)).expect("hexadecimal digits are visible")
 }
 
-fn decode<T: DeserializeOwned>(headers: &HeaderMap, name: HeaderName) -> Result<T, ForwardError> {
+pub(crate) fn decode<T: DeserializeOwned>(
+    headers: &HeaderMap,
+    name: HeaderName,
+) -> Result<T, ForwardError> {
     let fail = |reason: &str| ForwardError {
         header: name.clone(),
         reason: reason.to_owned(),
