Keep heard levels by service, and let a short queue stand

Cause: with the deepest service five times slower, about a sixth of its runs went to calls that are not critical while critical ones were refused. Levels were kept by operation: one that is refused as a whole gets no answers, its level faded, and a burst of it passed. The estimate of a run's length was also a third too low (short samples weighed four times as much), which hid that a target of 98 % of capacity leaves slots empty.

--- a/bin/bench/src/overload/call.rs
+++ b/bin/bench/src/overload/call.rs
@@ -83,14 +83,17 @@
     pub(super) budget: RetryBudget,
     pub(super) deadline: MonoTime,
     pub(super) priority: CallPriority,
-    /// The lowest level heard from deeper services.
-    pub(super) level: CallPriority,
+    /// The levels heard from deeper services.
+    pub(super) levels: ServiceLevels,
     pub(super) own_time: Duration,
     pub(super) child: Option<MakeKey>,
     pub(super) child_since: MonoTime,
     pub(super) child_time: Duration,
 }
 
+/// The level that each service has stated, if any.
+pub(super) type ServiceLevels = [Option<CallPriority>; 4];
+
 /// What comes back to the daemon that made a call.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CallAnswer {
@@ -101,20 +104,20 @@
     pub(super) unused: u32,
     /// The gate's level, for the choice of the server.
     pub(super) gate_level: CallPriority,
-    /// The lowest level on the way down, if any gate stated one.
-    pub(super) chain_level: Option<CallPriority>,
+    /// The levels of the gates on the way down.
+    pub(super) levels: ServiceLevels,
 }
 
 impl CallAnswer {
-    /// Returns the answer of a daemon that refuses without a gate, for the level that it heard.
-    pub(super) fn refused(level: Option<CallPriority>) -> CallAnswer {
+    /// Returns the answer of a daemon that refuses without a gate.
+    pub(super) fn refused() -> CallAnswer {
         CallAnswer {
             outcome: CallOutcome::NotRun,
             given_up: true,
             is_lost: false,
             unused: 0,
-            gate_level: level.unwrap_or(CallPriority::LAST),
-            chain_level: level,
+            gate_level: CallPriority::LAST,
+            levels: ServiceLevels::default(),
         }
     }
 
@@ -124,7 +127,7 @@
             outcome,
             given_up: false,
             is_lost: true,
-            ..CallAnswer::refused(None)
+            ..CallAnswer::refused()
         }
     }
 }
--- a/bin/bench/src/overload/world.rs
+++ b/bin/bench/src/overload/world.rs
@@ -66,7 +66,7 @@
     customer: CustomerName,
     names: Vec<ServiceName>,
     routes: Vec<ZoneRoutes>,
-    levels: Vec<LevelTable<usize>>,
+    levels: Vec<LevelTable<usize, usize>>,
     gates: Vec<ServerGate>,
     tickets: Vec<SecondaryMap<TicketKey, RunKey>>,
     servers: Vec<StandInServer>,
--- a/bin/bench/src/overload/world/servers.rs
+++ b/bin/bench/src/overload/world/servers.rs
@@ -200,13 +200,15 @@
     pub(super) fn send_back(&mut self, run: RunKey, outcome: CallOutcome, given_up: bool) {
         let record = self.runs.remove(run).expect("a run ends once");
         let gate_level = self.gates[record.server].level();
+        let mut levels = record.levels;
+        levels[record.server / ZONES] = Some(gate_level);
         let answer = CallAnswer {
             outcome,
             given_up,
             is_lost: false,
             unused: record.budget.left(),
             gate_level,
-            chain_level: Some(gate_level.min(record.level)),
+            levels,
         };
         self.return_answer(run, &record, answer);
     }
--- a/crates/decide/src/gate.rs
+++ b/crates/decide/src/gate.rs
@@ -381,9 +381,9 @@
         let window = std::mem::take(&mut self.window);
         self.limit.close_window(window.is_full);
         let has_waiting = self.queue.len() > 0;
-        let is_standing = window
-            .shortest_wait
-            .map_or(has_waiting, |wait| wait > self.config.wait_target);
+        let is_standing = window.shortest_wait.map_or(has_waiting, |wait| {
+            wait > self.config.wait_target.max(self.hold.mean() / 8)
+        });
         let hold = self.hold.mean().max(Duration::from_micros(1));
         self.level.close_window(LevelWindow {
             capacity: f64::from(self.limit.limit()) * WINDOW.div_duration_f64(hold),
--- a/crates/decide/src/level.rs
+++ b/crates/decide/src/level.rs
@@ -17,8 +17,9 @@
 const BUCKETS: usize = (CallPriority::LAST.0 / BUCKET_LEVELS) as usize + 1;
 /// Weight of the newest window in the demand histogram.
 const DEMAND_WEIGHT: f64 = 0.3;
-/// Share of the capacity that the level lets in.
-const UTILISATION: f64 = 0.98;
+/// Demand that the level lets in, over the capacity; above one, so that a short queue stands and
+/// chance does not leave slots empty.
+const UTILISATION: f64 = 1.3;
 /// Share of the waiting calls that one window is to work off.
 const DRAIN_SHARE: f64 = 0.1;
 /// Smallest share of the demand that stays after one step down.
@@ -139,10 +140,14 @@
 /// Weight of a newly heard level.
 const HEARD_WEIGHT: f64 = 0.2;
 
-/// Levels that a caller of gates has heard, by what they were heard for.
+/// Levels of services that an entry has heard, and the services that each operation `O` leads to.
+///
+/// A level is kept by the service `S` that stated it, so that the calls that still pass tell the
+/// entry when the others may: an operation that is refused as a whole gets no answers of its own.
 #[derive(Clone, Debug)]
-pub struct LevelTable<K> {
-    heard: HashMap<K, HeardLevel>,
+pub struct LevelTable<O, S> {
+    reached: HashMap<O, Vec<S>>,
+    heard: HashMap<S, HeardLevel>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -151,52 +156,59 @@
     at: MonoTime,
 }
 
-impl<K> Default for LevelTable<K> {
-    fn default() -> LevelTable<K> {
+impl<O, S> Default for LevelTable<O, S> {
+    fn default() -> LevelTable<O, S> {
         LevelTable {
+            reached: HashMap::new(),
             heard: HashMap::new(),
         }
     }
 }
 
-impl<K: Eq + Hash> LevelTable<K> {
-    /// Records the level on an answer.
-    pub fn hear(&mut self, key: K, level: CallPriority, now: MonoTime) {
-        if level == CallPriority::LAST && !self.heard.contains_key(&key) {
+impl<O: Eq + Hash, S: Copy + Eq + Hash> LevelTable<O, S> {
+    /// Records that a call of `operation` passed a gate of `service`, which stated `level`.
+    pub fn hear(&mut self, operation: O, service: S, level: CallPriority, now: MonoTime) {
+        if level == CallPriority::LAST && !self.heard.contains_key(&service) {
             return;
         }
-        let new = f64::from(level.0);
-        let heard = self.heard.entry(key).or_insert(HeardLevel {
+        let reached = self.reached.entry(operation).or_default();
+        if !reached.contains(&service) {
+            reached.push(service);
+        }
+        let heard = self.heard.entry(service).or_insert(HeardLevel {
             level: f64::from(CallPriority::LAST.0),
             at: now,
         });
         let old = heard.faded(now);
-        heard.level = old + (new - old) * HEARD_WEIGHT;
+        heard.level = old + (f64::from(level.0) - old) * HEARD_WEIGHT;
         heard.at = now;
     }
 
-    /// Returns the least important priority that is worth sending to `key`.
-    pub fn level(&self, key: &K, now: MonoTime) -> CallPriority {
-        match self.heard.get(key) {
-            Some(heard) => CallPriority(heard.faded(now).round() as u16),
-            None => CallPriority::LAST,
-        }
+    /// Returns the least important priority that is worth sending for `operation`.
+    pub fn level(&self, operation: &O, now: MonoTime) -> CallPriority {
+        let reached = self.reached.get(operation).into_iter().flatten();
+        let levels = reached.filter_map(|service| self.heard.get(service));
+        let lowest = levels.map(|heard| heard.faded(now).round() as u16).min();
+        lowest.map_or(CallPriority::LAST, CallPriority)
     }
 
     /// Forgets the levels that have faded.
     pub fn prune(&mut self, now: MonoTime) {
-        self.heard
-            .retain(|_, heard| now.since(heard.at) < LEVEL_HOLD + LEVEL_FADE);
-    }
-
-    /// Returns the number of levels held.
-    pub fn len(&self) -> usize {
-        self.heard.len()
+        let is_held = |heard: &HeardLevel| now.since(heard.at) < LEVEL_HOLD + LEVEL_FADE;
+        self.heard.retain(|_, heard| is_held(heard));
+        let heard = &self.heard;
+        self.reached.retain(|_, services| {
+            services.retain(|service| heard.contains_key(service));
+            !services.is_empty()
+        });
     }
 
-    /// Returns whether no level is held.
-    pub fn is_empty(&self) -> bool {
-        self.heard.is_empty()
+    /// Returns the heard levels by service, in no order.
+    pub fn iter(&self, now: MonoTime) -> impl Iterator<Item = (&S, CallPriority)> {
+        let level = move |heard: &HeardLevel| CallPriority(heard.faded(now).round() as u16);
+        self.heard
+            .iter()
+            .map(move |(service, heard)| (service, level(heard)))
     }
 }
 
--- a/crates/decide/src/limit.rs
+++ b/crates/decide/src/limit.rs
@@ -15,7 +15,7 @@
 }
 
 /// Share of the slots that a starting server begins with.
-const RAMP_START: f64 = 0.1;
+const RAMP_START: f64 = 0.3;
 /// Growth of the limit a window while a server ramps up.
 const RAMP_GROWTH: f64 = 1.35;
 /// Growth of the limit a window after it was lowered.
@@ -145,7 +145,7 @@
         let baseline = self.note_baseline(mean);
         let ratio = mean / baseline;
         if self.is_ramping {
-            self.ramp(ratio, is_full);
+            self.ramp(is_full);
             return;
         }
         match self.policy {
@@ -164,8 +164,8 @@
         baseline
     }
 
-    fn ramp(&mut self, ratio: f64, is_full: bool) {
-        if is_full && ratio < SLOW_RATIO {
+    fn ramp(&mut self, is_full: bool) {
+        if is_full {
             self.limit *= RAMP_GROWTH;
         }
         self.is_ramping = self.limit < f64::from(self.slots);
@@ -244,16 +244,13 @@
 
 impl HoldEstimate {
     /// Weight of a new sample.
-    const WEIGHT: f64 = 0.05;
-    /// Weight of a new sample that is less than half of the estimate.
-    const WEIGHT_DOWN: f64 = 0.2;
+    const WEIGHT: f64 = 0.02;
 
     /// Records that a call held its slot for `span`.
     pub fn record(&mut self, span: Duration) {
         let sample = span.as_micros() as f64;
         let micros = match self.micros {
             None => sample,
-            Some(old) if sample < old * 0.5 => old + (sample - old) * Self::WEIGHT_DOWN,
             Some(old) => old + (sample - old) * Self::WEIGHT,
         };
         self.micros = Some(micros);
