--- a/bin/bench/src/cmd/mod.rs
+++ b/bin/bench/src/cmd/mod.rs
@@ -1,3 +1,7 @@
 //! One module a command.
 
+pub(crate) mod claims;
+pub(crate) mod contracts;
+pub(crate) mod keepers;
 pub(crate) mod overload;
+pub(crate) mod routes;
--- a/bin/bench/src/main.rs
+++ b/bin/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cmd;
 mod overload;
+mod slope;
 
 use clap::{Parser, Subcommand};
 
@@ -15,11 +16,19 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    Claims(cmd::claims::Args),
+    Contracts(cmd::contracts::Args),
+    Keepers(cmd::keepers::Args),
     Overload(cmd::overload::Args),
+    Routes(cmd::routes::Args),
 }
 
 fn main() -> eyre::Result<()> {
     match Args::parse().command {
+        Command::Claims(args) => cmd::claims::run(&args),
+        Command::Contracts(args) => cmd::contracts::run(&args),
+        Command::Keepers(args) => cmd::keepers::run(&args),
         Command::Overload(args) => cmd::overload::run(&args),
+        Command::Routes(args) => cmd::routes::run(&args),
     }
 }
--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -5,7 +5,13 @@
 //! Exits with 0 after a graceful stop and with 1 when it can't start.
 
 use crate::{dump::DaemonDump, feed::ContractFeed, members::MemberTable};
-use agatehill_backend::{announce, gate::CallGate, registry::ServerRegistry};
+use agatehill_backend::{
+    announce,
+    gate::CallGate,
+    inquiry::AttemptLog,
+    once::{KeeperClaims, OnceGate},
+    registry::ServerRegistry,
+};
 use agatehill_caller::{
     attempt::AttemptRunner,
     contracts::ContractView,
@@ -14,8 +20,9 @@
     routes::RouteView,
 };
 use agatehill_config::DaemonSettings;
+use agatehill_decide::{name::Incarnation, retry::AttemptLedger};
 use agatehill_operator::inspect::inspect_routes;
-use agatehill_peer::{forward::ForwardClient, keeper_client::KeeperClient};
+use agatehill_peer::{forward_client::ForwardClient, keeper_client::KeeperClient};
 use agatehill_platform::{
     clock::MonoClock,
     drain::DrainSignal,
@@ -24,11 +31,25 @@
 };
 use eyre::WrapErr;
 use gotham::router::{Router, build_simple_router};
-use std::{path::PathBuf, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{Arc, Mutex},
+    time::{Duration, SystemTime},
+};
+use tokio::time::timeout;
 
 /// Time for which a stopping daemon still takes calls while the others learn of it.
 const LEAVE_SPAN: Duration = Duration::from_millis(1_500);
 
+/// Time for the runs that go on without a caller to end and to be recorded.
+const RECORD_LIMIT: Duration = Duration::from_secs(15);
+
+/// Request ids whose attempts are counted at most.
+const LEDGER_REQUESTS_MAX: usize = 1 << 16;
+/// Time for which the attempts of a request id are counted.
+const LEDGER_SPAN: Duration = Duration::from_secs(60);
+
 /// Arguments of the command.
 #[derive(Debug, clap::Args)]
 pub(crate) struct Args {
@@ -55,17 +76,15 @@
     let clock = MonoClock::open();
     let drain = DrainSignal::open().wrap_err("cannot listen for signals")?;
     let ready = ReadyFlag::default();
-    let entry = Arc::new(open_entry(&settings, clock));
-    let dump = DaemonDump::new(&settings, entry.clone());
+    let keepers = KeeperClient::spawn(settings.keepers.clone());
+    let entry = Arc::new(open_entry(&settings, &keepers, clock));
+    let forward = bind_forward(&settings, &entry).await?;
+    let members = join(&settings, &entry, forward.local_addr()).await?;
+    let dump = DaemonDump::new(&settings, entry.clone(), members.view());
     let health = (ready.clone(), drain.clone());
-    let listeners = bind(&settings, &entry, dump, health).await?;
+    let listeners = bind(&settings, &entry, forward, dump, health).await?;
 
-    let forward = listeners.forward.local_addr();
-    let members = MemberTable::spawn(&settings, entry.runner.clone(), forward);
-    let feed = ContractFeed::spawn(
-        KeeperClient::spawn(settings.keepers.clone()),
-        entry.contracts.clone(),
-    );
+    let feed = ContractFeed::spawn(keepers, entry.contracts.clone());
     feed.in_force().await;
     ready.set(true);
     println!("ready {}", listeners.addresses());
@@ -80,28 +99,79 @@
     members.leave();
     tokio::time::sleep(LEAVE_SPAN).await;
     listeners.stop().await;
+    members.depart().await;
+    if timeout(RECORD_LIMIT, entry.runner.gate.recorded())
+        .await
+        .is_err()
+    {
+        spdlog::warn!("runs are left unrecorded; resends will be told that they may have run");
+    }
     spdlog::info!("daemon {} has stopped", settings.name);
     Ok(())
 }
 
-fn open_entry(settings: &DaemonSettings, clock: MonoClock) -> CallEntry {
+fn open_entry(settings: &DaemonSettings, keepers: &KeeperClient, clock: MonoClock) -> CallEntry {
+    let claims = KeeperClaims::open(keepers.clone());
+    let once = OnceGate::open(claims, settings.name.clone(), incarnation());
     let registry = Arc::new(ServerRegistry::open(clock));
     let runner = AttemptRunner {
         daemon: settings.name.clone(),
         routes: RouteView::default(),
-        gate: CallGate::open(registry, clock),
+        gate: CallGate::open(registry, once, clock),
         forward: ForwardClient::open(),
     };
     CallEntry {
         contracts: ContractView::default(),
         runner,
+        log: AttemptLog::open(clock),
+        attempts: Arc::new(Mutex::new(AttemptLedger::new(
+            LEDGER_REQUESTS_MAX,
+            LEDGER_SPAN,
+        ))),
         body_bytes_max: settings.limits.body_bytes_max,
     }
 }
 
+async fn bind_forward(
+    settings: &DaemonSettings,
+    entry: &Arc<CallEntry>,
+) -> eyre::Result<HttpServer> {
+    let addr = settings.listen.forward;
+    HttpServer::bind(addr, forward_handler(entry.clone()))
+        .await
+        .wrap_err_with(|| format!("cannot bind listen.forward {addr}"))
+}
+
+async fn join(
+    settings: &DaemonSettings,
+    entry: &CallEntry,
+    forward: SocketAddr,
+) -> eyre::Result<MemberTable> {
+    let runner = &entry.runner;
+    let (registry, routes) = (runner.gate.registry(), runner.routes.clone());
+    let listen = settings.listen;
+    MemberTable::bind(settings, registry, routes, forward, runner.gate.clock())
+        .await
+        .wrap_err_with(|| {
+            format!(
+                "cannot bind listen.gossip {} or listen.control {}",
+                listen.gossip, listen.control
+            )
+        })
+}
+
+/// Returns a number for this run of the daemon, larger than that of earlier runs.
+///
+/// Where the clock was set back, the claims refuse the number and name one that will do.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    Incarnation(since.map_or(0, |since| since.as_micros() as u64))
+}
+
 async fn bind(
     settings: &DaemonSettings,
     entry: &Arc<CallEntry>,
+    forward: HttpServer,
     dump: DaemonDump,
     (ready, drain): (ReadyFlag, DrainSignal),
 ) -> eyre::Result<DaemonListeners> {
@@ -113,9 +183,7 @@
         caller: HttpServer::bind(listen.caller, caller_router(entry.clone()))
             .await
             .wrap_err_with(|| format!("cannot bind listen.caller {}", listen.caller))?,
-        forward: HttpServer::bind(listen.forward, forward_handler(entry.clone()))
-            .await
-            .wrap_err_with(|| format!("cannot bind listen.forward {}", listen.forward))?,
+        forward,
         announce: HttpServer::bind(listen.announce, announce)
             .await
             .wrap_err_with(|| format!("cannot bind listen.announce {}", listen.announce))?,
--- a/bin/load/src/cmd/mod.rs
+++ b/bin/load/src/cmd/mod.rs
@@ -1,5 +1,7 @@
 //! One module a subcommand.
 
 pub(crate) mod backend;
+pub(crate) mod call;
 pub(crate) mod run;
 pub(crate) mod upload;
+pub(crate) mod watch;
--- a/bin/load/src/main.rs
+++ b/bin/load/src/main.rs
@@ -3,6 +3,7 @@
 mod client;
 mod cmd;
 mod load;
+mod process;
 mod standin;
 
 use clap::{Parser, Subcommand};
@@ -20,18 +21,24 @@
 enum Command {
     /// Runs a stand-in backend server until SIGTERM.
     Backend(Box<cmd::backend::Args>),
+    /// Sends one call.
+    Call(cmd::call::Args),
     /// Sends calls at a fixed rate and prints latencies and outcomes.
     Run(cmd::run::Args),
     /// Streams one large body and compares what arrived.
     Upload(cmd::upload::Args),
+    /// Shows what running processes use.
+    Watch(cmd::watch::Args),
 }
 
 #[tokio::main]
 async fn main() -> ExitCode {
     let done = match Args::parse().command {
         Command::Backend(args) => cmd::backend::run(*args).await,
+        Command::Call(args) => cmd::call::run(args).await,
         Command::Run(args) => cmd::run::run(args).await,
         Command::Upload(args) => cmd::upload::run(args).await,
+        Command::Watch(args) => cmd::watch::run(args).await,
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -8,10 +8,12 @@
     route::{
         AnswerEvidence, RequestHash, RouteChoice, RouteQuery, RouteReach, RouteTarget, ServerKey,
     },
+    time::MonoTime,
 };
 use agatehill_peer::{
     body::CallBody,
-    forward::{FailureKind, ForwardClient, ForwardFailure, ForwardHead, ForwardReport},
+    forward::{FailureKind, ForwardHead, ForwardReport},
+    forward_client::{ForwardClient, ForwardFailure},
 };
 use http::{Request, Response};
 use http_body_util::BodyExt;
@@ -40,7 +42,7 @@
     /// Makes one attempt of `call` at a server that is not among `tried`, and adds it there.
     pub async fn run(
         &self,
-        call: &ActiveCall,
+        call: &mut ActiveCall,
         req: Request<CallBody>,
         reach: RouteReach,
         tried: &mut Vec<ServerKey>,
@@ -72,41 +74,55 @@
 
     async fn run_at(
         &self,
-        call: &ActiveCall,
+        call: &mut ActiveCall,
         req: Request<CallBody>,
         target: &RouteTarget,
     ) -> GateAnswer {
         let started = self.gate.clock().now();
-        let head = match call.head(target.view.backend, started) {
+        let lease = call.budget.lease();
+        let head = match call.head(target.view.backend, lease.tokens(), started) {
             Ok(head) => head,
             Err(kind) => return bodiless(refusal(kind, Duration::ZERO)),
         };
         let _in_flight = target.signal.enter();
-        let answer = if target.view.daemon == self.daemon {
-            self.gate.run(&head, req).await
+        let is_here = target.view.daemon == self.daemon;
+        let heard = if is_here {
+            Ok(self.gate.run(&head, req).await)
         } else {
             self.forward(&head, req, target).await
         };
+        let report = heard
+            .as_ref()
+            .map_or_else(|report| *report, |answer| answer.report);
+        let unused = lease.tokens().saturating_sub(report.retries_used);
+        call.budget.give_back(lease, unused);
         let now = self.gate.clock().now();
-        target
-            .signal
-            .record(evidence(&answer.report, now.since(started)), now);
-        answer
+        match heard {
+            Ok(answer) => {
+                note_report(target, &answer.report, now.since(started), now);
+                answer
+            }
+            Err(report) => {
+                target.signal.record(AnswerEvidence::Failed, now);
+                bodiless(report)
+            }
+        }
     }
 
+    /// Forwards the call; an error is the report of one whose gate was not heard.
     async fn forward(
         &self,
         head: &ForwardHead,
         req: Request<CallBody>,
         target: &RouteTarget,
-    ) -> GateAnswer {
+    ) -> Result<GateAnswer, ForwardReport> {
         let limit = Duration::from_millis(u64::from(head.deadline_ms));
         let sent = self.forward.send(target.forward(), head, req);
         match tokio::time::timeout(limit, sent).await {
-            Ok(Ok(response)) => forwarded_answer(response),
-            Ok(Err(ForwardFailure::NotSent)) => bodiless(lost(CallOutcome::NotRun)),
-            Ok(Err(ForwardFailure::Lost)) => bodiless(lost(CallOutcome::Unknown)),
-            Err(_) => bodiless(expired()),
+            Ok(Ok(response)) => forwarded_answer(head, response),
+            Ok(Err(ForwardFailure::NotSent)) => Err(lost(CallOutcome::NotRun)),
+            Ok(Err(ForwardFailure::Lost)) => Err(unheard(head, FailureKind::Lost)),
+            Err(_) => Err(unheard(head, FailureKind::Deadline)),
         }
     }
 }
@@ -125,15 +141,15 @@
     }
 }
 
-fn expired() -> ForwardReport {
-    let report = refusal(FailureKind::Deadline, Duration::ZERO);
-    ForwardReport {
-        outcome: CallOutcome::Unknown,
-        ..report
-    }
+/// Returns a report of a call whose gate was not heard: it may have run and spent its retries.
+fn unheard(head: &ForwardHead, kind: FailureKind) -> ForwardReport {
+    let mut report = ForwardReport::new(CallOutcome::Unknown, Some(kind));
+    report.retries_used = head.retries;
+    report
 }
 
-fn bodiless(report: ForwardReport) -> GateAnswer {
+/// Returns an answer that is only a report.
+pub fn bodiless(report: ForwardReport) -> GateAnswer {
     GateAnswer {
         report,
         response: Response::new(CallBody::empty()),
@@ -141,25 +157,41 @@
 }
 
 /// Reads the answer of another daemon; one without a report may have run.
-fn forwarded_answer(response: Response<Incoming>) -> GateAnswer {
+fn forwarded_answer(
+    head: &ForwardHead,
+    response: Response<Incoming>,
+) -> Result<GateAnswer, ForwardReport> {
     match ForwardReport::try_from(response.headers()) {
         Ok(report) => {
             let stream =
                 |body: Incoming| CallBody::Stream(body.map_err(io::Error::other).boxed_unsync());
-            GateAnswer {
+            Ok(GateAnswer {
                 report,
                 response: response.map(stream),
-            }
+            })
         }
-        Err(_) => bodiless(lost(CallOutcome::Unknown)),
+        Err(_) => Err(unheard(head, FailureKind::Lost)),
     }
 }
 
-fn evidence(report: &ForwardReport, elapsed: Duration) -> AnswerEvidence {
+/// Takes in what a gate's report shows of its server.
+fn note_report(target: &RouteTarget, report: &ForwardReport, elapsed: Duration, now: MonoTime) {
     let level = report.level;
-    match report.failure {
+    let evidence = match report.failure {
         None => AnswerEvidence::Answered { elapsed, level },
         Some(FailureKind::Lost | FailureKind::NoServer) => AnswerEvidence::Failed,
-        Some(_) => AnswerEvidence::Shed { level },
+        Some(FailureKind::Deadline | FailureKind::Shed) => AnswerEvidence::Shed { level },
+        // These concern the request alone.
+        Some(
+            FailureKind::AnswerNotKept
+            | FailureKind::KeyReused
+            | FailureKind::Limit
+            | FailureKind::Quarantined
+            | FailureKind::Unclaimed,
+        ) => return,
+    };
+    if evidence != AnswerEvidence::Failed {
+        target.signal.report(report.load, now);
     }
+    target.signal.record(evidence, now);
 }
--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -1,25 +1,40 @@
 //! The path of a call through the daemon that took it.
 
 use crate::{
-    attempt::AttemptRunner,
+    attempt::{AttemptRunner, bodiless},
     call::ActiveCall,
     contracts::ContractView,
     problem::{CallProblem, OUTCOME_HEADER},
     request::{CallerRequest, KEY_HEADER, TRACE_HEADER},
     trace,
 };
-use agatehill_backend::gate::GateAnswer;
+use agatehill_backend::{
+    chain::ChainHandle,
+    gate::GateAnswer,
+    held::HeldBody,
+    inquiry::{AttemptGuard, AttemptLog},
+};
 use agatehill_decide::{
-    contract::OperationSpec, name::ChainId, outcome::CallOutcome, route::RouteReach,
+    chain::ChainRecord,
+    contract::{ContractSpec, OperationSpec},
+    name::{ChainId, CustomerName},
+    outcome::CallOutcome,
+    retry::{AttemptLedger, TryEnd},
+    route::{RequestHash, RouteReach},
+    time::MonoTime,
 };
 use agatehill_peer::{
     body::CallBody,
-    forward::{FailureKind, ForwardHead, REPORT_HEADER},
+    forward::{
+        ASK_HEADER, FailureKind, ForwardError, ForwardHead, ForwardReport, REPORT_HEADER,
+        answer_value, asked_attempt,
+    },
     headers::strip_hop,
 };
 use gotham::helpers::http::Body;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
+use std::sync::{Arc, Mutex};
 
 /// Takes calls from callers and from other daemons.
 #[derive(Clone, Debug)]
@@ -28,6 +43,10 @@
     pub contracts: ContractView,
     /// Makes the attempts.
     pub runner: AttemptRunner,
+    /// The attempts that other daemons have sent.
+    pub log: AttemptLog,
+    /// Counts the resends of callers that do not.
+    pub attempts: Arc<Mutex<AttemptLedger>>,
     /// Largest request body, in bytes.
     pub body_bytes_max: u64,
 }
@@ -41,12 +60,23 @@
         }
     }
 
-    /// Runs a call that another daemon forwarded and returns its answer with the report.
+    /// Runs a call that another daemon forwarded and returns its answer with the report, or tells
+    /// what has become of an earlier one.
     pub async fn forwarded(&self, req: Request<Body>) -> Response<CallBody> {
-        match self.try_forwarded(req).await {
-            Ok(answer) => with_report(answer),
-            Err(problem) => problem.response(),
-        }
+        let result = if req.headers().contains_key(ASK_HEADER) {
+            self.asked(req.headers())
+        } else {
+            self.try_forwarded(req).await
+        };
+        result.unwrap_or_else(|problem| problem.response())
+    }
+
+    fn asked(&self, headers: &HeaderMap) -> Result<Response<CallBody>, CallProblem> {
+        let id = asked_attempt(headers).map_err(malformed)?;
+        let answer = answer_value(self.log.ask(id));
+        let mut response = Response::new(CallBody::empty());
+        response.headers_mut().insert(ASK_HEADER, answer);
+        Ok(response)
     }
 
     async fn try_call(&self, req: Request<Body>) -> Result<Response<CallBody>, CallProblem> {
@@ -60,34 +90,86 @@
         finish(answer)
     }
 
-    async fn try_forwarded(&self, req: Request<Body>) -> Result<GateAnswer, CallProblem> {
+    async fn try_forwarded(&self, req: Request<Body>) -> Result<Response<CallBody>, CallProblem> {
+        let head = ForwardHead::try_from(req.headers()).map_err(malformed)?;
+        let Some(guard) = self.log.begin(head.id) else {
+            // Its sender has counted it as not run.
+            let report = ForwardReport::new(CallOutcome::NotRun, Some(FailureKind::Lost));
+            return Ok(with_report(bodiless(report), None));
+        };
+        let answer = self.run_forwarded(&head, req).await?;
+        Ok(with_report(answer, Some(guard)))
+    }
+
+    async fn run_forwarded(
+        &self,
+        head: &ForwardHead,
+        req: Request<Body>,
+    ) -> Result<GateAnswer, CallProblem> {
         let (mut parts, body) = req.into_parts();
-        let wrong =
-            |e: agatehill_peer::forward::ForwardError| CallProblem::Malformed(e.to_string());
-        let head = ForwardHead::try_from(&parts.headers).map_err(wrong)?;
         strip_hop(&mut parts.headers);
         let body = self.read_body(body).await?;
         let req = Request::from_parts(parts, body);
         if head.server.is_some() {
-            return Ok(self.runner.gate.run(&head, req).await);
+            return Ok(self.runner.gate.run(head, req).await);
         }
-        let call = ActiveCall::forwarded(&head, self.runner.gate.clock().now());
+        let call = ActiveCall::forwarded(head, self.runner.gate.clock().now());
         Ok(self.attempts(call, req, RouteReach::LOCAL).await)
     }
 
     fn begin(&self, head: &CallerRequest, method: &Method) -> Result<ActiveCall, CallProblem> {
-        let customer = head.customer.as_ref().ok_or(CallProblem::CustomerMissing)?;
+        let customer = self.customer(head)?;
         let unknown = || CallProblem::UnknownCustomer(customer.clone());
-        let spec = self.contracts.get(customer).ok_or_else(unknown)?;
+        let spec = self.contracts.get(&customer).ok_or_else(unknown)?;
         let operation = operation_of(&spec, head, method)?;
+        self.begin_known(head, &spec, operation)
+    }
+
+    /// Returns the customer that `head` names or that its chain belongs to.
+    fn customer(&self, head: &CallerRequest) -> Result<CustomerName, CallProblem> {
+        if let Some(customer) = &head.customer {
+            return Ok(customer.clone());
+        }
+        let parent = self.parent(head).ok_or(CallProblem::CustomerMissing)?;
+        Ok(parent.customer)
+    }
+
+    fn begin_known(
+        &self,
+        head: &CallerRequest,
+        spec: &ContractSpec,
+        operation: &OperationSpec,
+    ) -> Result<ActiveCall, CallProblem> {
+        let now = self.runner.gate.clock().now();
+        if let Some(parent) = self.parent(head) {
+            return ActiveCall::child(head, spec, operation, &parent, now);
+        }
         let chain = ChainId(rand::random::<u128>().max(1));
-        ActiveCall::root(
-            head,
-            &spec,
-            operation,
-            chain,
-            self.runner.gate.clock().now(),
-        )
+        let attempt = self.attempt_number(head, &spec.customer, now);
+        ActiveCall::root(head, spec, operation, (chain, attempt), now)
+    }
+
+    /// Returns the running call that `head` is made for, if it runs on this host.
+    fn parent(&self, head: &CallerRequest) -> Option<ChainRecord<ChainHandle>> {
+        let chain = head.chain?;
+        self.runner
+            .gate
+            .chains()
+            .parent(chain, head.customer.as_ref())
+            .ok()
+    }
+
+    /// Returns the caller's attempt number, counted up when the caller repeats one.
+    fn attempt_number(&self, head: &CallerRequest, customer: &CustomerName, now: MonoTime) -> u32 {
+        let Some(request) = &head.request else {
+            return head.attempt;
+        };
+        let hash = RequestHash::of(customer, request).0;
+        let mut ledger = self
+            .attempts
+            .lock()
+            .expect("no holder of the ledger panics");
+        ledger.number(hash, head.attempt, now)
     }
 
     async fn read_body(&self, body: Body) -> Result<CallBody, CallProblem> {
@@ -107,28 +189,41 @@
         req: Request<CallBody>,
         reach: RouteReach,
     ) -> GateAnswer {
+        let started = self.runner.gate.clock().now();
+        let retries = call.budget.left();
         let mut tried = Vec::new();
         let mut next = Some(req);
-        let mut outcome = CallOutcome::NotRun;
-        let mut used = 0;
+        let mut outcome = before(&call);
         loop {
             let req = next.take().expect("a further attempt has a request");
             next = try_clone(&req);
-            let mut answer = self.runner.run(&call, req, reach, &mut tried).await;
+            let mut answer = self.runner.run(&mut call, req, reach, &mut tried).await;
+            if answer.report.covers_earlier {
+                outcome = answer.report.outcome;
+            }
             outcome = outcome.combine(answer.report.outcome);
-            used += answer.report.retries_used;
-            call.retries = call.retries.saturating_sub(answer.report.retries_used);
-            if next.is_none() || !may_retry(&call, &answer) {
+            let is_last = next.is_none() || !may_retry(&call, &answer);
+            if is_last || !call.budget.spend() {
                 answer.report.outcome = outcome;
-                answer.report.retries_used = used;
+                answer.report.retries_used = retries.saturating_sub(call.budget.left());
+                let is_answered = is_answered(&answer);
+                call.end(is_answered, started, self.runner.gate.clock().now());
                 return answer;
             }
-            call.retries -= 1;
-            used += 1;
         }
     }
 }
 
+/// Returns what is known before the first try of an attempt.
+///
+/// An earlier attempt of a non-idempotent call may have run; only the claims can tell.
+fn before(call: &ActiveCall) -> CallOutcome {
+    if call.is_idempotent() || call.attempt == 0 {
+        return CallOutcome::NotRun;
+    }
+    CallOutcome::Unknown
+}
+
 /// Returns `body`, broken off with an error past `limit` bytes.
 fn limited(body: Body, limit: u64) -> Body {
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
@@ -138,7 +233,7 @@
 }
 
 fn operation_of<'a>(
-    spec: &'a agatehill_decide::contract::ContractSpec,
+    spec: &'a ContractSpec,
     head: &CallerRequest,
     method: &Method,
 ) -> Result<&'a OperationSpec, CallProblem> {
@@ -174,13 +269,21 @@
     Ok(req)
 }
 
+/// Returns whether the caller has no reason to send the call again.
+fn is_answered(answer: &GateAnswer) -> bool {
+    answer.report.failure.is_none() && !answer.response.status().is_server_error()
+}
+
 fn may_retry(call: &ActiveCall, answer: &GateAnswer) -> bool {
     let Some(kind) = answer.report.failure else {
         return false;
     };
-    let is_safe = call.is_idempotent() || answer.report.outcome == CallOutcome::NotRun;
-    let is_useful = matches!(kind, FailureKind::Lost | FailureKind::Shed);
-    is_safe && is_useful && !answer.report.is_final && call.retries > 0
+    let end = TryEnd {
+        outcome: answer.report.outcome,
+        given_up: answer.report.is_final,
+        idempotent: call.is_idempotent(),
+    };
+    matches!(kind, FailureKind::Lost | FailureKind::Shed) && end.may_retry()
 }
 
 fn try_clone(req: &Request<CallBody>) -> Option<Request<CallBody>> {
@@ -203,7 +306,8 @@
     Ok(response)
 }
 
-fn with_report(answer: GateAnswer) -> Response<CallBody> {
+/// Returns the answer for the daemon that forwarded the call; `guard` is held until its end.
+fn with_report(answer: GateAnswer, guard: Option<AttemptGuard>) -> Response<CallBody> {
     let GateAnswer {
         report,
         mut response,
@@ -215,5 +319,16 @@
     response
         .headers_mut()
         .insert(REPORT_HEADER, (&report).into());
-    response
+    match guard {
+        Some(guard) => response.map(|body| hold(body, guard)),
+        None => response,
+    }
+}
+
+fn hold(body: CallBody, guard: AttemptGuard) -> CallBody {
+    CallBody::Stream(HeldBody::new(body, guard).boxed_unsync())
+}
+
+fn malformed(e: ForwardError) -> CallProblem {
+    CallProblem::Malformed(e.to_string())
 }
