Refuse at the entry what a gate deeper down would refuse

Change: reports carry the levels of the gates that a call has passed, child calls hand them to the call that they belong to, and an entry keeps them by service and refuses root calls by them, as not run, with a spread time to come back. Child calls pass the levels where a server is chosen. Gates publish their load, level and refusals as metrics, and the dump shows them. Ruled out: a list of all services on the way (the six lowest levels are kept).

--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -17,6 +17,7 @@
     contracts::ContractView,
     entry::CallEntry,
     handler::{caller_router, forward_handler},
+    levels::EntryLevels,
     routes::RouteView,
 };
 use agatehill_config::DaemonSettings;
@@ -128,6 +129,7 @@
             LEDGER_REQUESTS_MAX,
             LEDGER_SPAN,
         ))),
+        levels: EntryLevels::default(),
         body_bytes_max: settings.limits.body_bytes_max,
     }
 }
--- a/bin/daemon/src/dump.rs
+++ b/bin/daemon/src/dump.rs
@@ -38,6 +38,7 @@
             "availability_zone": self.settings.availability_zone,
             "contracts": contracts(&self.entry),
             "servers": servers(&self.entry),
+            "levels": levels(&self.entry),
             "routes": routes(&self.entry),
             "peers": **self.peers.borrow(),
         })
@@ -55,10 +56,24 @@
     let servers = entry.runner.gate.registry().list();
     servers
         .iter()
-        .map(|server| json!({ "announcement": server.announcement }))
+        .map(|server| {
+            json!({
+                "announcement": server.announcement,
+                "gate": server.places.load(),
+                "gate_counts": server.places.counts(),
+            })
+        })
         .collect()
 }
 
+/// Returns the levels that callers of this daemon meet at its entry, lowest first.
+fn levels(entry: &CallEntry) -> Vec<Value> {
+    let now = entry.runner.gate.clock().now();
+    let levels = entry.levels.list(now);
+    let value = |(service, level)| json!({ "service_hash": service, "level": level });
+    levels.into_iter().map(value).collect()
+}
+
 fn routes(entry: &CallEntry) -> Vec<Value> {
     let table = entry.runner.routes.load();
     let value = |(distance, view, signal): (
--- a/crates/backend/src/chain.rs
+++ b/crates/backend/src/chain.rs
@@ -2,6 +2,7 @@
 
 use agatehill_decide::{
     chain::{ChainBudget, ChainGuard},
+    level::PathLevels,
     resend::{ChildPrint, ResendTable},
     retry::{RetryBudget, RetryLease},
 };
@@ -24,6 +25,7 @@
     budget: Mutex<RetryBudget>,
     children: Mutex<ResendTable>,
     child_micros: AtomicU64,
+    levels: Mutex<PathLevels>,
 }
 
 impl ChainHandle {
@@ -33,6 +35,7 @@
             budget: Mutex::new(RetryBudget::of_lease(retries)),
             children: Mutex::default(),
             child_micros: AtomicU64::new(0),
+            levels: Mutex::default(),
         };
         ChainHandle {
             shared: Arc::new(shared),
@@ -64,6 +67,18 @@
         Duration::from_micros(self.shared.child_micros.load(Ordering::Relaxed))
     }
 
+    /// Returns the levels of the gates that child calls have passed.
+    pub fn levels(&self) -> PathLevels {
+        *self.levels_held()
+    }
+
+    fn levels_held(&self) -> MutexGuard<'_, PathLevels> {
+        self.shared
+            .levels
+            .lock()
+            .expect("no holder of levels panics")
+    }
+
     fn children(&self) -> MutexGuard<'_, ResendTable> {
         self.shared
             .children
@@ -101,6 +116,11 @@
         self.lease.as_ref().map_or(0, RetryLease::tokens)
     }
 
+    /// Takes in the levels of the gates that the child call has passed.
+    pub fn hear(&self, levels: &PathLevels) {
+        self.handle.levels_held().merge(levels);
+    }
+
     /// Ends the child call, which took `elapsed` and left `unused` retries.
     pub fn end(mut self, is_answered: bool, unused: u32, elapsed: Duration) {
         self.is_answered = is_answered;
--- a/crates/backend/src/gate.rs
+++ b/crates/backend/src/gate.rs
@@ -14,6 +14,8 @@
     chain::{ChainBudget, ChainIndex, ChainRecord},
     claim::{DIGEST_BODY_BYTES_MAX, RequestDigest},
     gate::{GateCall, GateLoad, GateRefusal, RefusalReason, RunResult},
+    level::ServiceHash,
+    name::ServiceName,
     outcome::CallOutcome,
     retry::spread_retry_after,
 };
@@ -109,12 +111,18 @@
             Ok(place) => {
                 let addr = server.announcement.address;
                 let run = self.enter(head, call, place);
-                if head.remember_hours.is_some() {
-                    return self.run_claimed(addr, (head, call), digest, req, run).await;
-                }
-                self.run_admitted(addr, call, req, run).await
+                let handle = run.chain.handle.clone();
+                let mut answer = match head.remember_hours {
+                    Some(_) => self.run_claimed(addr, (head, call), digest, req, run).await,
+                    None => self.run_admitted(addr, call, req, run).await,
+                };
+                answer.report.levels = handle.levels();
+                stated(answer, &head.service, server.places.load())
+            }
+            Err(refusal) => {
+                let load = server.places.load();
+                stated(refused(&refusal, load), &head.service, load)
             }
-            Err(refusal) => refused(&refusal, server.places.load()),
         }
     }
 
@@ -272,6 +280,13 @@
     }
 }
 
+/// Adds the level of this gate to those of the gates below.
+fn stated(mut answer: GateAnswer, service: &ServiceName, load: GateLoad) -> GateAnswer {
+    let levels = &mut answer.report.levels;
+    levels.note(ServiceHash::of(service), load.level);
+    answer
+}
+
 fn load_permille(load: GateLoad) -> u16 {
     let calls = u64::from(load.running) + u64::from(load.queued);
     u16::try_from(calls * 1_000 / u64::from(load.limit.max(1))).unwrap_or(u16::MAX)
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod chain;
 pub mod client;
 pub mod gate;
+mod gate_metrics;
 pub mod held;
 pub mod inquiry;
 pub mod once;
--- a/crates/backend/src/places.rs
+++ b/crates/backend/src/places.rs
@@ -1,6 +1,9 @@
 //! Admission of calls to one backend server: drives its [`ServerGate`] for many tasks.
 
-use crate::registry::{ServerAnnouncement, ServerStage};
+use crate::{
+    gate_metrics::GateLabels,
+    registry::{ServerAnnouncement, ServerStage},
+};
 use agatehill_decide::{
     gate::{
         GateCall, GateConfig, GateCounts, GateDecision, GateEvent, GateLoad, GateRefusal,
@@ -18,6 +21,8 @@
 
 /// Time between two looks at what is due in a gate.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Looks between two publications of a gate's metrics: a second.
+const POLLS_PER_PUBLISH: u64 = 200;
 
 type TicketSender = oneshot::Sender<Result<SlotKey, GateRefusal>>;
 type TicketReceiver = oneshot::Receiver<Result<SlotKey, GateRefusal>>;
@@ -48,7 +53,8 @@
             clock,
             state: Mutex::new(state),
         });
-        tokio::spawn(poll_while_used(Arc::downgrade(&places)));
+        let labels = GateLabels::of(announcement);
+        tokio::spawn(poll_while_used(Arc::downgrade(&places), labels));
         places
     }
 
@@ -259,13 +265,17 @@
     }
 }
 
-async fn poll_while_used(places: Weak<ServerPlaces>) {
+async fn poll_while_used(places: Weak<ServerPlaces>, labels: GateLabels) {
     let mut tick = tokio::time::interval(POLL_INTERVAL);
-    loop {
+    for count in 0u64.. {
         tick.tick().await;
         let Some(places) = places.upgrade() else {
+            labels.publish_end();
             return;
         };
         places.poll();
+        if count.is_multiple_of(POLLS_PER_PUBLISH) {
+            labels.publish(places.load(), places.counts());
+        }
     }
 }
--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -5,6 +5,7 @@
 use agatehill_decide::{
     name::DaemonName,
     outcome::CallOutcome,
+    retry::spread_retry_after,
     route::{
         AnswerEvidence, RequestHash, RouteChoice, RouteQuery, RouteReach, RouteTarget, ServerKey,
     },
@@ -65,7 +66,7 @@
         self.routes.load().choose(&RouteQuery {
             service: &call.service,
             request: RequestHash::of(&call.customer, &call.request),
-            priority: call.priority,
+            priority: call.routed_priority(),
             tried,
             reach,
             now: self.gate.clock().now(),
@@ -127,10 +128,11 @@
     }
 }
 
-/// Returns a report of a call that was refused before it ran.
+/// Returns a report of a call that was refused before it ran; the time to come back is spread.
 pub fn refusal(kind: FailureKind, retry_after: Duration) -> ForwardReport {
     let mut report = ForwardReport::new(CallOutcome::NotRun, Some(kind));
-    report.retry_after_ms = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
+    let spread = spread_retry_after(retry_after, rand::random());
+    report.retry_after_ms = u32::try_from(spread.as_millis()).unwrap_or(u32::MAX);
     report
 }
 
--- a/crates/caller/src/call.rs
+++ b/crates/caller/src/call.rs
@@ -1,12 +1,13 @@
 //! A call on its way through this daemon.
 
-use crate::{problem::CallProblem, request::CallerRequest};
+use crate::{levels::OperationKey, problem::CallProblem, request::CallerRequest};
 use agatehill_backend::chain::{ChainHandle, ChildLease};
 use agatehill_decide::{
     chain::ChainRecord,
     contract::{ContractSpec, OperationSpec},
     deadline::CallDeadline,
     inquiry::AttemptId,
+    level::PathLevels,
     name::{ChainId, CustomerName, RequestId, ServiceName},
     priority::CallPriority,
     resend::ChildPrint,
@@ -31,6 +32,8 @@
     pub chain: ChainId,
     /// The service to run it.
     pub service: ServiceName,
+    /// The operation, at the root of a chain alone.
+    pub operation: Option<OperationKey>,
     /// Priority of the chain.
     pub priority: CallPriority,
     /// A backend server makes the call as part of a chain.
@@ -70,6 +73,12 @@
             priority: CallPriority::of(operation.class, &request),
             request,
             chain,
+            operation: Some(OperationKey::of(
+                &spec.customer,
+                &operation.service,
+                &operation.method,
+                &operation.path,
+            )),
             service: operation.service.clone(),
             is_nested: false,
             deadline: CallDeadline::at_root(asked, operation.deadline(), now),
@@ -101,6 +110,7 @@
             request,
             chain: parent.chain,
             service: operation.service.clone(),
+            operation: None,
             priority: parent.priority,
             is_nested: true,
             deadline: CallDeadline::from(parent.deadline)
@@ -120,6 +130,7 @@
             request: head.request.clone(),
             chain: head.chain,
             service: head.service.clone(),
+            operation: None,
             priority: head.priority,
             is_nested: head.is_nested,
             deadline: CallDeadline::from_wire(u64::from(head.deadline_ms), now),
@@ -165,6 +176,24 @@
         }
     }
 
+    /// Takes in the levels of the gates that the call has passed, for the call that it belongs to.
+    pub fn hear(&self, levels: &PathLevels) {
+        if let Some(lease) = &self.lease {
+            lease.hear(levels);
+        }
+    }
+
+    /// Returns the priority that counts where a server is chosen.
+    ///
+    /// A chain that has work done already passes the levels of the servers, as it does at their
+    /// gates.
+    pub fn routed_priority(&self) -> CallPriority {
+        match self.is_nested {
+            true => CallPriority::FIRST,
+            false => self.priority,
+        }
+    }
+
     /// Returns whether running the operation twice does no harm.
     pub fn is_idempotent(&self) -> bool {
         self.remember_hours.is_none()
--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -4,6 +4,7 @@
     attempt::{AttemptRunner, bodiless},
     call::ActiveCall,
     contracts::ContractView,
+    levels::EntryLevels,
     problem::{CallProblem, OUTCOME_HEADER},
     request::{CallerRequest, KEY_HEADER, TRACE_HEADER},
     trace,
@@ -19,7 +20,7 @@
     contract::{ContractSpec, OperationSpec},
     name::{ChainId, CustomerName},
     outcome::CallOutcome,
-    retry::{AttemptLedger, TryEnd},
+    retry::{AttemptLedger, TryEnd, spread_retry_after},
     route::{RequestHash, RouteReach},
     time::MonoTime,
 };
@@ -34,7 +35,14 @@
 use gotham::helpers::http::Body;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
-use std::sync::{Arc, Mutex};
+use metrics::counter;
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+/// Time after which a caller may ask again whose request was shed, before it is spread.
+const SHED_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
 /// Takes calls from callers and from other daemons.
 #[derive(Clone, Debug)]
@@ -47,6 +55,8 @@
     pub log: AttemptLog,
     /// Counts the resends of callers that do not.
     pub attempts: Arc<Mutex<AttemptLedger>>,
+    /// The levels that gates on the way of each operation have stated.
+    pub levels: EntryLevels,
     /// Largest request body, in bytes.
     pub body_bytes_max: u64,
 }
@@ -86,7 +96,12 @@
         let body = self.read_body(body).await?;
         let class = call.priority.class();
         let req = outgoing(parts.method, &head.target, parts.headers, &call, body)?;
+        let operation = call.operation;
         let answer = self.attempts(call, req, RouteReach::of(class)).await;
+        if let Some(operation) = operation {
+            let now = self.runner.gate.clock().now();
+            self.levels.hear(operation, &answer.report.levels, now);
+        }
         finish(answer)
     }
 
@@ -146,7 +161,17 @@
         }
         let chain = ChainId(rand::random::<u128>().max(1));
         let attempt = self.attempt_number(head, &spec.customer, now);
-        ActiveCall::root(head, spec, operation, (chain, attempt), now)
+        let call = ActiveCall::root(head, spec, operation, (chain, attempt), now)?;
+        match self.is_worth_sending(&call, now) {
+            true => Ok(call),
+            false => Err(shed(&call)),
+        }
+    }
+
+    /// Returns whether the gates on the way of a root call would let its priority in.
+    fn is_worth_sending(&self, call: &ActiveCall, now: MonoTime) -> bool {
+        let admits = |operation| self.levels.admits(operation, call.priority, now);
+        call.operation.is_none_or(admits)
     }
 
     /// Returns the running call that `head` is made for, if it runs on this host.
@@ -207,6 +232,7 @@
                 answer.report.outcome = outcome;
                 answer.report.retries_used = retries.saturating_sub(call.budget.left());
                 let is_answered = is_answered(&answer);
+                call.hear(&answer.report.levels);
                 call.end(is_answered, started, self.runner.gate.clock().now());
                 return answer;
             }
@@ -214,6 +240,16 @@
     }
 }
 
+/// Returns the refusal of a root call that a gate on its way would refuse.
+fn shed(call: &ActiveCall) -> CallProblem {
+    counter!("agatehill_entry_shed_total").increment(1);
+    CallProblem::Failed {
+        kind: FailureKind::Shed,
+        outcome: before(call),
+        retry_after: spread_retry_after(SHED_RETRY_AFTER, rand::random()),
+    }
+}
+
 /// Returns what is known before the first try of an attempt.
 ///
 /// An earlier attempt of a non-idempotent call may have run; only the claims can tell.
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod contracts;
 pub mod entry;
 pub mod handler;
+pub mod levels;
 pub mod problem;
 pub mod request;
 pub mod routes;
--- a/crates/decide/src/level.rs
+++ b/crates/decide/src/level.rs
@@ -6,9 +6,11 @@
 //! Microservices", SoCC 2018; the step here follows the measured capacity instead of a fixed share.
 
 use crate::{
+    name::ServiceName,
     priority::{CLASS_LEVELS, CallPriority},
     time::MonoTime,
 };
+use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, hash::Hash, time::Duration};
 
 /// Levels in one bucket of the demand histogram.
@@ -133,6 +135,68 @@
     CallPriority(base + (f64::from(BUCKET_LEVELS) * part) as u16)
 }
 
+/// Services whose levels travel back with one answer.
+const PATH_LEVELS_MAX: usize = 6;
+
+/// Stands for a service in [`PathLevels`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ServiceHash(pub u32);
+
+impl ServiceHash {
+    /// Returns the hash of `service`, the same on every host.
+    pub fn of(service: &ServiceName) -> ServiceHash {
+        let hash = blake3::hash(service.as_str().as_bytes());
+        let mut low = [0; 4];
+        low.copy_from_slice(&hash.as_bytes()[..4]);
+        ServiceHash(u32::from_le_bytes(low))
+    }
+}
+
+/// The level of one service's gate.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServiceLevel {
+    /// The service.
+    pub service: ServiceHash,
+    /// The least important priority that its gate let in.
+    pub level: CallPriority,
+}
+
+/// The levels of the gates that a call has passed, itself or through its child calls.
+///
+/// Of more services than fit, those with the lowest levels are kept.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct PathLevels([Option<ServiceLevel>; PATH_LEVELS_MAX]);
+
+impl PathLevels {
+    /// Records the newest level of `service`.
+    pub fn note(&mut self, service: ServiceHash, level: CallPriority) {
+        let new = Some(ServiceLevel { service, level });
+        let is_same =
+            |known: &&mut Option<ServiceLevel>| known.is_some_and(|known| known.service == service);
+        if let Some(known) = self.0.iter_mut().find(is_same) {
+            *known = new;
+            return;
+        }
+        let rank = |known: &Option<ServiceLevel>| known.map_or(u16::MAX, |known| known.level.0);
+        let highest = self.0.iter_mut().max_by_key(|known| rank(known));
+        if let Some(highest) = highest.filter(|known| rank(known) > level.0) {
+            *highest = new;
+        }
+    }
+
+    /// Records all levels of `newer`.
+    pub fn merge(&mut self, newer: &PathLevels) {
+        for known in newer.iter() {
+            self.note(known.service, known.level);
+        }
+    }
+
+    /// Returns the levels, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = &ServiceLevel> {
+        self.0.iter().flatten()
+    }
+}
+
 /// Time for which a heard level holds in full.
 const LEVEL_HOLD: Duration = Duration::from_millis(300);
 /// Time over which a level that is not heard again rises back to let everything in.
--- a/crates/peer/src/forward.rs
+++ b/crates/peer/src/forward.rs
@@ -6,6 +6,7 @@
 
 use agatehill_decide::{
     inquiry::{AttemptId, InquiryAnswer},
+    level::PathLevels,
     name::{ChainId, CustomerName, RequestId, ServiceName},
     outcome::CallOutcome,
     priority::CallPriority,
@@ -90,8 +91,10 @@
     pub is_final: bool,
     /// Calls at the server, as a share of its limit, in thousandths.
     pub load: u16,
-    /// The gate admits priorities below this level.
+    /// The least important priority that the gate lets in.
     pub level: CallPriority,
+    /// The levels of this gate and of those that the calls below have passed.
+    pub levels: PathLevels,
 }
 
 impl ForwardReport {
@@ -106,6 +109,7 @@
             is_final: false,
             load: 0,
             level: CallPriority::LAST,
+            levels: PathLevels::default(),
         }
     }
 }
