--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -18,6 +18,7 @@
     contracts::ContractView,
     entry::CallEntry,
     handler::{caller_router, forward_handler},
+    levels::EntryLevels,
     routes::RouteView,
 };
 use agatehill_config::DaemonSettings;
@@ -141,6 +142,7 @@
             LEDGER_REQUESTS_MAX,
             LEDGER_SPAN,
         ))),
+        levels: EntryLevels::default(),
         body_bytes_max: settings.limits.body_bytes_max,
     }
 }
