Hand the lead over on a planned stop; feed tests with a frozen and a cut-off keeper

Cause: each planned restart of a leading keeper left its groups without a leader for 0.8 to 1.6 s. Change: a leader that stops asks the voter with most entries to stand at once. Time limits now nest (propose 1.2 s, forward 1.6 s, command 2 s), so that a caller gets an answer instead of giving up a working connection. Ruled out: asserting the next term over real processes; a busy machine may need two elections.

--- a/bin/keeper/src/cmd/serve.rs
+++ b/bin/keeper/src/cmd/serve.rs
@@ -39,7 +39,7 @@
         .await
         .wrap_err_with(|| format!("cannot listen on peer address {addr}"))?;
     let addr = settings.listen.operator;
-    let router = operator_router(hub, ready.clone(), drain.clone());
+    let router = operator_router(hub.clone(), ready.clone(), drain.clone());
     let operators = HttpServer::bind(addr, router)
         .await
         .wrap_err_with(|| format!("cannot listen on operator address {addr}"))?;
@@ -50,7 +50,9 @@
         peers.local_addr()
     );
     drain.raised().await;
+    ready.set(false);
     operators.stop().await;
+    hub.resign().await;
     Ok(())
 }
 
--- a/bin/keeper/src/driver.rs
+++ b/bin/keeper/src/driver.rs
@@ -110,6 +110,7 @@
                 GroupEvent::Message(envelope) => {
                     outputs.extend(self.step(ReplicaInput::Message(envelope)));
                 }
+                GroupEvent::Resign => outputs.extend(self.step(ReplicaInput::Resign)),
                 GroupEvent::Propose { command, reply } => {
                     let token = self.new_token();
                     self.proposals.insert(token, reply);
--- a/bin/keeper/src/group.rs
+++ b/bin/keeper/src/group.rs
@@ -23,8 +23,9 @@
 
 /// Events that wait for a group's thread before further ones are dropped.
 const EVENTS_MAX: usize = 16_384;
-/// Time after which a proposer no longer waits for the fate of its command.
-const PROPOSE_SPAN: Duration = Duration::from_secs(5);
+/// Time after which a proposer no longer waits for the fate of its command; shorter than the time
+/// limits of those who wait for the proposer, so that they get an answer.
+const PROPOSE_SPAN: Duration = Duration::from_millis(1_200);
 
 /// A state that a group of this keeper can replicate.
 pub(crate) trait GroupState: Default + ReplicatedState + Send + Sync + 'static {
@@ -65,6 +66,8 @@
         /// Where its fate goes.
         reply: oneshot::Sender<Result<R, ProposeError>>,
     },
+    /// The process is about to stop.
+    Resign,
 }
 
 /// What a group's thread shows to others.
@@ -147,6 +150,11 @@
         }
     }
 
+    /// Hands the lead over, if this keeper leads.
+    pub(crate) fn resign(&self) {
+        let _ = self.events.try_send(GroupEvent::Resign);
+    }
+
     /// Takes a message of another replica; it is dropped if too many wait.
     pub(crate) fn deliver(&self, envelope: ReplicaEnvelope) {
         let _ = self.events.try_send(GroupEvent::Message(envelope));
--- a/bin/keeper/src/hub.rs
+++ b/bin/keeper/src/hub.rs
@@ -9,7 +9,7 @@
     claim::{ClaimCommand, ClaimReply, ClaimTable},
     contract_book::{ContractBook, ContractRecord},
     name::{CustomerName, Incarnation, KeeperName},
-    replica::{MemberKey, ReplicaSettings},
+    replica::{MemberKey, ReplicaSettings, ReplicaStatus},
 };
 use agatehill_peer::{
     keeper::{ContractText, FeedPage, KeeperError},
@@ -18,12 +18,20 @@
 use agatehill_platform::clock::MonoClock;
 use agatehill_store::{DataFolder, StoreError};
 use serde::{Serialize, de::DeserializeOwned};
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 /// The group of the contracts; those of the claims follow.
 pub(crate) const CONTRACT_GROUP: u16 = 0;
 /// Time limit of a command that is passed on to the keeper that leads.
-const FORWARD_SPAN: Duration = Duration::from_secs(2);
+const FORWARD_SPAN: Duration = Duration::from_millis(1_600);
+/// Longest wait for other keepers to take the lead over.
+const RESIGN_SPAN: Duration = Duration::from_secs(1);
+/// Time between two looks at whether they have.
+const RESIGN_LOOK: Duration = Duration::from_millis(20);
 /// Time between two messages of a leader.
 const HEARTBEAT: Duration = Duration::from_millis(100);
 /// Shortest time without a leader before an election.
@@ -77,6 +85,21 @@
         })
     }
 
+    /// Hands the lead of every group over, before the process stops.
+    pub(crate) async fn resign(&self) {
+        self.book().resign();
+        self.claims().iter().for_each(GroupHandle::resign);
+        let end = Instant::now() + RESIGN_SPAN;
+        let leads = |status: ReplicaStatus| status.role == "leader" || status.leader.is_none();
+        let waits = || {
+            let claims = self.claims().iter();
+            leads(self.book().status()) || claims.map(GroupHandle::status).any(leads)
+        };
+        while Instant::now() < end && waits() {
+            tokio::time::sleep(RESIGN_LOOK).await;
+        }
+    }
+
     /// Returns the settings.
     pub(crate) fn settings(&self) -> &KeeperSettings {
         &self.shared.settings
--- a/crates/decide/src/replica/elect.rs
+++ b/crates/decide/src/replica/elect.rs
@@ -62,6 +62,15 @@
         }
     }
 
+    /// Stands for the lead at once, as the leader of `term` asks.
+    pub(super) fn on_succeed(&mut self, term: u64) {
+        let may_lead = !self.is_forming() && self.config().contains(&self.settings.key);
+        if may_lead && term == self.hard.term && !self.is_leader() {
+            self.restart_election_timer();
+            self.campaign(false);
+        }
+    }
+
     /// Becomes a follower of a newer term.
     pub(super) fn observe_term(&mut self, term: u64) {
         if term <= self.hard.term {
--- a/crates/decide/src/replica/interface.rs
+++ b/crates/decide/src/replica/interface.rs
@@ -46,6 +46,8 @@
     Propose(Vec<(u64, Arc<[u8]>)>),
     /// All outputs so far are durable.
     Persisted,
+    /// The process is about to stop: hand the lead over, if there is one.
+    Resign,
     /// The state after the entry `index`, which was applied, serialised.
     Compact {
         /// The last entry that the state covers.
--- a/crates/decide/src/replica/lead.rs
+++ b/crates/decide/src/replica/lead.rs
@@ -187,6 +187,20 @@
         }
     }
 
+    /// Hands the lead to the voter that holds most of the log.
+    pub(super) fn resign(&mut self) {
+        let ReplicaRole::Leader(leader) = &self.role else {
+            return;
+        };
+        let voters = self.config().voters.iter();
+        let others = voters.filter(|voter| **voter != self.settings.key);
+        if let Some(heir) = others.max_by_key(|voter| leader.matched(voter)) {
+            let (name, term) = (heir.name.clone(), self.hard.term);
+            self.send(name, ReplicaMessage::Succeed { term });
+        }
+        self.follow();
+    }
+
     /// Commits what a majority of the voters holds, if it is of this term.
     pub(super) fn advance_commit(&mut self) {
         let ReplicaRole::Leader(leader) = &self.role else {
--- a/crates/decide/src/replica/message.rs
+++ b/crates/decide/src/replica/message.rs
@@ -167,6 +167,11 @@
         /// Whether the vote is given.
         granted: bool,
     },
+    /// The leader of `term` stops and asks the receiver to take over without a probe.
+    Succeed {
+        /// The leader's term.
+        term: u64,
+    },
     /// The leader's entries after one that the receiver should have; empty as a heartbeat.
     Append {
         /// The leader's term.
--- a/crates/decide/src/replica/node.rs
+++ b/crates/decide/src/replica/node.rs
@@ -101,6 +101,7 @@
             ReplicaInput::Tick => self.tick(),
             ReplicaInput::Propose(commands) => self.propose(commands),
             ReplicaInput::Persisted => self.note_persisted(),
+            ReplicaInput::Resign => self.resign(),
             ReplicaInput::Compact { index, data } => self.compact(index, data),
         }
         std::mem::take(&mut self.out)
@@ -180,6 +181,7 @@
             ReplicaMessage::VoteReply { pre, term, granted } => {
                 self.on_vote_reply(from, pre, term, granted);
             }
+            ReplicaMessage::Succeed { term } => self.on_succeed(term),
             ReplicaMessage::Append {
                 term,
                 prev_index,
--- a/crates/decide/tests/replica.rs
+++ b/crates/decide/tests/replica.rs
@@ -196,6 +196,40 @@
     }
 }
 
+/// Returns the messages among `outputs`, with their receivers.
+fn sent(outputs: Vec<ReplicaOutput>) -> Vec<(KeeperName, ReplicaMessage)> {
+    let message = |output| match output {
+        ReplicaOutput::Send(envelope) => Some((envelope.to, envelope.message)),
+        _ => None,
+    };
+    outputs.into_iter().filter_map(message).collect()
+}
+
+#[test]
+fn a_leader_that_stops_hands_over_to_the_voter_with_most_entries() {
+    let mut leader = LoneVoter::open(1, Vec::new());
+    leader.lead();
+    leader.acknowledged(2, 2);
+    let outputs = leader.step(ReplicaInput::Resign);
+    let term = leader.node.status().term;
+    let succeed = ReplicaMessage::Succeed { term };
+    assert_eq!(sent(outputs), [(key(2).name, succeed.clone())]);
+    assert!(!leader.node.is_leader());
+    // The one that is asked stands at once, without a probe.
+    let mut heir = LoneVoter::open(term, Vec::new());
+    let asked = sent(heir.hear(2, succeed));
+    let is_vote = |message: &ReplicaMessage| {
+        let wanted = term + 1;
+        matches!(message, ReplicaMessage::VoteAsk { pre: false, term, .. } if *term == wanted)
+    };
+    assert_eq!(
+        asked.iter().filter(|(_, message)| is_vote(message)).count(),
+        2
+    );
+    let late = heir.hear(2, ReplicaMessage::Succeed { term });
+    assert!(sent(late).is_empty(), "a late copy changes nothing");
+}
+
 #[test]
 fn a_vote_survives_a_restart() {
     let mut voter = LoneVoter::open(1, Vec::new());
--- a/crates/decide/tests/replica_bed/mod.rs
+++ b/crates/decide/tests/replica_bed/mod.rs
@@ -209,12 +209,13 @@
     fn fault(&mut self) {
         let idx = self.rng.random_range(0..self.keepers.len());
         let span = Duration::from_millis(self.rng.random_range(50..4_000));
-        match self.rng.random_range(0..7) {
+        match self.rng.random_range(0..8) {
             0 => {
                 self.crash(idx);
                 self.keepers[idx].restart_at = self.now + span;
             }
-            5 => (0..self.keepers.len()).for_each(|idx| self.crash(idx)),
+            5 => self.step(idx, ReplicaInput::Resign),
+            6 => (0..self.keepers.len()).for_each(|idx| self.crash(idx)),
             1 => self.keepers[idx].frozen_until = self.now + span,
             2 => self.cut = vec![idx],
             3 => self.cut.push(idx),
--- a/tests/tests/keeper_failures.rs
+++ b/tests/tests/keeper_failures.rs
@@ -306,6 +306,26 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_is_told_to_stop_hands_over() {
+    let mut set = KeeperSet::open(3);
+    let mut answers = vec![set.accept(1).await];
+    for revision in 2..=4 {
+        let leader = set.leader().await;
+        let guard = set.guards[leader].as_mut().unwrap();
+        guard.signal(Signal::SIGTERM);
+        let status = guard.wait_exit(SETTLE_LIMIT).expect("it ends by itself");
+        assert_eq!(status.code(), Some(0));
+        set.kill(leader);
+        let start = std::time::Instant::now();
+        set.leader().await;
+        println!("a leader {:?} after the stop", start.elapsed());
+        answers.push(set.accept(revision).await);
+        set.restart(leader);
+    }
+    set.check_logs(&answers).await;
+}
+
 #[rstest]
 #[case::log("log")]
 #[case::snapshot("snapshot")]
--- /dev/null
+++ b/tests/tests/keeper_feed.rs
@@ -0,0 +1,82 @@
+//! The feed of contracts while its keeper is frozen or cut off.
+
+use agatehill_peer::keeper_client::KeeperClient;
+use agatehill_tests::{
+    bed::{SETTLE_LIMIT, TestBed, ZONE},
+    client::eventually,
+    process::ProcessGuard,
+};
+use nix::sys::signal::Signal;
+use std::time::Duration;
+
+/// Time for which a feed is asked to wait.
+const FEED_WAIT: Duration = Duration::from_secs(1);
+
+fn contract(revision: u64) -> String {
+    format!(
+        "customer = \"dansk\"\nrevision = {revision}\ncalls_per_second = 1\n\
+         calls_in_flight = 100\nretries_per_request = 2\nremember_hours = 48\n"
+    )
+}
+
+async fn open() -> (TestBed, Vec<ProcessGuard>, KeeperClient) {
+    let bed = TestBed::open(&[ZONE; 3]);
+    let guards = bed.start_keepers();
+    let addr = guards[1].addr("operator");
+    bed.put_contract(addr, "dansk", &contract(1)).await;
+    let peers = bed.keepers.iter().map(|keeper| keeper.peer).collect();
+    (bed, guards, KeeperClient::spawn(peers))
+}
+
+/// Feeds until `revision` has come; returns the position that it brought.
+async fn fed(client: &KeeperClient, after: u64, revision: u64) -> u64 {
+    let end = tokio::time::Instant::now() + SETTLE_LIMIT;
+    while tokio::time::Instant::now() < end {
+        let Ok(page) = client.feed(after, FEED_WAIT).await else {
+            continue;
+        };
+        if page.contracts.iter().any(|text| text.revision == revision) {
+            return page.position;
+        }
+    }
+    panic!("revision {revision} did not come within {SETTLE_LIMIT:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_feed_leaves_a_keeper_that_is_frozen() {
+    let (bed, guards, client) = open().await;
+    let position = fed(&client, 0, 1).await;
+    guards[0].signal(Signal::SIGSTOP);
+    let addr = guards[1].addr("operator");
+    bed.put_contract(addr, "dansk", &contract(2)).await;
+    let start = std::time::Instant::now();
+    let newer = fed(&client, position, 2).await;
+    println!("fed {:?} after the change was accepted", start.elapsed());
+    assert!(newer > position);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_keeper_that_is_cut_off_says_so() {
+    let (bed, guards, client) = open().await;
+    let position = fed(&client, 0, 1).await;
+    let addr = guards[0].addr("operator");
+    let others = &guards[1..];
+    others
+        .iter()
+        .for_each(|other| other.signal(Signal::SIGSTOP));
+    eventually("the feed is not current", SETTLE_LIMIT, || async {
+        let page = client.feed(position, FEED_WAIT).await;
+        page.is_ok_and(|page| !page.current && page.position == position)
+    })
+    .await;
+    let get = bed.client.get(addr, "/contracts/dansk").await.unwrap();
+    assert_eq!(get.status, 503);
+    others
+        .iter()
+        .for_each(|other| other.signal(Signal::SIGCONT));
+    eventually("the keeper is current again", SETTLE_LIMIT, || async {
+        let get = bed.client.get(addr, "/contracts/dansk").await;
+        get.is_some_and(|answer| answer.status == 200)
+    })
+    .await;
+}
