Tell the zone of a crash before any call that it ended returns

A dying process's listener may take the probe's connection after the call's has closed, so that the crash was not seen. And of the calls that a crash ended only the first waited until the zone was told; the poison request, told second, was retried at once elsewhere. Change: the probing connection must stay open for 300 ms; calls that a crash ended return together, once the zone knows.

--- a/crates/backend/src/poison.rs
+++ b/crates/backend/src/poison.rs
@@ -24,6 +24,7 @@
     time::Duration,
 };
 use tokio::{
+    io::AsyncReadExt,
     net::TcpStream,
     time::{sleep, timeout},
 };
@@ -32,6 +33,8 @@
 const LANE_PAUSE: Duration = Duration::from_millis(20);
 /// Time to find out whether a server still listens.
 const PROBE_LIMIT: Duration = Duration::from_millis(250);
+/// Time for which a probing connection stays open at a server that lives.
+const CLOSE_SPAN: Duration = Duration::from_millis(300);
 /// Time between two rounds of forgetting.
 const AGE_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -59,6 +62,8 @@
     /// Forward addresses of the other daemons of the zone.
     peers: ArcSwap<Vec<SocketAddr>>,
     client: StrikeClient,
+    /// Held while the zone is told of a crash.
+    telling: tokio::sync::Mutex<()>,
 }
 
 #[derive(Debug)]
@@ -87,6 +92,7 @@
             has_suspects: AtomicBool::new(false),
             peers: ArcSwap::default(),
             client: StrikeClient::open(),
+            telling: tokio::sync::Mutex::default(),
         });
         let weak = Arc::downgrade(&shared);
         tokio::spawn(async move {
@@ -173,6 +179,8 @@
     /// crashed; returns when the zone knows.
     async fn end_lost(&self, addr: SocketAddr, run: RunKey) {
         let has_crashed = has_crashed(addr).await;
+        // Calls that a crash has ended together return together, once the zone knows.
+        let _telling = self.telling.lock().await;
         let notes = self.change(|state, now| {
             if has_crashed {
                 return state.crash(addr, run, now);
@@ -343,8 +351,26 @@
 }
 
 /// Returns whether nothing listens at `addr` any more.
+///
+/// The kernel closes the sockets of a process that dies one by one: its listener may still take a
+/// connection after the call's has been closed. So a connection counts only if it stays open.
 async fn has_crashed(addr: SocketAddr) -> bool {
-    let connected = timeout(PROBE_LIMIT, TcpStream::connect(addr)).await;
-    let refused = |e: &io::Error| e.kind() == io::ErrorKind::ConnectionRefused;
-    matches!(connected, Ok(Err(e)) if refused(&e))
+    loop {
+        let connected = timeout(PROBE_LIMIT, TcpStream::connect(addr)).await;
+        match connected {
+            Ok(Ok(stream)) => {
+                if !closes_soon(stream).await {
+                    return false;
+                }
+            }
+            Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionReset => {}
+            Ok(Err(e)) => return e.kind() == io::ErrorKind::ConnectionRefused,
+            Err(_) => return false,
+        }
+    }
+}
+
+/// Returns whether the other end closes `stream`, which has asked for nothing.
+async fn closes_soon(mut stream: TcpStream) -> bool {
+    timeout(CLOSE_SPAN, stream.read(&mut [0])).await.is_ok()
 }
