Replace silent connections to backend servers; retry idempotent calls

Cause: a call over a pooled connection that has lost its other end waited for its deadline and failed, and so did each later call that drew such a connection.

Change: an answer ledger per server judges a connection from the answers beside a call. A silent one makes the gate replace all pooled connections of the server; an idempotent call whose body is held whole gives up at half its time and is tried elsewhere. Others wait on: only the answer tells what became of them.

--- a/crates/backend/src/gate.rs
+++ b/crates/backend/src/gate.rs
@@ -169,7 +169,9 @@
     ) -> GateAnswer {
         let left = call.deadline.since(self.clock.now());
         let req = with_deadline(req, left);
-        match tokio::time::timeout(left, self.client.send(addr, req)).await {
+        let is_whole = matches!(req.body(), CallBody::Whole(_));
+        let sent = self.client.send(addr, req, is_whole.then_some(left / 2));
+        match tokio::time::timeout(left, sent).await {
             Ok(Ok(response)) => answered(response, run),
             Ok(Err(failure)) => {
                 run.lost(failure).await;
--- a/crates/backend/src/gate/claimed.rs
+++ b/crates/backend/src/gate/claimed.rs
@@ -69,7 +69,7 @@
         mut run: RunGuard,
     ) -> RunEnd<GateAnswer> {
         let req = with_deadline(req, call.deadline.since(self.clock.now()));
-        match self.client.send(addr, req).await {
+        match self.client.send(addr, req, None).await {
             Ok(response) => answer(response, run).await,
             Err(failure) => {
                 run.lost(failure).await;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod resend;
 pub mod retry;
 pub mod route;
+pub mod silence;
 pub mod state;
 pub mod time;
 
--- /dev/null
+++ b/tests/tests/silent_backend.rs
@@ -0,0 +1,126 @@
+//! Connections to a backend server that go silent for good while new ones work.
+
+use agatehill_tests::{
+    bed::{SETTLE_LIMIT, TestBed, ZONE},
+    client::{TestAnswer, TestClient, eventually},
+    process::ProcessGuard,
+};
+use std::net::SocketAddr;
+use tokio::task::JoinSet;
+
+const CONTRACT: &str = r#"
+customer = "dansk"
+revision = 1
+calls_per_second = 4000
+calls_in_flight = 1200
+retries_per_request = 2
+remember_hours = 48
+
+[[operation]]
+service = "certdesk"
+method = "GET"
+path = "/certificates/{id}"
+class = "critical"
+idempotent = true
+deadline_ms = 6000
+
+[[operation]]
+service = "certdesk"
+method = "POST"
+path = "/certificates/{id}"
+class = "critical"
+idempotent = false
+deadline_ms = 5000
+"#;
+
+const CALLS: usize = 24;
+
+/// Makes calls at once and returns their answers.
+async fn calls(
+    client: &TestClient,
+    addr: SocketAddr,
+    method: &'static str,
+    prefix: &str,
+) -> Vec<TestAnswer> {
+    let mut sends = JoinSet::new();
+    for idx in 0..CALLS {
+        let (client, key) = (client.clone(), format!("{prefix}-{idx}"));
+        sends.spawn(async move {
+            let path = format!("/call/certdesk/certificates/{idx}");
+            let headers = [("agatehill-customer", "dansk"), ("idempotency-key", &key)];
+            client.send(method, addr, &path, &headers, "").await
+        });
+    }
+    let answers = sends.join_all().await;
+    answers
+        .into_iter()
+        .map(|answer| answer.expect("an answer"))
+        .collect()
+}
+
+async fn silence(backend: &ProcessGuard) {
+    let client = TestClient::default();
+    // Its own connection goes silent too.
+    let addr = backend.addr("address");
+    tokio::spawn(async move { client.send("POST", addr, "/_silence", &[], "").await });
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_cost_no_idempotent_call_and_run_nothing_twice() {
+    let mut bed = TestBed::open(&[ZONE]);
+    let keepers = bed.start_keepers();
+    bed.put_contract(keepers[0].addr("operator"), "dansk", CONTRACT)
+        .await;
+    let specs = [bed.add_daemon(ZONE), bed.add_daemon(ZONE)];
+    let daemons: Vec<_> = specs.iter().map(|spec| bed.start_daemon(spec)).collect();
+    let slow = ["--service-ms", "20"];
+    let start = |daemon| bed.start_backend(daemon, "certdesk", &slow);
+    let backends: Vec<_> = daemons.iter().map(start).collect();
+    let addr = daemons[0].addr("caller");
+    let operator = daemons[0].addr("operator");
+    eventually("both servers are known", SETTLE_LIMIT, || async {
+        let dump = bed.client.get(operator, "/dump").await;
+        dump.is_some_and(|dump| dump.json()["routes"].as_array().map(Vec::len) == Some(2))
+    })
+    .await;
+
+    calls(&bed.client, addr, "GET", "warm").await;
+    silence(&backends[0]).await;
+    let began = std::time::Instant::now();
+    for round in 0..3 {
+        let reads = calls(&bed.client, addr, "GET", &format!("read-{round}")).await;
+        let failed: Vec<_> = reads.iter().filter(|answer| answer.status != 200).collect();
+        assert!(failed.is_empty(), "round {round}: {failed:?}");
+    }
+    println!("reads answered again after {:?}", began.elapsed());
+
+    calls(&bed.client, addr, "POST", "warm").await;
+    for backend in &backends {
+        silence(backend).await;
+    }
+    let writes = calls(&bed.client, addr, "POST", "write").await;
+    let resends = calls(&bed.client, addr, "POST", "write").await;
+    let is_unknown = |answer: &TestAnswer| answer.header("agatehill-outcome") == "unknown";
+    assert!(
+        writes.iter().any(is_unknown),
+        "no write met a silent connection"
+    );
+    let mut counts = Vec::new();
+    for backend in &backends {
+        let runs = bed.client.get(backend.addr("address"), "/_runs").await;
+        counts.push(runs.expect("counts").json()["keys"].clone());
+    }
+    let count = |key: &str| -> u64 { counts.iter().filter_map(|keys| keys[key].as_u64()).sum() };
+    for idx in 0..CALLS {
+        let key = format!("write-{idx}");
+        let ends = [&writes[idx], &resends[idx]].map(|answer| answer.header("agatehill-outcome"));
+        assert!(count(&key) <= 1, "{key} ran {} times", count(&key));
+        assert!(
+            !ends.contains(&"not-run") || count(&key) == 0,
+            "{key}: {ends:?}"
+        );
+    }
+    let late = calls(&bed.client, addr, "POST", "late").await;
+    assert!(late.iter().all(|answer| answer.status == 200), "{late:?}");
+}
