--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -18,6 +18,7 @@
     contracts::ContractView,
     entry::CallEntry,
     handler::{caller_router, forward_handler},
+    levels::EntryLevels,
     routes::RouteView,
 };
 use agatehill_config::DaemonSettings;
@@ -82,17 +83,21 @@
     let keepers = KeeperClient::spawn(settings.keepers.clone());
     let entry = Arc::new(open_entry(&settings, &keepers, clock));
     let forward = bind_forward(&settings, &entry).await?;
-    let members = join(&settings, &entry, forward.local_addr()).await?;
+    let feed = ContractFeed::open(keepers, entry.contracts.clone());
+    let members = join(&settings, &entry, forward.local_addr(), &feed).await?;
     let dump = DaemonDump::new(&settings, entry.clone(), members.view());
     let health = (ready.clone(), drain.clone());
     let listeners = bind(&settings, &entry, forward, dump, health).await?;
 
-    tokio::spawn(follow_peers(
-        members.view(),
-        entry.runner.gate.poison().clone(),
-    ));
-    let feed = ContractFeed::spawn(keepers, entry.contracts.clone());
-    feed.in_force().await;
+    let poison = entry.runner.gate.poison().clone();
+    tokio::spawn(follow_peers(members.view(), poison));
+    let seeds: Vec<_> = settings.seeds.iter().map(|seed| seed.control).collect();
+    tokio::select! {
+        () = feed.catch_up(&seeds) => {}
+        // Stopped before it could open: there is nothing in flight.
+        () = drain.raised() => return Ok(()),
+    }
+    feed.spawn(members.view());
     ready.set(true);
     println!("ready {}", listeners.addresses());
     spdlog::info!(
@@ -137,6 +142,7 @@
             LEDGER_REQUESTS_MAX,
             LEDGER_SPAN,
         ))),
+        levels: EntryLevels::default(),
         body_bytes_max: settings.limits.body_bytes_max,
     }
 }
@@ -155,11 +161,13 @@
     settings: &DaemonSettings,
     entry: &CallEntry,
     forward: SocketAddr,
+    feed: &ContractFeed,
 ) -> eyre::Result<MemberTable> {
     let runner = &entry.runner;
     let (registry, routes) = (runner.gate.registry(), runner.routes.clone());
     let listen = settings.listen;
-    MemberTable::bind(settings, registry, routes, forward, runner.gate.clock())
+    let (contracts, clock) = (feed.page(), runner.gate.clock());
+    MemberTable::bind(settings, registry, routes, forward, contracts, clock)
         .await
         .wrap_err_with(|| {
             format!(
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -10,3 +10,5 @@
 pub mod places;
 pub mod poison;
 pub mod registry;
+
+mod gate_metrics;
