--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -4,9 +4,11 @@
 pub mod chain;
 pub mod client;
 pub mod gate;
-mod gate_metrics;
 pub mod held;
 pub mod inquiry;
 pub mod once;
 pub mod places;
+pub mod poison;
 pub mod registry;
+
+mod gate_metrics;
