Refuse keepers that spread claims over another number of groups

Cause: the group of a claim follows from its key and the number of groups. A keeper with another number would look elsewhere, find no claim and let a request run twice. And a command that no replica can decode would have stopped the group's thread at every keeper. Change: replicas drop messages of replicas that know another number, so that such a keeper neither leads nor hears a leader; the data folder remembers the number and refuses another. Commands are decoded before they are proposed for a peer; a group's thread that panics ends the process. Proof: directed test of the dropped message, folder table, claims over real processes through kills of each keeper: one holder, one answer.

--- a/bin/keeper/src/group.rs
+++ b/bin/keeper/src/group.rs
@@ -77,6 +77,17 @@
     pub(crate) status: Mutex<ReplicaStatus>,
 }
 
+/// Ends the process if the thread panics: without its thread a group would look alive.
+struct AbortGuard;
+
+impl Drop for AbortGuard {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            std::process::abort();
+        }
+    }
+}
+
 /// A handle on a group; clones share it.
 pub(crate) struct GroupHandle<S: ReplicatedState> {
     shared: Arc<GroupShared<S>>,
@@ -123,7 +134,10 @@
         let driver = GroupDriver::new(node, store, clock, outbox, shared.clone());
         thread::Builder::new()
             .name(format!("group-{group}"))
-            .spawn(move || driver.run(snapshot, &inbox))
+            .spawn(move || {
+                let _guard = AbortGuard;
+                driver.run(snapshot, &inbox);
+            })
             .expect("the system has room for a thread");
         Ok(GroupHandle { shared, events })
     }
@@ -131,11 +145,6 @@
     /// Proposes `command` and waits for its reply.
     pub(crate) async fn propose(&self, command: &S::Command) -> Result<S::Reply, ProposeError> {
         let command = postcard::to_stdvec(command).expect("commands are serialisable");
-        self.propose_bytes(command).await
-    }
-
-    /// Proposes a serialised command and waits for its reply.
-    pub(crate) async fn propose_bytes(&self, command: Vec<u8>) -> Result<S::Reply, ProposeError> {
         let (reply, replied) = oneshot::channel();
         let event = GroupEvent::Propose {
             command: command.into(),
--- a/bin/keeper/src/hub.rs
+++ b/bin/keeper/src/hub.rs
@@ -56,7 +56,7 @@
 impl KeeperHub {
     /// Opens the data folder and starts the groups.
     pub(crate) fn open(settings: &KeeperSettings) -> Result<KeeperHub, StoreError> {
-        let folder = DataFolder::open(&settings.data_dir, &settings.name)?;
+        let folder = DataFolder::open(&settings.data_dir, &settings.name, claim_groups(settings))?;
         let others = settings.keepers.iter().filter(|k| k.name != settings.name);
         let link = |keeper: &agatehill_config::KeeperPeer| {
             let link = KeeperLink::open(keeper.peer);
@@ -72,7 +72,7 @@
             outbox,
         };
         let book = opener.open(CONTRACT_GROUP)?;
-        let groups = 1..=settings.claim_groups as u16;
+        let groups = 1..=claim_groups(settings);
         let claims: Result<Vec<_>, _> = groups.map(|group| opener.open(group)).collect();
         Ok(KeeperHub {
             shared: Arc::new(HubShared {
@@ -206,6 +206,7 @@
         let keepers = &self.settings.keepers;
         let replica = ReplicaSettings {
             group,
+            groups: claim_groups(self.settings),
             key: MemberKey {
                 name: self.settings.name.clone(),
                 incarnation: Incarnation(rand::random()),
@@ -225,6 +226,10 @@
     }
 }
 
+fn claim_groups(settings: &KeeperSettings) -> u16 {
+    u16::try_from(settings.claim_groups).expect("the settings were checked")
+}
+
 fn contract_text((customer, record): (&CustomerName, &ContractRecord)) -> ContractText {
     ContractText {
         customer: customer.clone(),
--- a/bin/keeper/src/service.rs
+++ b/bin/keeper/src/service.rs
@@ -15,7 +15,7 @@
     inspect::StateDump,
 };
 use agatehill_peer::keeper::{FeedPage, KeeperError, KeeperService};
-use serde::Serialize;
+use serde::{Serialize, de::DeserializeOwned};
 use serde_json::json;
 use std::time::{Duration, Instant};
 
@@ -76,14 +76,14 @@
 
     async fn propose(&self, group: u16, command: Vec<u8>) -> Result<Vec<u8>, KeeperError> {
         if group == CONTRACT_GROUP {
-            let reply = self.book().propose_bytes(command).await;
+            let reply = self.book().propose(&decode(&command)?).await;
             return encode(reply.map_err(|e| self.error(e))?);
         }
         let Some(claims) = self.claims().get(usize::from(group) - 1) else {
             let reason = format!("group {group} does not exist");
             return Err(KeeperError::Invalid(reason));
         };
-        let reply = claims.propose_bytes(command).await;
+        let reply = claims.propose(&decode(&command)?).await;
         encode(reply.map_err(|e| self.error(e))?)
     }
 
@@ -159,6 +159,11 @@
     }
 }
 
+/// Decodes a command before it is proposed: one that no replica can read must not get into a log.
+fn decode<T: DeserializeOwned>(command: &[u8]) -> Result<T, KeeperError> {
+    postcard::from_bytes(command).map_err(|e| KeeperError::Invalid(e.to_string()))
+}
+
 fn encode<T: Serialize>(reply: T) -> Result<Vec<u8>, KeeperError> {
     Ok(postcard::to_stdvec(&reply).expect("replies are serialisable"))
 }
--- a/crates/decide/src/replica/interface.rs
+++ b/crates/decide/src/replica/interface.rs
@@ -10,6 +10,9 @@
 pub struct ReplicaSettings {
     /// The group.
     pub group: u16,
+    /// The number of groups that keys are spread over, the same at every replica: messages of
+    /// replicas that know another number are dropped, because they look for keys elsewhere.
+    pub groups: u16,
     /// This keeper and its disk.
     pub key: MemberKey,
     /// All keepers, this one included.
--- a/crates/decide/src/replica/message.rs
+++ b/crates/decide/src/replica/message.rs
@@ -127,6 +127,8 @@
 pub struct ReplicaEnvelope {
     /// The group that it belongs to.
     pub group: u16,
+    /// The number of groups that the sender knows.
+    pub groups: u16,
     /// Who sends it.
     pub from: MemberKey,
     /// Who is to get it.
--- a/crates/decide/src/replica/node.rs
+++ b/crates/decide/src/replica/node.rs
@@ -165,6 +165,9 @@
     }
 
     fn receive(&mut self, envelope: ReplicaEnvelope) {
+        if envelope.groups != self.settings.groups {
+            return;
+        }
         let ReplicaEnvelope { from, message, .. } = envelope;
         match message {
             ReplicaMessage::Probe => self.on_probe(from),
@@ -248,6 +251,7 @@
     pub(super) fn send(&mut self, to: KeeperName, message: ReplicaMessage) {
         let envelope = ReplicaEnvelope {
             group: self.settings.group,
+            groups: self.settings.groups,
             from: self.settings.key.clone(),
             to,
             message,
--- a/crates/decide/tests/replica.rs
+++ b/crates/decide/tests/replica.rs
@@ -112,6 +112,7 @@
         let names: Vec<_> = (0..3).map(|idx| key(idx).name).collect();
         let settings = ReplicaSettings {
             group: 0,
+            groups: 1,
             key: key(0),
             keepers: names.clone(),
             voters: names,
@@ -141,6 +142,7 @@
     fn hear(&mut self, from: usize, message: ReplicaMessage) -> Vec<ReplicaOutput> {
         self.step(ReplicaInput::Message(ReplicaEnvelope {
             group: 0,
+            groups: 1,
             from: key(from),
             to: key(0).name,
             message,
@@ -253,6 +255,25 @@
     assert_eq!(leader.acknowledged(1, 3), 3);
 }
 
+#[test]
+fn a_replica_that_spreads_keys_over_other_groups_is_not_heard() {
+    let mut voter = LoneVoter::open(1, Vec::new());
+    let ask = ReplicaMessage::VoteAsk {
+        pre: false,
+        term: 2,
+        last_index: 9,
+        last_term: 9,
+    };
+    let outputs = voter.step(ReplicaInput::Message(ReplicaEnvelope {
+        group: 0,
+        groups: 2,
+        from: key(1),
+        to: key(0).name,
+        message: ask,
+    }));
+    assert!(outputs.is_empty(), "{outputs:?}");
+}
+
 #[test]
 fn an_acknowledgement_of_a_lost_incarnation_counts_for_nothing() {
     let mut leader = LoneVoter::open(1, Vec::new());
@@ -264,6 +285,7 @@
     from.incarnation = Incarnation(77);
     leader.step(ReplicaInput::Message(ReplicaEnvelope {
         group: 0,
+        groups: 1,
         from,
         to: key(0).name,
         message: ReplicaMessage::AppendReply { term, result },
--- a/crates/decide/tests/replica_bed/mod.rs
+++ b/crates/decide/tests/replica_bed/mod.rs
@@ -254,6 +254,7 @@
             }
             let settings = ReplicaSettings {
                 group: 0,
+                groups: 1,
                 key,
                 keepers: names.clone(),
                 voters: names[..self.settings.voters].to_vec(),
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -26,6 +26,15 @@
         /// The keeper that it belongs to.
         owner: String,
     },
+    /// The claims in the folder are spread over another number of groups.
+    Groups {
+        /// The folder.
+        path: PathBuf,
+        /// The number in the folder.
+        stored: u16,
+        /// The number in the settings.
+        given: u16,
+    },
     /// Another process uses the folder.
     Locked {
         /// The folder.
@@ -53,6 +62,16 @@
             StoreError::Foreign { path, owner } => {
                 write!(f, "{} belongs to keeper \"{owner}\"", path.display())
             }
+            StoreError::Groups {
+                path,
+                stored,
+                given,
+            } => write!(
+                f,
+                "{} holds claims in {stored} groups, the settings say {given}: claims would not be \
+                 found",
+                path.display()
+            ),
             StoreError::Locked { path } => {
                 write!(f, "{} is used by another process", path.display())
             }
--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -5,11 +5,19 @@
     group::{read_whole, replace_file},
 };
 use agatehill_decide::name::KeeperName;
+use serde::{Deserialize, Serialize};
 use std::{
     fs::{self, File, TryLockError},
     path::{Path, PathBuf},
 };
 
+/// What a data folder belongs to.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct FolderRecord {
+    name: KeeperName,
+    claim_groups: u16,
+}
+
 /// A data folder that this process alone uses.
 #[derive(Debug)]
 pub struct DataFolder {
@@ -19,27 +27,28 @@
 }
 
 impl DataFolder {
-    /// Opens the folder at `path`, made if it is missing, for the keeper `name`.
+    /// Opens the folder at `path`, made if it is missing, for the keeper `name` whose claims are
+    /// spread over `claim_groups` groups.
     ///
     /// # Errors
     ///
-    /// The folder is another keeper's, is in use or can't be read or written.
-    pub fn open(path: &Path, name: &KeeperName) -> Result<DataFolder, StoreError> {
+    /// The folder is another keeper's, has another number of groups, is in use or can't be read or
+    /// written.
+    pub fn open(
+        path: &Path,
+        name: &KeeperName,
+        claim_groups: u16,
+    ) -> Result<DataFolder, StoreError> {
         fs::create_dir_all(path).map_err(StoreError::io(path))?;
         let lock = lock_folder(path)?;
         let file = path.join("owner");
-        let owner = match read_whole::<KeeperName>(&file)? {
-            Some(owner) => owner,
-            None => {
-                replace_file(&file, name)?;
-                name.clone()
-            }
+        let given = FolderRecord {
+            name: name.clone(),
+            claim_groups,
         };
-        if owner != *name {
-            return Err(StoreError::Foreign {
-                path: path.to_owned(),
-                owner: owner.to_string(),
-            });
+        match read_whole::<FolderRecord>(&file)? {
+            Some(stored) => check_owner(path, &stored, &given)?,
+            None => replace_file(&file, &given)?,
         }
         Ok(DataFolder {
             path: path.to_owned(),
@@ -53,6 +62,22 @@
     }
 }
 
+fn check_owner(path: &Path, stored: &FolderRecord, given: &FolderRecord) -> Result<(), StoreError> {
+    let path = path.to_owned();
+    if stored.name != given.name {
+        let owner = stored.name.to_string();
+        return Err(StoreError::Foreign { path, owner });
+    }
+    if stored.claim_groups != given.claim_groups {
+        return Err(StoreError::Groups {
+            path,
+            stored: stored.claim_groups,
+            given: given.claim_groups,
+        });
+    }
+    Ok(())
+}
+
 fn lock_folder(path: &Path) -> Result<File, StoreError> {
     let file = path.join("lock");
     let lock = File::create(&file).map_err(StoreError::io(&file))?;
--- a/crates/store/tests/group_store.rs
+++ b/crates/store/tests/group_store.rs
@@ -284,16 +284,21 @@
 fn a_folder_keeps_its_incarnations_and_its_owner() {
     let dir = TempDir::new().unwrap();
     let name = |text| KeeperName::try_from(text).unwrap();
-    let open = |keeper| DataFolder::open(dir.path(), &name(keeper));
-    let folder = open("keeper-1").unwrap();
-    let twice = open("keeper-1");
+    let open = |keeper, groups| DataFolder::open(dir.path(), &name(keeper), groups);
+    let folder = open("keeper-1", 4).unwrap();
+    let twice = open("keeper-1", 4);
     assert!(matches!(twice, Err(StoreError::Locked { .. })), "{twice:?}");
     for fresh in [5, 6] {
         let group = GroupStore::open(&folder.group_path(0), Incarnation(fresh)).unwrap();
         assert_eq!(group.incarnation, Incarnation(5));
     }
     drop(folder);
-    let other = open("keeper-2");
+    let spread = open("keeper-1", 3);
+    assert!(
+        matches!(spread, Err(StoreError::Groups { .. })),
+        "{spread:?}"
+    );
+    let other = open("keeper-2", 4);
     assert!(
         matches!(other, Err(StoreError::Foreign { .. })),
         "{other:?}"
--- /dev/null
+++ b/tests/tests/keeper_claims.rs
@@ -0,0 +1,101 @@
+//! Claims at keepers that are killed one after the other.
+
+use agatehill_decide::{
+    claim::{
+        AnswerBody, ClaimCommand, ClaimEnd, ClaimKey, ClaimOwner, ClaimReply, ClaimRequest,
+        RequestDigest, StoredAnswer,
+    },
+    name::{CustomerName, DaemonName, Incarnation, RequestId},
+};
+use agatehill_peer::keeper_client::KeeperClient;
+use agatehill_tests::{
+    bed::{SETTLE_LIMIT, TestBed, ZONE},
+    process::ProcessGuard,
+};
+
+const REQUESTS: u64 = 24;
+
+fn request(number: u64, daemon: &str) -> ClaimRequest {
+    ClaimRequest {
+        attempt: 0,
+        key: ClaimKey {
+            customer: CustomerName::try_from("dansk").unwrap(),
+            id: RequestId::try_from(format!("entry-{number}")).unwrap(),
+        },
+        digest: RequestDigest::of("POST", "gasdata", "/logbook/entries", b"entry"),
+        owner: ClaimOwner {
+            daemon: DaemonName::try_from(daemon).unwrap(),
+            incarnation: Incarnation(1),
+            sequence: number,
+        },
+        remember_seconds: 3_600,
+    }
+}
+
+fn answer(number: u64) -> StoredAnswer {
+    StoredAnswer {
+        status: 201,
+        headers: Vec::new(),
+        body: AnswerBody::Whole(number.to_le_bytes().into()),
+    }
+}
+
+async fn run(client: &KeeperClient, command: ClaimCommand) -> ClaimReply {
+    client.claim(&command, SETTLE_LIMIT).await.unwrap()
+}
+
+/// Kills keeper `idx` and starts it again while `work` runs.
+async fn disturb<T>(
+    bed: &TestBed,
+    guards: &mut [ProcessGuard],
+    idx: usize,
+    work: impl Future<Output = T>,
+) -> T {
+    guards[idx].kill();
+    let done = work.await;
+    guards[idx] = bed.start_keeper(idx);
+    done
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_has_one_holder_and_one_answer_through_kills() {
+    let bed = TestBed::open(&[ZONE; 3]);
+    let mut guards = bed.start_keepers();
+    let peers = bed.keepers.iter().map(|keeper| keeper.peer).collect();
+    let client = KeeperClient::spawn(peers);
+    let mut grants = Vec::new();
+    for number in 0..REQUESTS {
+        let reply = run(&client, ClaimCommand::Claim(request(number, "daemon-1"))).await;
+        let ClaimReply::Granted(fence) = reply else {
+            panic!("request {number} is not granted: {reply:?}");
+        };
+        grants.push(fence);
+    }
+    for idx in 0..3 {
+        let resend = async {
+            for (number, fence) in (0..).zip(&grants) {
+                let first = request(number, "daemon-1");
+                let again = run(&client, ClaimCommand::Claim(first.clone())).await;
+                assert_eq!(again, ClaimReply::Granted(*fence));
+                let other = run(&client, ClaimCommand::Claim(request(number, "daemon-2"))).await;
+                assert_eq!(other, ClaimReply::Running(first.owner));
+            }
+        };
+        disturb(&bed, &mut guards, idx, resend).await;
+    }
+    for idx in 0..3 {
+        let finish = async {
+            for (number, fence) in (0..).zip(&grants) {
+                let command = ClaimCommand::Finish {
+                    key: request(number, "daemon-1").key,
+                    fence: *fence,
+                    end: ClaimEnd::Answered(answer(number)),
+                };
+                assert_eq!(run(&client, command).await, ClaimReply::Done);
+                let other = run(&client, ClaimCommand::Claim(request(number, "daemon-2"))).await;
+                assert_eq!(other, ClaimReply::Replay(answer(number)));
+            }
+        };
+        disturb(&bed, &mut guards, idx, finish).await;
+    }
+}
