--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -4,8 +4,9 @@
     attempt::{AttemptRunner, bodiless},
     call::ActiveCall,
     contracts::ContractView,
+    levels::EntryLevels,
     problem::{CallProblem, OUTCOME_HEADER},
-    request::{CallerRequest, KEY_HEADER, TRACE_HEADER},
+    request::{ATTEMPT_HEADER, CallerRequest, KEY_HEADER, TRACE_HEADER},
     trace,
 };
 use agatehill_backend::{
@@ -19,7 +20,7 @@
     contract::{ContractSpec, OperationSpec},
     name::{ChainId, CustomerName},
     outcome::CallOutcome,
-    retry::{AttemptLedger, TryEnd},
+    retry::{AttemptLedger, TryEnd, spread_retry_after},
     route::{RequestHash, RouteReach},
     time::MonoTime,
 };
@@ -30,11 +31,19 @@
         answer_value, asked_attempt,
     },
     headers::strip_hop,
+    strike::{STRIKE_HEADER, strike_value, strikes},
 };
 use gotham::helpers::http::Body;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
-use std::sync::{Arc, Mutex};
+use metrics::counter;
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+/// Time after which a caller may ask again whose request was shed, before it is spread.
+const SHED_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
 /// Takes calls from callers and from other daemons.
 #[derive(Clone, Debug)]
@@ -47,6 +56,8 @@
     pub log: AttemptLog,
     /// Counts the resends of callers that do not.
     pub attempts: Arc<Mutex<AttemptLedger>>,
+    /// The levels that gates on the way of each operation have stated.
+    pub levels: EntryLevels,
     /// Largest request body, in bytes.
     pub body_bytes_max: u64,
 }
@@ -54,8 +65,10 @@
 impl CallEntry {
     /// Runs a caller's request and returns its answer.
     pub async fn call(&self, req: Request<Body>) -> Response<CallBody> {
+        let is_resend = is_resend(req.headers());
         match self.try_call(req).await {
             Ok(response) => response,
+            Err(problem) if is_resend => problem.resend_response(),
             Err(problem) => problem.response(),
         }
     }
@@ -65,6 +78,8 @@
     pub async fn forwarded(&self, req: Request<Body>) -> Response<CallBody> {
         let result = if req.headers().contains_key(ASK_HEADER) {
             self.asked(req.headers())
+        } else if req.headers().contains_key(STRIKE_HEADER) {
+            self.struck(req.headers())
         } else {
             self.try_forwarded(req).await
         };
@@ -79,6 +94,17 @@
         Ok(response)
     }
 
+    /// Takes in strikes against requests that crash servers.
+    fn struck(&self, headers: &HeaderMap) -> Result<Response<CallBody>, CallProblem> {
+        let notes = strikes(headers).map_err(malformed)?;
+        let own = self.runner.gate.poison().take_in(&notes);
+        let mut response = Response::new(CallBody::empty());
+        response
+            .headers_mut()
+            .insert(STRIKE_HEADER, strike_value(&own));
+        Ok(response)
+    }
+
     async fn try_call(&self, req: Request<Body>) -> Result<Response<CallBody>, CallProblem> {
         let (parts, body) = req.into_parts();
         let head = CallerRequest::parse(&parts.uri, &parts.headers)?;
@@ -86,7 +112,12 @@
         let body = self.read_body(body).await?;
         let class = call.priority.class();
         let req = outgoing(parts.method, &head.target, parts.headers, &call, body)?;
+        let operation = call.operation;
         let answer = self.attempts(call, req, RouteReach::of(class)).await;
+        if let Some(operation) = operation {
+            let now = self.runner.gate.clock().now();
+            self.levels.hear(operation, &answer.report.levels, now);
+        }
         finish(answer)
     }
 
@@ -141,12 +172,22 @@
         operation: &OperationSpec,
     ) -> Result<ActiveCall, CallProblem> {
         let now = self.runner.gate.clock().now();
+        let attempt = self.attempt_number(head, &spec.customer, now);
         if let Some(parent) = self.parent(head) {
-            return ActiveCall::child(head, spec, operation, &parent, now);
+            return ActiveCall::child(head, spec, operation, (&parent, attempt), now);
         }
         let chain = ChainId(rand::random::<u128>().max(1));
-        let attempt = self.attempt_number(head, &spec.customer, now);
-        ActiveCall::root(head, spec, operation, (chain, attempt), now)
+        let call = ActiveCall::root(head, spec, operation, (chain, attempt), now)?;
+        match self.is_worth_sending(&call, now) {
+            true => Ok(call),
+            false => Err(shed(&call)),
+        }
+    }
+
+    /// Returns whether the gates on the way of a root call would let its priority in.
+    fn is_worth_sending(&self, call: &ActiveCall, now: MonoTime) -> bool {
+        let admits = |operation| self.levels.admits(operation, call.priority, now);
+        call.operation.is_none_or(admits)
     }
 
     /// Returns the running call that `head` is made for, if it runs on this host.
@@ -207,6 +248,7 @@
                 answer.report.outcome = outcome;
                 answer.report.retries_used = retries.saturating_sub(call.budget.left());
                 let is_answered = is_answered(&answer);
+                call.hear(&answer.report.levels);
                 call.end(is_answered, started, self.runner.gate.clock().now());
                 return answer;
             }
@@ -214,11 +256,27 @@
     }
 }
 
+/// Returns whether the caller says that it has sent the request before.
+fn is_resend(headers: &HeaderMap) -> bool {
+    let attempt = headers.get(ATTEMPT_HEADER);
+    attempt.is_some_and(|attempt| attempt.as_bytes() != b"0")
+}
+
+/// Returns the refusal of a root call that a gate on its way would refuse.
+fn shed(call: &ActiveCall) -> CallProblem {
+    counter!("agatehill_entry_shed_total").increment(1);
+    CallProblem::Failed {
+        kind: FailureKind::Shed,
+        outcome: before(call),
+        retry_after: spread_retry_after(SHED_RETRY_AFTER, rand::random()),
+    }
+}
+
 /// Returns what is known before the first try of an attempt.
 ///
-/// An earlier attempt of a non-idempotent call may have run; only the claims can tell.
+/// Earlier attempts may have run; only the claims can tell.
 fn before(call: &ActiveCall) -> CallOutcome {
-    if call.is_idempotent() || call.attempt == 0 {
+    if call.attempt == 0 {
         return CallOutcome::NotRun;
     }
     CallOutcome::Unknown
