--- a/bin/bench/src/cmd/keepers.rs
+++ b/bin/bench/src/cmd/keepers.rs
@@ -1,4 +1,4 @@
-//! Cost of commands at running keepers: latency and throughput of contracts and claims.
+//! Cost of commands at running keepers: latency and throughput of contracts, claims and feeds.
 
 use agatehill_decide::{
     claim::{
@@ -56,7 +56,8 @@
     report("claim", args, |lane, count| {
         probe.clone().claims(lane, count)
     })
-    .await
+    .await?;
+    report("feed", args, |_, count| probe.clone().feeds(count)).await
 }
 
 /// Runs `work` in as many lanes as commands are in flight and prints the latencies.
@@ -110,6 +111,17 @@
         Ok(spans)
     }
 
+    /// Asks `count` times for contracts newer than the latest.
+    async fn feeds(self: Arc<Self>, count: u64) -> Result<Vec<Duration>> {
+        let mut spans = Vec::new();
+        for _ in 0..count {
+            let start = Instant::now();
+            self.client.feed(u64::MAX, Duration::ZERO).await?;
+            spans.push(start.elapsed());
+        }
+        Ok(spans)
+    }
+
     /// Claims `count` requests and records each as ended; one span a pair.
     async fn claims(self: Arc<Self>, lane: u64, count: u64) -> Result<Vec<Duration>> {
         let mut spans = Vec::new();
