Measure membership and digests, and make a relay's answers small

Cause: a relay's idle answer was 1,151 bytes at 28 other zones, mostly addresses of relays that hadn't changed; with 16 daemons a relay that was over 3 KB/s of the 5 KB/s that a daemon may spend.

Change: agatehill-bench members and digests. Relays of a zone are named only when they have changed, one daemon in 8 is a relay, and relays ask one another for new zones every 10 s in place of 2 s.

--- /dev/null
+++ b/bin/bench/src/cmd/digests.rs
@@ -0,0 +1,159 @@
+//! Cost of the digests between zones: sizes of replies and processor time at a relay.
+
+use crate::{member::encoded_bytes, slope::nanos_each};
+use agatehill_decide::{
+    digest::{
+        DigestAsk, DigestInput, DigestNode, DigestOutput, DigestReply, DigestRow, DigestScope,
+        DigestSettings, ZoneDelta, ZoneEntry, ZoneRelay,
+    },
+    member::MemberRecord,
+    name::{DaemonName, Incarnation, RegionName, ServiceName, ZoneName},
+    time::MonoTime,
+};
+use eyre::{OptionExt, Result};
+use rand::{SeedableRng, rngs::StdRng};
+use std::net::SocketAddr;
+
+/// Replies that are timed.
+const REPLIES: u64 = 200;
+/// Daemons that a row names as entries.
+const ENTRIES: u64 = 3;
+
+/// Measures a relay that knows all other zones.
+#[derive(clap::Args, Debug)]
+pub(crate) struct Args {
+    /// Number of availability zones.
+    #[arg(long, default_value_t = 29)]
+    zones: u64,
+    /// Services that each zone has servers of; 12,000 servers in 29 zones are 414 at most.
+    #[arg(long, default_value_t = 414)]
+    services: u64,
+}
+
+/// Runs the command.
+pub(crate) fn run(args: &Args) -> Result<()> {
+    let mut random = StdRng::seed_from_u64(1);
+    let mut node = DigestNode::new(settings());
+    let now = MonoTime::from_millis(1_000);
+    node.step(DigestInput::Members(vec![own_record()]), now, &mut random);
+    let replies: Vec<_> = (1..args.zones)
+        .map(|zone| zone_reply(zone, args.services))
+        .collect();
+    let zone_bytes = replies.iter().map(encoded_bytes).max().unwrap_or(0);
+    for reply in replies {
+        let from = control(1);
+        let reply = Some(reply);
+        node.step(DigestInput::Answered { from, reply }, now, &mut random);
+    }
+    let mut answer = |scope, run, version| {
+        let ask = ask(scope, run, version);
+        let outputs = node.step(DigestInput::Asked(ask), now, &mut random);
+        let replies = outputs.into_iter().filter_map(|output| match output {
+            DigestOutput::Reply(reply) => Some(reply),
+            _ => None,
+        });
+        replies.last()
+    };
+    let whole = answer(DigestScope::Others, 0, 0).ok_or_eyre("no reply")?;
+    let (run, version) = (whole.run, whole.version);
+    let idle = answer(DigestScope::Others, run, version).ok_or_eyre("no reply")?;
+    let own = answer(DigestScope::Own, run, version).ok_or_eyre("no reply")?;
+    let relays = answer(DigestScope::Relays, 0, 0).ok_or_eyre("no reply")?;
+    let idle_nanos = nanos_each(REPLIES, |_| answer(DigestScope::Others, run, version));
+    let ask_bytes = encoded_bytes(&ask(DigestScope::Others, run, version));
+    println!(
+        "zones={} rows={} zone_bytes={zone_bytes} whole_bytes={} idle_bytes={} \
+         own_idle_bytes={} relays_bytes={} ask_bytes={ask_bytes} idle_reply_us={:.0}",
+        args.zones,
+        (args.zones - 1) * args.services,
+        encoded_bytes(&whole),
+        encoded_bytes(&idle),
+        encoded_bytes(&own),
+        encoded_bytes(&relays),
+        idle_nanos / 1e3
+    );
+    Ok(())
+}
+
+fn ask(scope: DigestScope, run: u64, version: u64) -> DigestAsk {
+    DigestAsk {
+        from: relay(0),
+        scope,
+        run,
+        version,
+        loads: vec![(service(0), 500)],
+    }
+}
+
+fn settings() -> DigestSettings {
+    let own = relay(0);
+    DigestSettings {
+        name: daemon(0, 0),
+        zone: own.zone,
+        region: own.region,
+        control: own.control,
+        run: 1,
+        seeds: Vec::new(),
+    }
+}
+
+fn own_record() -> MemberRecord {
+    MemberRecord {
+        name: daemon(0, 0),
+        incarnation: Incarnation(1),
+        gossip: control(0),
+        control: control(0),
+        forward: control(0),
+        servers: Vec::new(),
+    }
+}
+
+fn zone_reply(zone: u64, services: u64) -> DigestReply {
+    let entry = |number| ZoneEntry {
+        daemon: daemon(zone, number),
+        forward: control(zone),
+    };
+    let row = |number| DigestRow {
+        service: service(number),
+        servers: 1,
+        slots: 50,
+        load_permille: 500,
+        entries: (0..ENTRIES).map(entry).collect(),
+    };
+    let own = relay(zone);
+    let delta = ZoneDelta {
+        zone: own.zone.clone(),
+        region: own.region,
+        age_ms: 0,
+        relays: vec![own.control; 3],
+        rows: (0..services).map(row).collect(),
+    };
+    DigestReply {
+        zone: own.zone,
+        run: 1,
+        version: 2,
+        is_whole: true,
+        zones: vec![delta],
+        known: Vec::new(),
+    }
+}
+
+fn relay(zone: u64) -> ZoneRelay {
+    ZoneRelay {
+        zone: ZoneName::try_from(format!("zone-{zone}")).expect("a plain name"),
+        region: RegionName::try_from(format!("region-{}", zone % 9)).expect("a plain name"),
+        control: control(zone),
+    }
+}
+
+fn daemon(zone: u64, number: u64) -> DaemonName {
+    DaemonName::try_from(format!("zone-{zone}-host-{number}")).expect("a plain name")
+}
+
+fn service(number: u64) -> ServiceName {
+    ServiceName::try_from(format!("service-{number}")).expect("a plain name")
+}
+
+fn control(zone: u64) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, zone as u8], 7_000))
+}
--- a/bin/bench/src/cmd/mod.rs
+++ b/bin/bench/src/cmd/mod.rs
@@ -2,6 +2,8 @@
 
 pub(crate) mod claims;
 pub(crate) mod contracts;
+pub(crate) mod digests;
 pub(crate) mod keepers;
+pub(crate) mod members;
 pub(crate) mod overload;
 pub(crate) mod routes;
--- a/bin/bench/src/main.rs
+++ b/bin/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurement programs of agatehill.
 
 mod cmd;
+mod member;
 mod overload;
 mod slope;
 
@@ -18,6 +19,8 @@
 enum Command {
     Claims(cmd::claims::Args),
     Contracts(cmd::contracts::Args),
+    Digests(cmd::digests::Args),
+    Members(cmd::members::Args),
     Keepers(cmd::keepers::Args),
     Overload(cmd::overload::Args),
     Routes(cmd::routes::Args),
@@ -27,6 +30,8 @@
     match Args::parse().command {
         Command::Claims(args) => cmd::claims::run(&args),
         Command::Contracts(args) => cmd::contracts::run(&args),
+        Command::Digests(args) => cmd::digests::run(&args),
+        Command::Members(args) => cmd::members::run(&args),
         Command::Keepers(args) => cmd::keepers::run(&args),
         Command::Overload(args) => cmd::overload::run(&args),
         Command::Routes(args) => cmd::routes::run(&args),
--- a/crates/decide/src/digest.rs
+++ b/crates/decide/src/digest.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 /// Members of a zone for each of its relays.
-const RELAY_FAN: usize = 16;
+const RELAY_FAN: usize = 8;
 /// Relays of a zone at least.
 const RELAYS_MIN: usize = 3;
 /// Age from which a digest no longer tells how its zone is.
--- a/crates/decide/src/digest/book.rs
+++ b/crates/decide/src/digest/book.rs
@@ -23,7 +23,9 @@
 /// The digest of one zone.
 pub(super) struct ZoneDigest {
     pub(super) region: RegionName,
-    pub(super) relays: Vec<SocketAddr>,
+    relays: Vec<SocketAddr>,
+    /// Version at which the relays last changed.
+    relays_version: u64,
     rows: BTreeMap<ServiceName, StampedRow>,
     /// When the zone itself was heard, directly or through a relay.
     pub(super) heard: Option<MonoTime>,
@@ -49,12 +51,28 @@
         ZoneDigest {
             region,
             relays: Vec::new(),
+            relays_version: 0,
             rows: BTreeMap::new(),
             heard: None,
             is_direct: false,
         }
     }
 
+    /// Returns control addresses of some relays of the zone.
+    pub(super) fn relays(&self) -> &[SocketAddr] {
+        &self.relays
+    }
+
+    /// Puts in `relays`, unless they are empty; returns whether they are new.
+    pub(super) fn set_relays(&mut self, relays: Vec<SocketAddr>, version: u64) -> bool {
+        if relays.is_empty() || relays == self.relays {
+            return false;
+        }
+        self.relays = relays;
+        self.relays_version = version;
+        true
+    }
+
     /// Puts `rows` in; the ones that changed get `version`. Returns whether one did.
     pub(super) fn update(&mut self, rows: Vec<DigestRow>, version: u64) -> bool {
         let mut has_changed = false;
@@ -94,7 +112,11 @@
             zone: zone.clone(),
             region: self.region.clone(),
             age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-            relays: self.relays.clone(),
+            relays: if self.relays_version > version {
+                self.relays.clone()
+            } else {
+                Vec::new()
+            },
             rows: changed.map(|row| row.row.clone()).collect(),
         }
     }
--- a/crates/decide/src/digest/node.rs
+++ b/crates/decide/src/digest/node.rs
@@ -20,6 +20,8 @@
 
 /// Time between two asks of the same zone, and between two asks of a daemon that is no relay.
 const ASK_PERIOD: Duration = Duration::from_secs(5);
+/// Time between two asks of a relay for zones that other relays have met.
+const MEET_PERIOD: Duration = Duration::from_secs(10);
 /// Time after which an ask without an answer is repeated elsewhere.
 const ANSWER_SPAN: Duration = Duration::from_secs(2);
 /// Time for which a reported load counts.
@@ -178,7 +180,7 @@
             let state = self.zone_asks.entry(zone.clone()).or_default();
             let ask = DigestAsk::first(from.clone(), DigestScope::Own);
             self.outputs
-                .extend(state.ask(&digest.relays, ask, now, random));
+                .extend(state.ask(digest.relays(), ask, now, random));
         }
     }
 
@@ -207,8 +209,13 @@
         };
         let mut ask = DigestAsk::first(self.settings.relay(), scope);
         ask.loads = self.loads.clone();
-        let output = self.relay_ask.ask(&self.relays, ask, now, random);
-        self.outputs.extend(output);
+        let Some(output) = self.relay_ask.ask(&self.relays, ask, now, random) else {
+            return;
+        };
+        self.outputs.push(output);
+        if self.is_relay {
+            self.relay_ask.next = now + MEET_PERIOD;
+        }
     }
 
     /// Notes zones that have become stale, and forgets those silent for very long.
@@ -236,7 +243,10 @@
         let was_relay = self.is_relay;
         self.is_relay = relays.clone().any(|relay| relay.name == self.settings.name);
         self.relays = relays.map(|relay| relay.control).collect();
-        self.own.relays = self.relays.iter().copied().take(ENTRIES_MAX).collect();
+        let named = self.relays.iter().copied().take(ENTRIES_MAX).collect();
+        if self.own.set_relays(named, self.version + 1) {
+            self.version += 1;
+        }
         self.relays.retain(|relay| *relay != self.settings.control);
         if was_relay != self.is_relay {
             self.relay_ask.source = None;
@@ -331,7 +341,7 @@
             Some(ZoneRelay {
                 zone: zone.clone(),
                 region: digest.region.clone(),
-                control: *digest.relays.first()?,
+                control: *digest.relays().first()?,
             })
         });
         relays.collect()
@@ -386,7 +396,7 @@
         // One more for a zone that is met for the first time.
         let version = self.version + 2;
         let digest = self.zone(delta.zone, delta.region);
-        digest.relays = delta.relays;
+        let has_moved = digest.set_relays(delta.relays, version);
         digest.is_direct = is_direct;
         let age = Duration::from_millis(u64::from(delta.age_ms));
         let is_news = digest.hear(age, now);
@@ -394,7 +404,7 @@
             true => digest.replace(delta.rows, version),
             false => digest.update(delta.rows, version),
         };
-        if has_changed {
+        if has_changed || has_moved {
             self.version = version;
         }
         is_news || has_changed
@@ -405,9 +415,10 @@
         if relay.zone == self.settings.zone {
             return;
         }
+        let version = self.version + 1;
         let digest = self.zone(relay.zone, relay.region);
-        if digest.relays.is_empty() {
-            digest.relays.push(relay.control);
+        if digest.relays().is_empty() {
+            digest.set_relays(vec![relay.control], version);
         }
     }
 
--- a/crates/decide/src/digest/wire.rs
+++ b/crates/decide/src/digest/wire.rs
@@ -63,7 +63,7 @@
     pub region: RegionName,
     /// Time since the zone itself was heard, in milliseconds.
     pub age_ms: u32,
-    /// Control addresses of some of its relays.
+    /// Control addresses of some of its relays; empty when they haven't changed.
     pub relays: Vec<SocketAddr>,
     /// The rows that have changed.
     pub rows: Vec<DigestRow>,
