--- a/crates/decide/tests/replica_bed/mod.rs
+++ b/crates/decide/tests/replica_bed/mod.rs
@@ -209,12 +209,13 @@
     fn fault(&mut self) {
         let idx = self.rng.random_range(0..self.keepers.len());
         let span = Duration::from_millis(self.rng.random_range(50..4_000));
-        match self.rng.random_range(0..7) {
+        match self.rng.random_range(0..8) {
             0 => {
                 self.crash(idx);
                 self.keepers[idx].restart_at = self.now + span;
             }
-            5 => (0..self.keepers.len()).for_each(|idx| self.crash(idx)),
+            5 => self.step(idx, ReplicaInput::Resign),
+            6 => (0..self.keepers.len()).for_each(|idx| self.crash(idx)),
             1 => self.keepers[idx].frozen_until = self.now + span,
             2 => self.cut = vec![idx],
             3 => self.cut.push(idx),
@@ -258,6 +259,7 @@
                 voters: names[..self.settings.voters].to_vec(),
                 heartbeat: Duration::from_millis(50),
                 election: Duration::from_millis(300),
+                part_bytes: 100,
             };
             let snapshot = keeper.disk.snapshot.as_ref();
             let start = snapshot.map_or(0, |s| s.meta.index);
--- a/crates/peer/src/forward.rs
+++ b/crates/peer/src/forward.rs
@@ -6,10 +6,12 @@
 
 use agatehill_decide::{
     inquiry::{AttemptId, InquiryAnswer},
+    level::PathLevels,
     name::{ChainId, CustomerName, RequestId, ServiceName},
     outcome::CallOutcome,
     priority::CallPriority,
 };
+use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Uri};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use std::{fmt, net::SocketAddr};
@@ -90,8 +92,10 @@
     pub is_final: bool,
     /// Calls at the server, as a share of its limit, in thousandths.
     pub load: u16,
-    /// The gate admits priorities below this level.
+    /// The least important priority that the gate lets in.
     pub level: CallPriority,
+    /// The levels of this gate and of those that the calls below have passed.
+    pub levels: PathLevels,
 }
 
 impl ForwardReport {
@@ -106,6 +110,7 @@
             is_final: false,
             load: 0,
             level: CallPriority::LAST,
+            levels: PathLevels::default(),
         }
     }
 }
@@ -192,12 +197,17 @@
     decode(headers, ASK_HEADER)
 }
 
-fn encode<T: Serialize>(value: &T) -> HeaderValue {
+pub(crate) fn encode<T: Serialize>(value: &T) -> HeaderValue {
     let bytes = postcard::to_allocvec(value).expect("forward types always encode");
-    HeaderValue::try_from(hex::encode(bytes)).expect("hexadecimal digits make a header value")
+    let mut text = vec![0; bytes.len() * 2];
+    hex::encode_to_slice(&bytes, &mut text).expect("two digits a byte");
+    HeaderValue::from_maybe_shared(Bytes::from(text)).expect("hexadecimal digits are visible")
 }
 
-fn decode<T: DeserializeOwned>(headers: &HeaderMap, name: HeaderName) -> Result<T, ForwardError> {
+pub(crate) fn decode<T: DeserializeOwned>(
+    headers: &HeaderMap,
+    name: HeaderName,
+) -> Result<T, ForwardError> {
     let fail = |reason: &str| ForwardError {
         header: name.clone(),
         reason: reason.to_owned(),
