Share the zone of members between property tests and measurement

Cause: the measurement of membership had its own copy of the network in virtual time.

Change: it stands in the tests package, with counts of what is sent; the property tests of membership move there too, unchanged.

--- a/bin/bench/src/cmd/digests.rs
+++ b/bin/bench/src/cmd/digests.rs
@@ -1,6 +1,6 @@
 //! Cost of the digests between zones: sizes of replies and processor time at a relay.
 
-use crate::{member::encoded_bytes, slope::nanos_each};
+use crate::slope::nanos_each;
 use agatehill_decide::{
     digest::{
         DigestAsk, DigestInput, DigestNode, DigestOutput, DigestReply, DigestRow, DigestScope,
@@ -10,6 +10,7 @@
     name::{DaemonName, Incarnation, RegionName, ServiceName, ZoneName},
     time::MonoTime,
 };
+use agatehill_tests::member_net::encoded_bytes;
 use eyre::{OptionExt, Result};
 use rand::{SeedableRng, rngs::StdRng};
 use std::net::SocketAddr;
--- a/bin/bench/src/cmd/members.rs
+++ b/bin/bench/src/cmd/members.rs
@@ -1,10 +1,8 @@
 //! Cost of membership: bytes, processor time, and how fast news travels.
 
-use crate::{
-    member::{MemberZone, ZoneCost},
-    slope::memory_of,
-};
+use crate::slope::memory_of;
 use agatehill_decide::route::ServerState;
+use agatehill_tests::member_net::{MemberNet, NetCost};
 use eyre::{OptionExt, Result};
 use rand::RngExt;
 use std::time::Duration;
@@ -21,7 +19,7 @@
 /// Measures the membership of one zone in virtual time, with replacements as given.
 #[derive(clap::Args, Debug)]
 pub(crate) struct Args {
-    /// Members of the zone.
+    /// Members of the net.
     #[arg(long, default_value_t = 414)]
     members: usize,
     /// Seconds between two replacements; 4,000 a day in 29 zones are one in 626 s.
@@ -40,12 +38,12 @@
 
 /// Runs the command.
 pub(crate) fn run(args: &Args) -> Result<()> {
-    let (mut zone, memory) = memory_of(|| {
-        let mut zone = MemberZone::start(args.members, args.seed);
-        zone.run(SETTLE_SPAN);
-        zone
+    let (mut net, memory) = memory_of(|| {
+        let mut net = MemberNet::start(args.members, args.seed);
+        net.run(SETTLE_SPAN);
+        net
     })?;
-    let cost = measure_replacements(&mut zone, args);
+    let cost = measure_replacements(&mut net, args);
     let seconds = args.replace_seconds as f64 * args.replacements as f64;
     let daemon_seconds = seconds * args.members as f64;
     let bytes = (cost.datagram_bytes + cost.exchange_bytes) as f64;
@@ -59,46 +57,46 @@
         cost.step_time.as_secs_f64() * 1e6 / daemon_seconds,
         memory / args.members as u64 / 1_024,
     );
-    let leaving = time_news(&mut zone, args, |zone, idx| {
-        zone.announce(idx, ServerState::Leaving);
+    let leaving = time_news(&mut net, args, |net, idx| {
+        net.announce(idx, ServerState::Leaving);
     })?;
-    let dead = time_news(&mut zone, args, MemberZone::kill)?;
+    let dead = time_news(&mut net, args, MemberNet::kill)?;
     println!("leaving_ms_max={leaving} dead_ms_max={dead}");
     Ok(())
 }
 
 /// Replaces members one after the other and returns what that cost.
-fn measure_replacements(zone: &mut MemberZone, args: &Args) -> ZoneCost {
-    zone.cost = ZoneCost::default();
+fn measure_replacements(net: &mut MemberNet, args: &Args) -> NetCost {
+    net.cost = NetCost::default();
     let rest = Duration::from_secs(args.replace_seconds).saturating_sub(AWAY_SPAN + LEAVE_SPAN);
     for _ in 0..args.replacements {
-        let idx = zone.random.random_range(2..args.members);
-        zone.leave(idx);
-        zone.run(LEAVE_SPAN);
-        zone.kill(idx);
-        zone.run(AWAY_SPAN);
-        zone.restart(idx);
-        zone.run(rest);
+        let idx = net.random.random_range(2..args.members);
+        net.leave(idx);
+        net.run(LEAVE_SPAN);
+        net.kill(idx);
+        net.run(AWAY_SPAN);
+        net.restart(idx);
+        net.run(rest);
     }
-    zone.cost
+    net.cost
 }
 
 /// Returns the longest time, in milliseconds, until nobody sends calls to a member that `end` ends.
 fn time_news(
-    zone: &mut MemberZone,
+    net: &mut MemberNet,
     args: &Args,
-    end: impl Fn(&mut MemberZone, usize),
+    end: impl Fn(&mut MemberNet, usize),
 ) -> Result<u128> {
     let mut longest = Duration::ZERO;
     for _ in 0..args.news {
-        let idx = zone.random.random_range(2..args.members);
-        end(zone, idx);
-        let took = zone.run_until(NEWS_LIMIT, |zone| zone.offering(idx) == 0);
+        let idx = net.random.random_range(2..args.members);
+        end(net, idx);
+        let took = net.run_until(NEWS_LIMIT, |net| net.offering(idx) == 0);
         longest = longest.max(took.ok_or_eyre("news doesn't reach everybody")?);
-        zone.kill(idx);
-        zone.run(NEWS_LIMIT);
-        zone.restart(idx);
-        zone.run(NEWS_LIMIT);
+        net.kill(idx);
+        net.run(NEWS_LIMIT);
+        net.restart(idx);
+        net.run(NEWS_LIMIT);
     }
     Ok(longest.as_millis())
 }
--- a/bin/bench/src/main.rs
+++ b/bin/bench/src/main.rs
@@ -1,7 +1,6 @@
 //! Measurement programs of agatehill.
 
 mod cmd;
-mod member;
 mod overload;
 mod slope;
 
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod bed;
 pub mod client;
+pub mod member_net;
 pub mod process;
 pub mod relay;
--- a/crates/decide/tests/support/mod.rs
+++ b/tests/src/member_net.rs
@@ -1,21 +1,29 @@
-//! A network of members in virtual time: delays, losses, cuts, pauses and restarts from one seed.
+//! A zone of members in virtual time: delays, losses, cuts, pauses and restarts from one seed.
+//!
+//! Shared by the property tests and by the measurement of what membership costs.
 
 use agatehill_decide::{
     member::{
-        MemberExchange, MemberInput, MemberNode, MemberOutput, MemberPacket, MemberSeed,
-        MemberSettings, MemberStatus, ServerNote, TICK_SPAN,
+        MemberExchange, MemberInput, MemberNode, MemberOutput, MemberPacket, MemberRecord,
+        MemberSeed, MemberSettings, MemberStatus, ServerNote, TICK_SPAN,
     },
     name::{DaemonName, Incarnation, ServiceName, ZoneName},
     route::ServerState,
     time::MonoTime,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
+use serde::Serialize;
 use std::{
     collections::{BTreeMap, BTreeSet, HashSet},
     net::SocketAddr,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
+/// Bytes of the IPv4 and UDP headers of a datagram.
+const UDP_HEADER_BYTES: u64 = 28;
+/// Bytes of the headers of a connection that carries one exchange, and of its set-up and end.
+const TCP_EXCHANGE_BYTES: u64 = 600;
+/// Longest time of a message on its way, in microseconds.
 const DELAY_MICROS_MAX: u64 = 3_000;
 /// Datagrams that wait at a paused process.
 const SOCKET_BUFFER: usize = 200;
@@ -33,13 +41,33 @@
     buffer: Vec<(usize, MemberPacket)>,
 }
 
-pub(crate) struct MemberNet {
-    pub(crate) now: MonoTime,
-    pub(crate) random: StdRng,
+/// What the members have sent and spent together.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NetCost {
+    /// Datagrams sent.
+    pub datagrams: u64,
+    /// Their bytes, headers included.
+    pub datagram_bytes: u64,
+    /// Whole tables exchanged.
+    pub exchanges: u64,
+    /// Their bytes, both ways, headers included.
+    pub exchange_bytes: u64,
+    /// Time in the state machines; encoding and decoding not included.
+    pub step_time: Duration,
+}
+
+/// A zone of members.
+pub struct MemberNet {
+    /// The virtual time.
+    pub now: MonoTime,
+    /// The source of everything random.
+    pub random: StdRng,
+    /// What was sent and spent.
+    pub cost: NetCost,
     /// Share of datagrams that are lost.
-    pub(crate) loss: f64,
+    pub loss: f64,
     /// Links, by sender and receiver, on which everything is lost.
-    pub(crate) blocked: HashSet<(usize, usize)>,
+    pub blocked: HashSet<(usize, usize)>,
     peers: Vec<Option<NetPeer>>,
     runs: Vec<u64>,
     events: BTreeMap<(MonoTime, u64), (usize, NetEvent)>,
@@ -48,10 +76,11 @@
 
 impl MemberNet {
     /// Starts `count` members that know only the first two.
-    pub(crate) fn start(count: usize, seed: u64) -> MemberNet {
+    pub fn start(count: usize, seed: u64) -> MemberNet {
         let mut net = MemberNet {
             now: MonoTime::ZERO,
             random: StdRng::seed_from_u64(seed),
+            cost: NetCost::default(),
             loss: 0.0,
             blocked: HashSet::new(),
             peers: Vec::new(),
@@ -66,7 +95,7 @@
     }
 
     /// Adds a member and returns its number.
-    pub(crate) fn add(&mut self) -> usize {
+    pub fn add(&mut self) -> usize {
         let idx = self.peers.len();
         self.peers.push(None);
         self.runs.push(0);
@@ -75,7 +104,7 @@
     }
 
     /// Starts the process of a member anew.
-    pub(crate) fn restart(&mut self, idx: usize) {
+    pub fn restart(&mut self, idx: usize) {
         self.runs[idx] += 1;
         let settings = MemberSettings {
             name: name(idx),
@@ -100,16 +129,19 @@
         self.push(idx, Duration::from_micros(wait), NetEvent::Tick);
     }
 
-    pub(crate) fn kill(&mut self, idx: usize) {
+    /// Ends the process of a member without a word.
+    pub fn kill(&mut self, idx: usize) {
         self.peers[idx] = None;
         self.events.retain(|_, (to, _)| *to != idx);
     }
 
-    pub(crate) fn leave(&mut self, idx: usize) {
+    /// Makes a member tell that it leaves.
+    pub fn leave(&mut self, idx: usize) {
         self.step(idx, MemberInput::Leave, None);
     }
 
-    pub(crate) fn announce(&mut self, idx: usize, state: ServerState) {
+    /// Makes a member announce its backend server in `state`.
+    pub fn announce(&mut self, idx: usize, state: ServerState) {
         let note = ServerNote {
             service: ServiceName::try_from("techreg").unwrap(),
             backend: addr(idx),
@@ -119,7 +151,8 @@
         self.step(idx, MemberInput::Servers(vec![note]), None);
     }
 
-    pub(crate) fn pause(&mut self, idx: usize, is_paused: bool) {
+    /// Freezes the process of a member, or lets it go on.
+    pub fn pause(&mut self, idx: usize, is_paused: bool) {
         let Some(peer) = &mut self.peers[idx] else {
             return;
         };
@@ -130,7 +163,7 @@
     }
 
     /// Cuts `side` off from all others, in both directions.
-    pub(crate) fn cut(&mut self, side: &BTreeSet<usize>) {
+    pub fn cut(&mut self, side: &BTreeSet<usize>) {
         for from in 0..self.peers.len() {
             for to in 0..self.peers.len() {
                 if side.contains(&from) != side.contains(&to) {
@@ -140,7 +173,8 @@
         }
     }
 
-    pub(crate) fn living(&self) -> BTreeSet<usize> {
+    /// The members whose processes exist.
+    pub fn living(&self) -> BTreeSet<usize> {
         let living = self.peers.iter().enumerate();
         living
             .filter_map(|(idx, peer)| peer.as_ref().map(|_| idx))
@@ -148,22 +182,29 @@
     }
 
     /// The members, itself included, whose servers the member `idx` would route to.
-    pub(crate) fn offered(&self, idx: usize) -> BTreeSet<usize> {
+    pub fn offered(&self, idx: usize) -> BTreeSet<usize> {
         let Some(peer) = &self.peers[idx] else {
             return BTreeSet::new();
         };
         let members = peer.node.members();
         let alive = members.filter(|view| view.status == MemberStatus::Alive);
         let records = alive.map(|view| view.record).chain([peer.node.own()]);
-        let serving = records.filter(|record| {
-            let mut notes = record.servers.iter();
-            notes.any(|note| note.state == ServerState::Serving)
-        });
+        let serving = records.filter(|record| serves(record));
         serving.map(|record| number(record.gossip)).collect()
     }
 
+    /// Counts the other members that would route to the server of `idx`.
+    pub fn offering(&self, idx: usize) -> usize {
+        let offers = |peer: &&NetPeer| {
+            let mut members = peer.node.members();
+            let member = members.find(|view| view.record.gossip == addr(idx));
+            member.is_some_and(|view| view.status == MemberStatus::Alive && serves(view.record))
+        };
+        self.peers.iter().flatten().filter(offers).count()
+    }
+
     /// The members, itself included, that the member `idx` hasn't declared dead.
-    pub(crate) fn known(&self, idx: usize) -> BTreeSet<usize> {
+    pub fn known(&self, idx: usize) -> BTreeSet<usize> {
         let Some(peer) = &self.peers[idx] else {
             return BTreeSet::new();
         };
@@ -175,7 +216,7 @@
     }
 
     /// Runs for `span`; calls `check` every 100 ms.
-    pub(crate) fn run_checked(&mut self, span: Duration, mut check: impl FnMut(&MemberNet)) {
+    pub fn run_checked(&mut self, span: Duration, mut check: impl FnMut(&MemberNet)) {
         let end = self.now + span;
         let mut next_check = self.now;
         while let Some((&(at, _), _)) = self.events.first_key_value() {
@@ -193,12 +234,13 @@
         self.now = end;
     }
 
-    pub(crate) fn run(&mut self, span: Duration) {
+    /// Runs for `span`.
+    pub fn run(&mut self, span: Duration) {
         self.run_checked(span, |_| {});
     }
 
     /// Runs until `done`, for `limit` at most; returns the time that it took.
-    pub(crate) fn run_until(
+    pub fn run_until(
         &mut self,
         limit: Duration,
         done: impl Fn(&MemberNet) -> bool,
@@ -214,7 +256,7 @@
     }
 
     /// Whether every living member would route to all `expected` and to no other.
-    pub(crate) fn all_offer(&self, expected: &BTreeSet<usize>) -> bool {
+    pub fn all_offer(&self, expected: &BTreeSet<usize>) -> bool {
         let living = self.living();
         living.iter().all(|idx| self.offered(*idx) == *expected)
     }
@@ -251,17 +293,25 @@
         let Some(peer) = &mut self.peers[idx] else {
             return;
         };
-        for output in peer.node.step(input, self.now, &mut self.random) {
+        let started = Instant::now();
+        let outputs = peer.node.step(input, self.now, &mut self.random);
+        self.cost.step_time += started.elapsed();
+        for output in outputs {
             match output {
                 MemberOutput::Send { to, packet } => {
+                    self.cost.datagrams += 1;
+                    self.cost.datagram_bytes += UDP_HEADER_BYTES + encoded_bytes(&packet);
                     if !self.random.random_bool(self.loss) {
                         self.transmit(idx, number(to), NetEvent::Packet(idx, packet));
                     }
                 }
                 MemberOutput::Exchange { to, exchange } => {
+                    self.cost.exchanges += 1;
+                    self.cost.exchange_bytes += TCP_EXCHANGE_BYTES + encoded_bytes(&exchange);
                     self.transmit(idx, number(to), NetEvent::Asked(idx, exchange));
                 }
                 MemberOutput::Reply(exchange) => {
+                    self.cost.exchange_bytes += encoded_bytes(&exchange);
                     let asker = asker.expect("only an asked member replies");
                     self.transmit(idx, asker, NetEvent::Exchanged(exchange));
                 }
@@ -300,3 +350,13 @@
 fn number(addr: SocketAddr) -> usize {
     usize::from(addr.port())
 }
+
+fn serves(record: &MemberRecord) -> bool {
+    let mut notes = record.servers.iter();
+    notes.any(|note| note.state == ServerState::Serving)
+}
+
+/// Returns the bytes of `value` on the wire.
+pub fn encoded_bytes<T: Serialize>(value: &T) -> u64 {
+    postcard::to_stdvec(value).map_or(0, |bytes| bytes.len() as u64)
+}
--- a/crates/decide/tests/member.rs
+++ b/tests/tests/member_properties.rs
@@ -1,7 +1,5 @@
 //! Properties of membership over random schedules of faults, and its time limits.
 
-mod support;
-
 use agatehill_decide::{
     member::{
         DATAGRAM_BYTES_MAX, MemberExchange, MemberInput, MemberMessage, MemberNode, MemberOutput,
@@ -12,6 +10,7 @@
     route::ServerState,
     time::MonoTime,
 };
+use agatehill_tests::member_net::MemberNet;
 use proptest::{
     prelude::*,
     test_runner::{Config, RngSeed},
@@ -19,7 +18,6 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rstest::rstest;
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
-use support::MemberNet;
 
 const fn secs(secs: u64) -> Duration {
     Duration::from_secs(secs)
