Log and count the daemons and zones that come and go

Cause: nothing told an operator which daemon or zone was lost.

Change: a line for each change of state, gauges agatehill_members_alive and agatehill_zones_stale.

--- a/bin/daemon/src/main.rs
+++ b/bin/daemon/src/main.rs
@@ -4,6 +4,7 @@
 mod dump;
 mod feed;
 mod members;
+mod peer_watch;
 
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
--- a/bin/daemon/src/members.rs
+++ b/bin/daemon/src/members.rs
@@ -1,5 +1,6 @@
 //! Keeps the route table up to date with the servers of this host, of the zone and of other zones.
 
+use crate::peer_watch::PeerWatch;
 use agatehill_backend::registry::{LocalServer, ServerRegistry, ServerStage};
 use agatehill_caller::routes::RouteView;
 use agatehill_config::DaemonSettings;
@@ -141,6 +142,7 @@
         let mut changes = self.registry.changes();
         let mut view = self.gossip.view();
         let mut book = RouteBook::new(self.place.zone.clone(), self.place.region.clone());
+        let mut watch = PeerWatch::default();
         let mut expire_tick = tokio::time::interval(EXPIRE_INTERVAL);
         let mut load_tick = tokio::time::interval(LOAD_INTERVAL);
         loop {
@@ -163,6 +165,7 @@
                 _ = view.changed() => {}
             }
             let peers = view.borrow_and_update().clone();
+            watch.note(&peers);
             self.refresh(&mut book, &peers);
             self.routes.publish(book.snapshot());
         }
