Mend three faults of the quarantine over processes

Change: a strike for a crash that came before the run is taken back; a new connection that is closed unserved within 150 ms is a crash too, as is any connect error; each lost call tells its own strikes before its failure.

--- a/crates/backend/src/poison.rs
+++ b/crates/backend/src/poison.rs
@@ -15,7 +15,6 @@
 use arc_swap::ArcSwap;
 use std::{
     collections::HashMap,
-    io,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
@@ -24,6 +23,7 @@
     time::Duration,
 };
 use tokio::{
+    io::AsyncReadExt,
     net::TcpStream,
     time::{sleep, timeout},
 };
@@ -32,6 +32,8 @@
 const LANE_PAUSE: Duration = Duration::from_millis(20);
 /// Time to find out whether a server still listens.
 const PROBE_LIMIT: Duration = Duration::from_millis(250);
+/// Time for which a server that lives leaves a new connection open.
+const CLOSE_LIMIT: Duration = Duration::from_millis(150);
 /// Time between two rounds of forgetting.
 const AGE_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -137,7 +139,8 @@
             addr,
             fingerprint,
             run: None,
-            is_told: false,
+            has_started: false,
+            told: None,
             is_answered: false,
         }
     }
@@ -171,11 +174,11 @@
 
     /// Ends `run`, whose connection was lost, and with it all others at its server if that has
     /// crashed; returns when the zone knows.
-    async fn end_lost(&self, addr: SocketAddr, run: RunKey) {
+    async fn end_lost(&self, addr: SocketAddr, print: RequestFingerprint, run: RunKey) {
         let has_crashed = has_crashed(addr).await;
         let notes = self.change(|state, now| {
             if has_crashed {
-                return state.crash(addr, run, now);
+                return state.crash(addr, (print, run), now);
             }
             state.runs_at(addr).end(run);
             Vec::new()
@@ -208,10 +211,21 @@
         self.book.verdict(now, print, own)
     }
 
-    /// Strikes all that is in flight at `addr`, unless `run` has ended with an earlier crash.
-    fn crash(&mut self, addr: SocketAddr, run: RunKey, now: MonoTime) -> Vec<StrikeNote> {
+    /// Strikes all that is in flight at `addr` and returns what the zone must know.
+    ///
+    /// Where another call has noticed the crash before, that is the strike of this one: who told it
+    /// first may still be telling.
+    fn crash(
+        &mut self,
+        addr: SocketAddr,
+        (print, run): (RequestFingerprint, RunKey),
+        now: MonoTime,
+    ) -> Vec<StrikeNote> {
         if !self.runs_at(addr).holds(run) {
-            return Vec::new();
+            let notes = self.book.notes(now);
+            return notes
+                .filter(|note| note.fingerprint == print && !note.cleared)
+                .collect();
         }
         metrics::counter!("agatehill_server_crashes_total").increment(1);
         let next = self.name_crash();
@@ -236,7 +250,9 @@
     addr: SocketAddr,
     fingerprint: RequestFingerprint,
     run: Option<RunKey>,
-    is_told: bool,
+    has_started: bool,
+    /// The crash that the call was struck for before its run.
+    told: Option<CrashId>,
     is_answered: bool,
 }
 
@@ -248,10 +264,11 @@
     /// The request is quarantined, or `deadline` passes first.
     pub async fn ready(&mut self, deadline: MonoTime) -> Result<(), PoisonRefusal> {
         while self.shared.has_suspects.load(Ordering::Acquire) {
+            self.take_back_stale().await;
             match self.look() {
                 (RunVerdict::Free, _) => return Ok(()),
                 (RunVerdict::Quarantined(left), _) => return Err(PoisonRefusal::Quarantined(left)),
-                (RunVerdict::Lane, false) if self.is_told => return Ok(()),
+                (RunVerdict::Lane, false) if self.told.is_some() => return Ok(()),
                 (RunVerdict::Lane, false) => self.write_ahead().await,
                 (RunVerdict::Lane, true) => sleep(LANE_PAUSE).await,
             }
@@ -264,15 +281,17 @@
 
     /// Starts the run; false if the call must get [`PoisonGuard::ready`] again.
     pub fn start(&mut self) -> bool {
-        let (addr, print, is_told) = (self.addr, self.fingerprint, self.is_told);
+        let (addr, print, told) = (self.addr, self.fingerprint, self.told);
         self.run = self.shared.change(|state, now| {
             let verdict = state.verdict(now, addr, print);
-            if verdict == RunVerdict::Lane && !is_told {
+            let runs = state.runs_at(addr);
+            if verdict == RunVerdict::Lane && told != Some(runs.next_crash()) {
                 return None;
             }
-            state.runs_at(addr).start(print, verdict)
+            runs.start(print, verdict)
         });
-        self.run.is_some()
+        self.has_started = self.run.is_some();
+        self.has_started
     }
 
     /// The whole answer has come.
@@ -283,15 +302,15 @@
     /// The connection was lost; returns when the zone knows of the crash, if it was one.
     pub async fn lost(&mut self) {
         if let Some(run) = self.run.take() {
-            self.shared.end_lost(self.addr, run).await;
+            self.shared.end_lost(self.addr, self.fingerprint, run).await;
         }
     }
 
     /// The connection was lost in the middle of the answer.
     pub fn broken(&mut self) {
         if let Some(run) = self.run.take() {
-            let (shared, addr) = (self.shared.clone(), self.addr);
-            tokio::spawn(async move { shared.end_lost(addr, run).await });
+            let (shared, addr, print) = (self.shared.clone(), self.addr, self.fingerprint);
+            tokio::spawn(async move { shared.end_lost(addr, print, run).await });
         }
     }
 
@@ -306,14 +325,28 @@
 
     /// Strikes the suspect for the crash that its run may cause, and tells the zone.
     async fn write_ahead(&mut self) {
-        self.is_told = true;
         let (addr, print) = (self.addr, self.fingerprint);
-        let notes = self.shared.change(|state, now| {
+        let (crash, notes) = self.shared.change(|state, now| {
             let crash = state.runs_at(addr).next_crash();
-            state.book.strike(now, crash, [print])
+            (crash, state.book.strike(now, crash, [print]))
         });
+        self.told = Some(crash);
         self.shared.tell(notes).await;
     }
+
+    /// Takes back the strike for a crash that has come before the run has started.
+    async fn take_back_stale(&mut self) {
+        let (addr, print, told) = (self.addr, self.fingerprint, self.told);
+        let notes = self.shared.change(|state, now| {
+            let next = state.runs_at(addr).next_crash();
+            let stale = told.filter(|crash| *crash != next);
+            stale.map(|crash| state.book.withdraw(now, print, crash))
+        });
+        if let Some(notes) = notes {
+            self.told = None;
+            self.shared.tell(notes).await;
+        }
+    }
 }
 
 impl Drop for PoisonGuard {
@@ -327,11 +360,19 @@
                 return state.book.clear(now, print);
             }
             let runs = state.runs_at(addr);
-            let own = runs.next_crash();
-            if runs.contains(print) {
-                return Vec::new();
+            let next = runs.next_crash();
+            // A run that has crashed its server keeps its strike, which is not the next crash's.
+            let possible = if self.has_started {
+                Some(next)
+            } else {
+                self.told
+            };
+            match possible {
+                Some(crash) if crash != next || !runs.contains(print) => {
+                    state.book.withdraw(now, print, crash)
+                }
+                _ => Vec::new(),
             }
-            state.book.withdraw(now, print, own)
         });
         let shared = self.shared.clone();
         if !notes.is_empty()
@@ -343,8 +384,13 @@
 }
 
 /// Returns whether nothing listens at `addr` any more.
+///
+/// A process that ends closes its connections before its listener, so a new connection may still
+/// be taken; it is then closed unserved.
 async fn has_crashed(addr: SocketAddr) -> bool {
-    let connected = timeout(PROBE_LIMIT, TcpStream::connect(addr)).await;
-    let refused = |e: &io::Error| e.kind() == io::ErrorKind::ConnectionRefused;
-    matches!(connected, Ok(Err(e)) if refused(&e))
+    match timeout(PROBE_LIMIT, TcpStream::connect(addr)).await {
+        Ok(Ok(mut stream)) => timeout(CLOSE_LIMIT, stream.read_u8()).await.is_ok(),
+        Ok(Err(_)) => true,
+        Err(_) => false,
+    }
 }
--- a/crates/peer/src/strike.rs
+++ b/crates/peer/src/strike.rs
@@ -21,7 +21,7 @@
 /// Strikes in one message.
 const NOTES_MAX: usize = 64;
 /// Time for a daemon to answer; one that is silent learns of the strikes from a later message.
-const TELL_LIMIT: Duration = Duration::from_millis(300);
+const TELL_LIMIT: Duration = Duration::from_secs(1);
 
 /// Tells daemons of strikes, over a connection a message.
 #[derive(Clone, Debug)]
