--- a/crates/backend/src/poison.rs
+++ b/crates/backend/src/poison.rs
@@ -15,6 +15,7 @@
 use arc_swap::ArcSwap;
 use std::{
     collections::HashMap,
+    io,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
@@ -32,8 +33,8 @@
 const LANE_PAUSE: Duration = Duration::from_millis(20);
 /// Time to find out whether a server still listens.
 const PROBE_LIMIT: Duration = Duration::from_millis(250);
-/// Time for which a server that lives leaves a new connection open.
-const CLOSE_LIMIT: Duration = Duration::from_millis(150);
+/// Time for which a probing connection stays open at a server that lives.
+const CLOSE_SPAN: Duration = Duration::from_millis(300);
 /// Time between two rounds of forgetting.
 const AGE_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -61,6 +62,8 @@
     /// Forward addresses of the other daemons of the zone.
     peers: ArcSwap<Vec<SocketAddr>>,
     client: StrikeClient,
+    /// Held while the zone is told of a crash.
+    telling: tokio::sync::Mutex<()>,
 }
 
 #[derive(Debug)]
@@ -89,6 +92,7 @@
             has_suspects: AtomicBool::new(false),
             peers: ArcSwap::default(),
             client: StrikeClient::open(),
+            telling: tokio::sync::Mutex::default(),
         });
         let weak = Arc::downgrade(&shared);
         tokio::spawn(async move {
@@ -174,11 +178,13 @@
 
     /// Ends `run`, whose connection was lost, and with it all others at its server if that has
     /// crashed; returns when the zone knows.
-    async fn end_lost(&self, addr: SocketAddr, print: RequestFingerprint, run: RunKey) {
+    async fn end_lost(&self, addr: SocketAddr, run: RunKey) {
         let has_crashed = has_crashed(addr).await;
+        // Calls that a crash has ended together return together, once the zone knows.
+        let _telling = self.telling.lock().await;
         let notes = self.change(|state, now| {
             if has_crashed {
-                return state.crash(addr, (print, run), now);
+                return state.crash(addr, run, now);
             }
             state.runs_at(addr).end(run);
             Vec::new()
@@ -211,21 +217,10 @@
         self.book.verdict(now, print, own)
     }
 
-    /// Strikes all that is in flight at `addr` and returns what the zone must know.
-    ///
-    /// Where another call has noticed the crash before, that is the strike of this one: who told it
-    /// first may still be telling.
-    fn crash(
-        &mut self,
-        addr: SocketAddr,
-        (print, run): (RequestFingerprint, RunKey),
-        now: MonoTime,
-    ) -> Vec<StrikeNote> {
+    /// Strikes all that is in flight at `addr`, unless `run` has ended with an earlier crash.
+    fn crash(&mut self, addr: SocketAddr, run: RunKey, now: MonoTime) -> Vec<StrikeNote> {
         if !self.runs_at(addr).holds(run) {
-            let notes = self.book.notes(now);
-            return notes
-                .filter(|note| note.fingerprint == print && !note.cleared)
-                .collect();
+            return Vec::new();
         }
         metrics::counter!("agatehill_server_crashes_total").increment(1);
         let next = self.name_crash();
@@ -302,15 +297,15 @@
     /// The connection was lost; returns when the zone knows of the crash, if it was one.
     pub async fn lost(&mut self) {
         if let Some(run) = self.run.take() {
-            self.shared.end_lost(self.addr, self.fingerprint, run).await;
+            self.shared.end_lost(self.addr, run).await;
         }
     }
 
     /// The connection was lost in the middle of the answer.
     pub fn broken(&mut self) {
         if let Some(run) = self.run.take() {
-            let (shared, addr, print) = (self.shared.clone(), self.addr, self.fingerprint);
-            tokio::spawn(async move { shared.end_lost(addr, print, run).await });
+            let (shared, addr) = (self.shared.clone(), self.addr);
+            tokio::spawn(async move { shared.end_lost(addr, run).await });
         }
     }
 
@@ -385,12 +380,25 @@
 
 /// Returns whether nothing listens at `addr` any more.
 ///
-/// A process that ends closes its connections before its listener, so a new connection may still
-/// be taken; it is then closed unserved.
+/// The kernel closes the sockets of a process that dies one by one: its listener may still take a
+/// connection after the call's has been closed. So a connection counts only if it stays open.
 async fn has_crashed(addr: SocketAddr) -> bool {
-    match timeout(PROBE_LIMIT, TcpStream::connect(addr)).await {
-        Ok(Ok(mut stream)) => timeout(CLOSE_LIMIT, stream.read_u8()).await.is_ok(),
-        Ok(Err(_)) => true,
-        Err(_) => false,
+    loop {
+        let connected = timeout(PROBE_LIMIT, TcpStream::connect(addr)).await;
+        match connected {
+            Ok(Ok(stream)) => {
+                if !closes_soon(stream).await {
+                    return false;
+                }
+            }
+            Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionReset => {}
+            Ok(Err(e)) => return e.kind() == io::ErrorKind::ConnectionRefused,
+            Err(_) => return false,
+        }
     }
 }
+
+/// Returns whether the other end closes `stream`, which has asked for nothing.
+async fn closes_soon(mut stream: TcpStream) -> bool {
+    timeout(CLOSE_SPAN, stream.read(&mut [0])).await.is_ok()
+}
