--- a/crates/backend/src/poison.rs
+++ b/crates/backend/src/poison.rs
@@ -143,7 +143,8 @@
             addr,
             fingerprint,
             run: None,
-            is_told: false,
+            has_started: false,
+            told: None,
             is_answered: false,
         }
     }
@@ -245,7 +246,9 @@
     addr: SocketAddr,
     fingerprint: RequestFingerprint,
     run: Option<RunKey>,
-    is_told: bool,
+    has_started: bool,
+    /// The crash that the call was struck for before its run.
+    told: Option<CrashId>,
     is_answered: bool,
 }
 
@@ -257,10 +260,11 @@
     /// The request is quarantined, or `deadline` passes first.
     pub async fn ready(&mut self, deadline: MonoTime) -> Result<(), PoisonRefusal> {
         while self.shared.has_suspects.load(Ordering::Acquire) {
+            self.take_back_stale().await;
             match self.look() {
                 (RunVerdict::Free, _) => return Ok(()),
                 (RunVerdict::Quarantined(left), _) => return Err(PoisonRefusal::Quarantined(left)),
-                (RunVerdict::Lane, false) if self.is_told => return Ok(()),
+                (RunVerdict::Lane, false) if self.told.is_some() => return Ok(()),
                 (RunVerdict::Lane, false) => self.write_ahead().await,
                 (RunVerdict::Lane, true) => sleep(LANE_PAUSE).await,
             }
@@ -273,15 +277,17 @@
 
     /// Starts the run; false if the call must get [`PoisonGuard::ready`] again.
     pub fn start(&mut self) -> bool {
-        let (addr, print, is_told) = (self.addr, self.fingerprint, self.is_told);
+        let (addr, print, told) = (self.addr, self.fingerprint, self.told);
         self.run = self.shared.change(|state, now| {
             let verdict = state.verdict(now, addr, print);
-            if verdict == RunVerdict::Lane && !is_told {
+            let runs = state.runs_at(addr);
+            if verdict == RunVerdict::Lane && told != Some(runs.next_crash()) {
                 return None;
             }
-            state.runs_at(addr).start(print, verdict)
+            runs.start(print, verdict)
         });
-        self.run.is_some()
+        self.has_started = self.run.is_some();
+        self.has_started
     }
 
     /// The whole answer has come.
@@ -318,14 +324,28 @@
 
     /// Strikes the suspect for the crash that its run may cause, and tells the zone.
     async fn write_ahead(&mut self) {
-        self.is_told = true;
         let (addr, print) = (self.addr, self.fingerprint);
-        let notes = self.shared.change(|state, now| {
+        let (crash, notes) = self.shared.change(|state, now| {
             let crash = state.runs_at(addr).next_crash();
-            state.book.strike(now, crash, [print])
+            (crash, state.book.strike(now, crash, [print]))
         });
+        self.told = Some(crash);
         self.shared.tell(notes).await;
     }
+
+    /// Takes back the strike for a crash that has come before the run has started.
+    async fn take_back_stale(&mut self) {
+        let (addr, print, told) = (self.addr, self.fingerprint, self.told);
+        let notes = self.shared.change(|state, now| {
+            let next = state.runs_at(addr).next_crash();
+            let stale = told.filter(|crash| *crash != next);
+            stale.map(|crash| state.book.withdraw(now, print, crash))
+        });
+        if let Some(notes) = notes {
+            self.told = None;
+            self.shared.tell(notes).await;
+        }
+    }
 }
 
 impl Drop for PoisonGuard {
@@ -339,11 +359,19 @@
                 return state.book.clear(now, print);
             }
             let runs = state.runs_at(addr);
-            let own = runs.next_crash();
-            if runs.contains(print) {
-                return Vec::new();
+            let next = runs.next_crash();
+            // A run that has crashed its server keeps its strike, which is not the next crash's.
+            let possible = if self.has_started {
+                Some(next)
+            } else {
+                self.told
+            };
+            match possible {
+                Some(crash) if crash != next || !runs.contains(print) => {
+                    state.book.withdraw(now, print, crash)
+                }
+                _ => Vec::new(),
             }
-            state.book.withdraw(now, print, own)
         });
         let shared = self.shared.clone();
         if !notes.is_empty()
