Keep the limit at the announced slots, lowered by sheds alone

Cause: a limit led by latency takes chance and slow child services for overload. Change: the two latency-driven limits are taken out; a shed lowers the limit, a window in which it was reached raises it. The time without child calls, which they used, goes into the dump: it tells a slow server from a slow service below.

--- a/crates/decide/src/gate.rs
+++ b/crates/decide/src/gate.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     level::{LevelControl, LevelWindow},
-    limit::{HoldEstimate, LimitPolicy, SlotLimit},
+    limit::{HoldEstimate, SlotLimit},
     priority::CallPriority,
     time::MonoTime,
 };
@@ -42,8 +42,6 @@
 /// Settings of a gate.
 #[derive(Clone, Copy, Debug)]
 pub struct GateConfig {
-    /// How the concurrency limit moves.
-    pub limit: LimitPolicy,
     /// Order of the queue.
     pub order: QueueOrder,
     /// Longest expected wait for which a call is queued.
@@ -61,7 +59,6 @@
 impl Default for GateConfig {
     fn default() -> GateConfig {
         GateConfig {
-            limit: LimitPolicy::Fixed,
             order: QueueOrder::Fifo,
             wait_max: Duration::from_millis(50),
             wait_target: Duration::from_millis(5),
@@ -99,6 +96,7 @@
     limit: SlotLimit,
     level: LevelControl,
     hold: HoldEstimate,
+    own: HoldEstimate,
     running: SlotMap<SlotKey, RunningCall>,
     queue: CallQueue,
     events: Vec<GateEvent>,
@@ -113,9 +111,10 @@
         ServerGate {
             config,
             state: ServerState::Serving,
-            limit: SlotLimit::new(config.limit, slots),
+            limit: SlotLimit::new(slots),
             level: LevelControl::default(),
             hold: HoldEstimate::default(),
+            own: HoldEstimate::default(),
             running: SlotMap::with_key(),
             queue: CallQueue::new(config.order),
             events: Vec::new(),
@@ -151,7 +150,7 @@
         match result {
             RunResult::Answered => {
                 self.hold.record(held);
-                self.limit.record_answer(held.saturating_sub(child_time));
+                self.own.record(held.saturating_sub(child_time));
             }
             RunResult::Shed => self.limit.record_shed(),
             RunResult::Failed | RunResult::Lost | RunResult::Cancelled => {}
@@ -221,6 +220,8 @@
             queued: self.queue.len() as u32,
             limit: self.limit.limit(),
             level: self.level(),
+            hold_micros: micros(self.hold.mean()),
+            own_micros: micros(self.own.mean()),
         }
     }
 
@@ -392,3 +393,7 @@
         });
     }
 }
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/decide/src/gate/call.rs
+++ b/crates/decide/src/gate/call.rs
@@ -110,6 +110,10 @@
     pub limit: u32,
     /// Least important priority that is let in.
     pub level: CallPriority,
+    /// Mean time that a call holds its slot, in microseconds.
+    pub hold_micros: u64,
+    /// The same without its child calls: a server that is slow itself tells itself by this.
+    pub own_micros: u64,
 }
 
 /// Counts since the gate was made.
