Poll idle gates seldom and enforce the limit on callers' connections

Cause: the upkeep of a gate woke up every 5 ms, most of a daemon's processor time at rest (0.75% of a core by measurement); limits.connections_max was checked and not enforced. Change: an idle gate is looked at every 250 ms and at once when a call has to wait; past the limit further connections wait in the backlog. Ruled out: refusing connections past the limit (a caller takes it for a crash). Processor time at rest is measured next.

--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -209,8 +209,10 @@
     let gate = &entry.runner.gate;
     let announce = announce::router(gate.registry().clone());
     let operator = operator_router(dump, ready, drain);
+    let callers = caller_router(entry.clone());
+    let connections_max = settings.limits.connections_max;
     Ok(DaemonListeners {
-        caller: HttpServer::bind(listen.caller, caller_router(entry.clone()))
+        caller: HttpServer::bind_limited(listen.caller, callers, connections_max)
             .await
             .wrap_err_with(|| format!("cannot bind listen.caller {}", listen.caller))?,
         forward,
--- a/crates/backend/src/places.rs
+++ b/crates/backend/src/places.rs
@@ -15,14 +15,16 @@
 use slotmap::SecondaryMap;
 use std::{
     sync::{Arc, Mutex, MutexGuard, Weak},
-    time::Duration,
+    time::{Duration, Instant},
 };
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 /// Time between two looks at what is due in a gate.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
-/// Looks between two publications of a gate's metrics: a second.
-const POLLS_PER_PUBLISH: u64 = 200;
+/// Time between two looks at an idle gate.
+const IDLE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two publications of a gate's metrics.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(500);
 
 type TicketSender = oneshot::Sender<Result<SlotKey, GateRefusal>>;
 type TicketReceiver = oneshot::Receiver<Result<SlotKey, GateRefusal>>;
@@ -32,6 +34,8 @@
 pub struct ServerPlaces {
     clock: MonoClock,
     state: Mutex<PlaceState>,
+    /// Told of each call that has to wait.
+    queued: Arc<Notify>,
 }
 
 /// Held for a few hundred nanoseconds at a time; a decision needs the whole gate.
@@ -52,9 +56,11 @@
         let places = Arc::new(ServerPlaces {
             clock,
             state: Mutex::new(state),
+            queued: Arc::default(),
         });
         let labels = GateLabels::of(announcement);
-        tokio::spawn(poll_while_used(Arc::downgrade(&places), labels));
+        let queued = places.queued.clone();
+        tokio::spawn(poll_while_used(Arc::downgrade(&places), queued, labels));
         places
     }
 
@@ -114,6 +120,7 @@
             GateDecision::Queue(ticket) => {
                 let (tx, rx) = oneshot::channel();
                 state.waiting.insert(ticket, tx);
+                self.queued.notify_one();
                 GateOffer::Queued(QueuedTicket { ticket, rx })
             }
         };
@@ -136,6 +143,10 @@
         state.dispatch(self.clock.now());
     }
 
+    fn is_idle(&self) -> bool {
+        self.lock().gate.next_poll().is_none()
+    }
+
     fn poll(&self) {
         let now = self.clock.now();
         let mut state = self.lock();
@@ -265,17 +276,26 @@
     }
 }
 
-async fn poll_while_used(places: Weak<ServerPlaces>, labels: GateLabels) {
-    let mut tick = tokio::time::interval(POLL_INTERVAL);
-    for count in 0u64.. {
-        tick.tick().await;
+/// Polls the gate while calls run or wait, and publishes its metrics, until nobody uses it any more.
+async fn poll_while_used(places: Weak<ServerPlaces>, queued: Arc<Notify>, labels: GateLabels) {
+    let mut published = Instant::now();
+    loop {
         let Some(places) = places.upgrade() else {
             labels.publish_end();
             return;
         };
         places.poll();
-        if count.is_multiple_of(POLLS_PER_PUBLISH) {
+        if published.elapsed() >= PUBLISH_INTERVAL {
+            published = Instant::now();
             labels.publish(places.load(), places.counts());
         }
+        let pause = if places.is_idle() {
+            IDLE_INTERVAL
+        } else {
+            POLL_INTERVAL
+        };
+        drop(places);
+        // A call that has to wait ends the pause of an idle gate.
+        let _ = tokio::time::timeout(pause, queued.notified()).await;
     }
 }
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -13,7 +13,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::oneshot,
+    sync::{OwnedSemaphorePermit, Semaphore, oneshot},
     task::JoinHandle,
 };
 
@@ -43,19 +43,40 @@
 }
 
 impl HttpServer {
-    /// Binds `addr` and serves `handler` until [`HttpServer::stop`].
+    /// Binds `addr` and serves `handler` until [`HttpServer::stop`], without a limit on connections.
     ///
     /// # Errors
     ///
     /// The address can't be bound.
     pub async fn bind<H>(addr: SocketAddr, handler: H) -> io::Result<HttpServer>
+    where
+        H: NewHandler + 'static,
+    {
+        HttpServer::bind_limited(addr, handler, Semaphore::MAX_PERMITS).await
+    }
+
+    /// Binds `addr` and serves `handler`; past `connections_max` open connections new ones wait.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound.
+    pub async fn bind_limited<H>(
+        addr: SocketAddr,
+        handler: H,
+        connections_max: usize,
+    ) -> io::Result<HttpServer>
     where
         H: NewHandler + 'static,
     {
         let listener = TcpListener::bind(addr).await?;
         let local = listener.local_addr()?;
         let (stop, stopped) = oneshot::channel();
-        let task = tokio::spawn(accept_loop(listener, Arc::new(handler), stopped));
+        let task = tokio::spawn(accept_loop(
+            listener,
+            Arc::new(handler),
+            Arc::new(Semaphore::new(connections_max)),
+            stopped,
+        ));
         Ok(HttpServer { local, stop, task })
     }
 
@@ -72,15 +93,19 @@
     }
 }
 
-async fn accept_loop<H>(listener: TcpListener, handler: Arc<H>, mut stopped: oneshot::Receiver<()>)
-where
+async fn accept_loop<H>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    free: Arc<Semaphore>,
+    mut stopped: oneshot::Receiver<()>,
+) where
     H: NewHandler + 'static,
 {
     let graceful = GracefulShutdown::new();
     loop {
         tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, peer)) => spawn_connection(stream, peer, handler.clone(), &graceful),
+            accepted = accept(&listener, &free) => match accepted {
+                Ok(accepted) => spawn_connection(accepted, handler.clone(), &graceful),
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             },
             _ = &mut stopped => break,
@@ -90,14 +115,36 @@
     graceful.shutdown().await;
 }
 
-fn spawn_connection<H>(
+/// An accepted connection and its part of the limit.
+struct AcceptedConnection {
     stream: TcpStream,
     peer: SocketAddr,
-    handler: Arc<H>,
-    graceful: &GracefulShutdown,
-) where
+    permit: OwnedSemaphorePermit,
+}
+
+async fn accept(listener: &TcpListener, free: &Arc<Semaphore>) -> io::Result<AcceptedConnection> {
+    let permit = free
+        .clone()
+        .acquire_owned()
+        .await
+        .map_err(io::Error::other)?;
+    let (stream, peer) = listener.accept().await?;
+    Ok(AcceptedConnection {
+        stream,
+        peer,
+        permit,
+    })
+}
+
+fn spawn_connection<H>(accepted: AcceptedConnection, handler: Arc<H>, graceful: &GracefulShutdown)
+where
     H: NewHandler + 'static,
 {
+    let AcceptedConnection {
+        stream,
+        peer,
+        permit,
+    } = accepted;
     set_options(&stream);
     let service = service_fn(move |req: Request<Incoming>| serve_one(handler.clone(), req, peer));
     let conn = connection_builder()
@@ -107,6 +154,7 @@
     tokio::spawn(async move {
         // A connection that breaks concerns its own requests only; they report their outcome.
         let _ = watched.await;
+        drop(permit);
     });
 }
 
