--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -5,16 +5,11 @@
     call::ActiveCall,
     contracts::ContractView,
     levels::EntryLevels,
-    problem::{CallProblem, OUTCOME_HEADER},
-    request::{ATTEMPT_HEADER, CallerRequest, KEY_HEADER, TRACE_HEADER},
-    trace,
-};
-use agatehill_backend::{
-    chain::ChainHandle,
-    gate::GateAnswer,
-    held::HeldBody,
-    inquiry::{AttemptGuard, AttemptLog},
+    message::{finish, limited, outgoing, try_clone, with_report},
+    problem::CallProblem,
+    request::{ATTEMPT_HEADER, CallerRequest},
 };
+use agatehill_backend::{chain::ChainHandle, gate::GateAnswer, inquiry::AttemptLog};
 use agatehill_decide::{
     chain::ChainRecord,
     contract::{ContractSpec, OperationSpec},
@@ -27,15 +22,14 @@
 use agatehill_peer::{
     body::CallBody,
     forward::{
-        ASK_HEADER, FailureKind, ForwardError, ForwardHead, ForwardReport, REPORT_HEADER,
-        answer_value, asked_attempt,
+        ASK_HEADER, FailureKind, ForwardError, ForwardHead, ForwardReport, answer_value,
+        asked_attempt,
     },
     headers::strip_hop,
     strike::{STRIKE_HEADER, strike_value, strikes},
 };
 use gotham::helpers::http::Body;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Limited};
+use http::{HeaderMap, Method, Request, Response};
 use metrics::counter;
 use std::{
     sync::{Arc, Mutex},
@@ -295,14 +289,6 @@
     CallOutcome::Unknown
 }
 
-/// Returns `body`, broken off with an error past `limit` bytes.
-fn limited(body: Body, limit: u64) -> Body {
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    Limited::new(body, limit)
-        .map_err(std::io::Error::other)
-        .boxed_unsync()
-}
-
 fn operation_of<'a>(
     spec: &'a ContractSpec,
     head: &CallerRequest,
@@ -317,29 +303,6 @@
         .ok_or_else(unknown)
 }
 
-/// Returns the request as the backend server gets it.
-fn outgoing(
-    method: Method,
-    target: &str,
-    mut headers: HeaderMap,
-    call: &ActiveCall,
-    body: CallBody,
-) -> Result<Request<CallBody>, CallProblem> {
-    strip_hop(&mut headers);
-    let span = rand::random::<u64>();
-    headers
-        .entry(TRACE_HEADER)
-        .or_insert_with(|| trace::format(call.chain, span));
-    let key = HeaderValue::try_from(call.request.as_str()).expect("request ids are visible ASCII");
-    headers.insert(KEY_HEADER, key);
-    let wrong = |_| CallProblem::Malformed(format!("path {target:?} is malformed"));
-    let mut req = Request::new(body);
-    *req.method_mut() = method;
-    *req.uri_mut() = Uri::try_from(target).map_err(wrong)?;
-    *req.headers_mut() = headers;
-    Ok(req)
-}
-
 /// Returns whether the call went to a server that is gone or leaving, and never reached it.
 fn is_misrouted(answer: &GateAnswer) -> bool {
     let report = &answer.report;
@@ -364,49 +327,6 @@
     matches!(kind, FailureKind::Lost | FailureKind::Shed) && end.may_retry()
 }
 
-fn try_clone(req: &Request<CallBody>) -> Option<Request<CallBody>> {
-    let body = req.body().try_clone()?;
-    let mut copy = Request::new(body);
-    *copy.method_mut() = req.method().clone();
-    *copy.uri_mut() = req.uri().clone();
-    *copy.headers_mut() = req.headers().clone();
-    Some(copy)
-}
-
-fn finish(answer: GateAnswer) -> Result<Response<CallBody>, CallProblem> {
-    if let Some(kind) = answer.report.failure {
-        return Err(CallProblem::from_report(kind, &answer.report));
-    }
-    let mut response = answer.response;
-    strip_hop(response.headers_mut());
-    let outcome = HeaderValue::from_static(answer.report.outcome.as_str());
-    response.headers_mut().insert(OUTCOME_HEADER, outcome);
-    Ok(response)
-}
-
-/// Returns the answer for the daemon that forwarded the call; `guard` is held until its end.
-fn with_report(answer: GateAnswer, guard: Option<AttemptGuard>) -> Response<CallBody> {
-    let GateAnswer {
-        report,
-        mut response,
-    } = answer;
-    strip_hop(response.headers_mut());
-    if report.failure.is_some() {
-        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    }
-    response
-        .headers_mut()
-        .insert(REPORT_HEADER, (&report).into());
-    match guard {
-        Some(guard) => response.map(|body| hold(body, guard)),
-        None => response,
-    }
-}
-
-fn hold(body: CallBody, guard: AttemptGuard) -> CallBody {
-    CallBody::Stream(HeldBody::new(body, guard).boxed_unsync())
-}
-
 fn malformed(e: ForwardError) -> CallProblem {
     CallProblem::Malformed(e.to_string())
 }
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod entry;
 pub mod handler;
 pub mod levels;
+mod message;
 pub mod problem;
 pub mod request;
 pub mod routes;
