--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -27,7 +27,7 @@
 use agatehill_peer::{
     forward_client::ForwardClient, gossip::PeerSnapshot, keeper_client::KeeperClient,
 };
-use agatehill_platform::{
+use agatehill_process::{
     clock::MonoClock,
     drain::DrainSignal,
     health::{self, ReadyFlag},
--- a/bin/daemon/src/members.rs
+++ b/bin/daemon/src/members.rs
@@ -15,7 +15,7 @@
     gossip::{GossipHandle, GossipSettings, PeerSnapshot, PeerZone},
     keeper::FeedPage,
 };
-use agatehill_platform::clock::MonoClock;
+use agatehill_process::clock::MonoClock;
 use std::{
     collections::HashSet,
     io,
--- a/bin/keeper/src/cmd/serve.rs
+++ b/bin/keeper/src/cmd/serve.rs
@@ -4,7 +4,7 @@
 use agatehill_config::KeeperSettings;
 use agatehill_operator::{contracts::contract_routes, inspect::inspect_routes};
 use agatehill_peer::keeper::KeeperServer;
-use agatehill_platform::{
+use agatehill_process::{
     drain::DrainSignal,
     health::{self, ReadyFlag},
     serve::HttpServer,
--- a/bin/keeper/src/driver.rs
+++ b/bin/keeper/src/driver.rs
@@ -11,7 +11,7 @@
     },
     state::ReplicatedState,
 };
-use agatehill_platform::clock::MonoClock;
+use agatehill_process::clock::MonoClock;
 use agatehill_store::GroupStore;
 use metrics::{counter, gauge};
 use spdlog::{info, warn};
--- a/bin/keeper/src/group.rs
+++ b/bin/keeper/src/group.rs
@@ -8,7 +8,7 @@
     replica::{ReplicaEnvelope, ReplicaNode, ReplicaSettings, ReplicaStatus},
     state::ReplicatedState,
 };
-use agatehill_platform::clock::MonoClock;
+use agatehill_process::clock::MonoClock;
 use agatehill_store::{GroupStore, OpenedGroup, StoreError};
 use std::{
     path::Path,
--- a/bin/keeper/src/hub.rs
+++ b/bin/keeper/src/hub.rs
@@ -15,7 +15,7 @@
     keeper::{ContractText, FeedPage, KeeperError},
     keeper_client::{KeeperLink, LinkError},
 };
-use agatehill_platform::clock::MonoClock;
+use agatehill_process::clock::MonoClock;
 use agatehill_store::{DataFolder, StoreError};
 use serde::{Serialize, de::DeserializeOwned};
 use std::{
--- a/crates/backend/src/announce.rs
+++ b/crates/backend/src/announce.rs
@@ -1,7 +1,7 @@
 //! `POST /announce`, by which backend servers make themselves known to the daemon on their host.
 
 use crate::registry::{ServerAnnouncement, ServerRegistry};
-use agatehill_platform::health::AssertNewHandler;
+use agatehill_process::health::AssertNewHandler;
 use gotham::{
     handler::HandlerResult,
     helpers::http::{Body, response::create_response},
--- a/crates/backend/src/gate.rs
+++ b/crates/backend/src/gate.rs
@@ -25,7 +25,7 @@
     body::CallBody,
     forward::{FailureKind, ForwardHead, ForwardReport},
 };
-use agatehill_platform::clock::MonoClock;
+use agatehill_process::clock::MonoClock;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header::RETRY_AFTER};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
--- a/crates/backend/src/inquiry.rs
+++ b/crates/backend/src/inquiry.rs
@@ -2,7 +2,7 @@
 
 use crate::held::BodyGuard;
 use agatehill_decide::inquiry::{AttemptId, InquiryAnswer, InquiryTable};
-use agatehill_platform::clock::MonoClock;
+use agatehill_process::clock::MonoClock;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// The attempts that this gate was sent, shared between threads.
--- a/crates/backend/src/places.rs
+++ b/crates/backend/src/places.rs
@@ -11,7 +11,7 @@
     },
     time::MonoTime,
 };
-use agatehill_platform::clock::MonoClock;
+use agatehill_process::clock::MonoClock;
 use slotmap::SecondaryMap;
 use std::{
     sync::{Arc, Mutex, MutexGuard, Weak},
--- a/crates/backend/src/poison.rs
+++ b/crates/backend/src/poison.rs
@@ -11,7 +11,7 @@
     time::MonoTime,
 };
 use agatehill_peer::strike::StrikeClient;
-use agatehill_platform::clock::MonoClock;
+use agatehill_process::clock::MonoClock;
 use arc_swap::ArcSwap;
 use std::{
     collections::HashMap,
--- a/crates/backend/src/registry.rs
+++ b/crates/backend/src/registry.rs
@@ -2,7 +2,7 @@
 
 use crate::places::ServerPlaces;
 use agatehill_decide::{name::ServiceName, time::MonoTime};
-use agatehill_platform::clock::MonoClock;
+use agatehill_process::clock::MonoClock;
 use arc_swap::ArcSwap;
 use serde::{Deserialize, Serialize};
 use std::{
--- a/crates/caller/src/handler.rs
+++ b/crates/caller/src/handler.rs
@@ -2,7 +2,7 @@
 
 use crate::entry::CallEntry;
 use agatehill_peer::body::CallBody;
-use agatehill_platform::health::AssertNewHandler;
+use agatehill_process::health::AssertNewHandler;
 use gotham::{
     handler::{HandlerFuture, NewHandler},
     helpers::http::Body,
--- a/crates/operator/tests/contract_api.rs
+++ b/crates/operator/tests/contract_api.rs
@@ -11,7 +11,7 @@
         check_contract, contract_routes,
     },
 };
-use agatehill_platform::serve::HttpServer;
+use agatehill_process::serve::HttpServer;
 use bytes::Bytes;
 use gotham::router::build_simple_router;
 use http::{Request, Response};
--- a/crates/platform/tests/serve.rs
+++ b/crates/process/tests/serve.rs
@@ -1,6 +1,6 @@
 //! The limit on open connections.
 
-use agatehill_platform::serve::HttpServer;
+use agatehill_process::serve::HttpServer;
 use gotham::{helpers::http::response::create_empty_response, state::State};
 use http::StatusCode;
 use std::time::Duration;
--- a/tests/tests/silent_forward.rs
+++ b/tests/tests/silent_forward.rs
@@ -10,7 +10,7 @@
     forward::{ASK_HEADER, ForwardHead, ForwardReport, REPORT_HEADER, answer_value, asked_attempt},
     forward_client::{ForwardClient, ForwardFailure},
 };
-use agatehill_platform::{clock::MonoClock, health::AssertNewHandler, serve::HttpServer};
+use agatehill_process::{clock::MonoClock, health::AssertNewHandler, serve::HttpServer};
 use agatehill_tests::relay::{RelayLoss, TcpRelay};
 use gotham::{
     handler::HandlerFuture,
