--- a/bin/keeper/src/hub.rs
+++ b/bin/keeper/src/hub.rs
@@ -1,21 +1,22 @@
 //! The keeper's groups, and which of them a command goes to.
 
-use crate::{
-    group::{GroupHandle, ProposeError},
-    outbox::PeerOutbox,
-};
 use agatehill_config::KeeperSettings;
 use agatehill_decide::{
     claim::{ClaimCommand, ClaimReply, ClaimTable},
     contract_book::{ContractBook, ContractRecord},
     name::{CustomerName, Incarnation, KeeperName},
-    replica::{MemberKey, ReplicaSettings, ReplicaStatus},
+    replica::{MemberKey, ReplicaEnvelope, ReplicaSettings, ReplicaStatus, VoterPolicy},
 };
 use agatehill_peer::{
     keeper::{ContractText, FeedPage, KeeperError},
-    keeper_client::{KeeperLink, LinkError},
+    keeper_client::KeeperLink,
+    link::LinkError,
 };
 use agatehill_process::clock::MonoClock;
+use agatehill_replica::{
+    group::{GroupHandle, GroupState, ProposeError},
+    outbox::{PeerOutbox, ReplicaLink},
+};
 use agatehill_store::{DataFolder, StoreError};
 use serde::{Serialize, de::DeserializeOwned};
 use std::{
@@ -63,7 +64,10 @@
             (keeper.name.clone(), Arc::new(link))
         };
         let links: HashMap<_, _> = others.map(link).collect();
-        let outbox = PeerOutbox::spawn(&links);
+        let outbox = PeerOutbox::open();
+        for (name, link) in &links {
+            outbox.add(name, Arc::new(EnvelopeLink(link.clone())));
+        }
         let clock = MonoClock::open();
         let opener = GroupOpener {
             settings,
@@ -134,7 +138,7 @@
         command: &S::Command,
     ) -> Result<S::Reply, KeeperError>
     where
-        S: crate::group::GroupState,
+        S: GroupState,
         S::Command: Serialize,
         S::Reply: DeserializeOwned + Send,
     {
@@ -189,6 +193,19 @@
     }
 }
 
+/// Delivers messages of replicas over the link to a keeper.
+struct EnvelopeLink(Arc<KeeperLink>);
+
+impl ReplicaLink for EnvelopeLink {
+    async fn deliver(&self, envelopes: Vec<ReplicaEnvelope>, span: Duration) {
+        let delivered = self.0.call(span, |client, ctx| async move {
+            client.deliver(ctx, envelopes).await
+        });
+        // What is lost here the replicas send again.
+        let _ = delivered.await;
+    }
+}
+
 /// What all groups are opened with.
 struct GroupOpener<'a> {
     settings: &'a KeeperSettings,
@@ -200,10 +217,11 @@
 impl GroupOpener<'_> {
     fn open<S>(&self, group: u16) -> Result<GroupHandle<S>, StoreError>
     where
-        S: crate::group::GroupState,
+        S: GroupState,
         S::Reply: Send,
     {
         let keepers = &self.settings.keepers;
+        let voters = keepers.iter().filter(|keeper| keeper.voter);
         let replica = ReplicaSettings {
             group,
             groups: claim_groups(self.settings),
@@ -212,11 +230,7 @@
                 incarnation: Incarnation(rand::random()),
             },
             keepers: keepers.iter().map(|k| k.name.clone()).collect(),
-            voters: keepers
-                .iter()
-                .filter(|k| k.voter)
-                .map(|k| k.name.clone())
-                .collect(),
+            voters: VoterPolicy::Listed(voters.map(|k| k.name.clone()).collect()),
             heartbeat: HEARTBEAT,
             election: ELECTION,
             part_bytes: PART_BYTES,
--- a/bin/keeper/src/main.rs
+++ b/bin/keeper/src/main.rs
@@ -1,10 +1,7 @@
 //! The keeper: replicated durable state of agatehill, on the hosts that have a disk.
 
 mod cmd;
-mod driver;
-mod group;
 mod hub;
-mod outbox;
 mod service;
 
 use clap::{Parser, Subcommand};
--- a/bin/keeper/src/service.rs
+++ b/bin/keeper/src/service.rs
@@ -1,9 +1,6 @@
 //! What daemons, operators and other keepers ask of a keeper.
 
-use crate::{
-    group::GroupHandle,
-    hub::{CONTRACT_GROUP, KeeperHub},
-};
+use crate::hub::{CONTRACT_GROUP, KeeperHub};
 use agatehill_decide::{
     claim::{ClaimCommand, ClaimReply, ClaimTable},
     contract_book::{ContractBook, ContractRecord, PutContract, PutReply},
@@ -15,6 +12,7 @@
     inspect::StateDump,
 };
 use agatehill_peer::keeper::{FeedPage, KeeperError, KeeperService};
+use agatehill_replica::group::GroupHandle;
 use serde::{Serialize, de::DeserializeOwned};
 use serde_json::json;
 use std::time::{Duration, Instant};
--- a/crates/caller/src/handler.rs
+++ b/crates/caller/src/handler.rs
@@ -1,17 +1,15 @@
 //! The gotham handlers of the caller listener and of the forward listener.
 
 use crate::entry::CallEntry;
-use agatehill_peer::body::CallBody;
+use agatehill_peer::handler::respond;
 use agatehill_process::health::AssertNewHandler;
 use gotham::{
-    handler::{HandlerFuture, NewHandler},
-    helpers::http::Body,
+    handler::NewHandler,
     prelude::*,
     router::{Router, build_simple_router},
-    state::State,
 };
-use http::{HeaderMap, Method, Request, Response, Uri};
-use std::{future::Future, pin::Pin, sync::Arc};
+use http::Method;
+use std::sync::Arc;
 
 const METHODS: [Method; 7] = [
     Method::DELETE,
@@ -43,23 +41,3 @@
         Ok(move |state| respond(state, move |req| async move { entry.forwarded(req).await }))
     })
 }
-
-fn respond<F, R>(mut state: State, run: F) -> Pin<Box<HandlerFuture>>
-where
-    F: FnOnce(Request<Body>) -> R + Send + 'static,
-    R: Future<Output = Response<CallBody>> + Send + 'static,
-{
-    Box::pin(async move {
-        let req = take_request(&mut state);
-        let response = run(req).await;
-        Ok((state, response.map(CallBody::into_gotham)))
-    })
-}
-
-fn take_request(state: &mut State) -> Request<Body> {
-    let mut req = Request::new(Body::take_from(state));
-    *req.method_mut() = Method::take_from(state);
-    *req.uri_mut() = Uri::take_from(state);
-    *req.headers_mut() = HeaderMap::take_from(state);
-    req
-}
--- a/crates/config/src/log.rs
+++ b/crates/config/src/log.rs
@@ -13,13 +13,16 @@
 /// Target that stands for the standard error stream.
 pub const STDERR_TARGET: &str = "stderr";
 
+/// Target that stands for the standard output stream.
+pub const STDOUT_TARGET: &str = "stdout";
+
 /// Where log lines go and which.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LogSettings {
     /// The least severe lines that are written.
     pub level: LogLevel,
-    /// `stderr` or the path of a file that lines are appended to.
+    /// `stderr`, `stdout` or the path of a file that lines are appended to.
     pub target: PathBuf,
     /// Form of a line.
     pub format: LogFormat,
@@ -118,12 +121,13 @@
     settings: &LogSettings,
     formatter: F,
 ) -> Result<Arc<dyn Sink>, spdlog::Error> {
+    let stream = StdStreamSink::builder().style_mode(StyleMode::Never);
     if settings.target.as_os_str() == STDERR_TARGET {
-        let sink = StdStreamSink::builder()
-            .stderr()
-            .style_mode(StyleMode::Never)
-            .formatter(formatter)
-            .build_arc()?;
+        let sink = stream.stderr().formatter(formatter).build_arc()?;
+        return Ok(sink);
+    }
+    if settings.target.as_os_str() == STDOUT_TARGET {
+        let sink = stream.stdout().formatter(formatter).build_arc()?;
         return Ok(sink);
     }
     let sink = FileSink::builder()
--- /dev/null
+++ b/crates/decide/src/host_directory.rs
@@ -0,0 +1,99 @@
+//! The daemons of all hosts and the backend servers beside them, as keepers pass them on.
+
+use crate::name::{Incarnation, RegionName, ServiceName, ZoneName};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
+};
+
+/// What a daemon says of its host.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct HostRecord {
+    /// Where the daemon takes requests from other daemons; names the host.
+    pub gate: SocketAddr,
+    /// The run of the daemon.
+    pub run: Incarnation,
+    /// Counts the records of one run.
+    pub sequence: u64,
+    /// Region of the host.
+    pub region: RegionName,
+    /// Availability zone of the host.
+    pub zone: ZoneName,
+    /// The backend server, while it takes work through this daemon.
+    pub server: Option<ServerRecord>,
+}
+
+/// A backend server that takes work.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct ServerRecord {
+    /// Its service.
+    pub service: ServiceName,
+    /// Its identity.
+    pub id: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+#[derive(Clone, Debug)]
+struct DirectoryEntry {
+    record: HostRecord,
+    /// Value of the change counter when the record was taken in.
+    change: u64,
+}
+
+/// The newest record of each host.
+#[derive(Clone, Debug, Default)]
+pub struct HostDirectory {
+    hosts: BTreeMap<SocketAddr, DirectoryEntry>,
+    changes: u64,
+}
+
+impl HostDirectory {
+    /// Takes in `record` if it is newer than the one held; returns whether it was.
+    pub fn merge(&mut self, record: HostRecord) -> bool {
+        let order = |record: &HostRecord| (record.run, record.sequence);
+        let held = self.hosts.get(&record.gate);
+        if held.is_some_and(|held| order(&held.record) >= order(&record)) {
+            return false;
+        }
+        self.changes += 1;
+        let change = self.changes;
+        self.hosts
+            .insert(record.gate, DirectoryEntry { record, change });
+        true
+    }
+
+    /// Returns the number of changes so far.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Returns the record of the host at `gate`.
+    pub fn get(&self, gate: SocketAddr) -> Option<&HostRecord> {
+        self.hosts.get(&gate).map(|entry| &entry.record)
+    }
+
+    /// Returns all records, in order of their addresses.
+    pub fn iter(&self) -> impl Iterator<Item = &HostRecord> {
+        self.hosts.values().map(|entry| &entry.record)
+    }
+
+    /// Returns the records that were taken in after change `after`.
+    pub fn changed_after(&self, after: u64) -> Vec<HostRecord> {
+        let changed = self.hosts.values().filter(|entry| entry.change > after);
+        changed.map(|entry| entry.record.clone()).collect()
+    }
+
+    /// Returns a hash that is the same for the same records.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        for entry in self.hosts.values() {
+            entry.record.gate.hash(&mut hasher);
+            entry.record.run.hash(&mut hasher);
+            entry.record.sequence.hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,29 +4,37 @@
 //! global source. Time and random numbers come in as arguments and outputs are values, so that the
 //! daemons, the keepers, the property tests and the bench all drive the same code.
 
+pub mod admission;
 pub mod chain;
 pub mod claim;
+pub mod config_book;
 pub mod contract;
 pub mod contract_book;
 pub mod deadline;
 pub mod digest;
 pub mod document;
 pub mod gate;
+pub mod host_directory;
 pub mod inquiry;
 pub mod level;
 pub mod limit;
 pub mod member;
 pub mod name;
 pub mod outcome;
+pub mod placement;
 pub mod priority;
 pub mod quarantine;
 pub mod quota;
+pub mod repeat_budget;
 pub mod replica;
 pub mod resend;
 pub mod retry;
 pub mod route;
+pub mod server_track;
+pub mod service_config;
 pub mod silence;
 pub mod state;
 pub mod time;
+pub mod weighted_pick;
 
 mod hash;
--- a/crates/decide/src/replica.rs
+++ b/crates/decide/src/replica.rs
@@ -30,6 +30,7 @@
 pub use self::{
     interface::{
         PersistBatch, RecoveredState, ReplicaInput, ReplicaOutput, ReplicaSettings, ReplicaStatus,
+        VoterPolicy,
     },
     log::ReplicaLog,
     message::{
--- a/crates/decide/src/replica/form.rs
+++ b/crates/decide/src/replica/form.rs
@@ -1,11 +1,12 @@
-//! Formation of a new group: once, with every listed keeper present and every disk empty.
+//! Formation of a new group: once, with every founder present and every disk empty.
 //!
-//! The founder is the voter whose name comes first. A keeper with an empty disk promises, durably,
+//! The founders are all listed keepers or, where keepers are found, those that the group starts
+//! with. The founder is the voter whose name comes first. A keeper with an empty disk promises, durably,
 //! to follow one incarnation of the founder and refuses initial snapshots from any other, so a
 //! founder that loses its disk half-way can't form a second group beside the first.
 
 use super::{
-    interface::ReplicaOutput,
+    interface::{ReplicaOutput, VoterPolicy},
     message::{GroupConfig, MemberKey, ReplicaMessage, ReplicaSnapshot, SnapshotMeta},
     node::{ReplicaNode, ReplicaRole},
 };
@@ -87,7 +88,7 @@
     }
 
     fn is_founder(&self) -> bool {
-        self.settings.voters.iter().min() == Some(&self.settings.key.name)
+        self.settings.voters.founders().iter().min() == Some(&self.settings.key.name)
     }
 
     fn form_if_complete(&mut self) {
@@ -95,7 +96,7 @@
             return;
         };
         let present = &formation.present;
-        if !self.others().iter().all(|name| present.contains_key(name)) {
+        if !self.needed().iter().all(|name| present.contains_key(name)) {
             return;
         }
         let me = &self.settings.key;
@@ -103,7 +104,7 @@
             name: name.clone(),
             incarnation: present.get(name).copied().unwrap_or(me.incarnation),
         };
-        let mut voters: Vec<_> = self.settings.voters.iter().map(voter).collect();
+        let mut voters: Vec<_> = self.settings.voters.founders().iter().map(voter).collect();
         voters.sort();
         let meta = SnapshotMeta {
             index: FIRST_INDEX,
@@ -118,6 +119,19 @@
         self.broadcast(&ReplicaMessage::Form(snapshot));
     }
 
+    /// Returns the other keepers that must be present for the group to be formed.
+    fn needed(&self) -> Vec<KeeperName> {
+        match &self.settings.voters {
+            VoterPolicy::Listed(_) => self.others(),
+            VoterPolicy::Found { founders, .. } => {
+                let others = founders
+                    .iter()
+                    .filter(|name| **name != self.settings.key.name);
+                others.cloned().collect()
+            }
+        }
+    }
+
     fn install_first(&mut self, snapshot: ReplicaSnapshot) {
         self.hard.term = self.hard.term.max(FIRST_TERM);
         self.commit = snapshot.meta.index;
--- a/crates/decide/src/replica/interface.rs
+++ b/crates/decide/src/replica/interface.rs
@@ -15,10 +15,10 @@
     pub groups: u16,
     /// This keeper and its disk.
     pub key: MemberKey,
-    /// All keepers, this one included.
+    /// All keepers that are known, this one included; [`ReplicaInput::Keepers`] adds to them.
     pub keepers: Vec<KeeperName>,
-    /// Those of them that vote.
-    pub voters: Vec<KeeperName>,
+    /// Who votes.
+    pub voters: VoterPolicy,
     /// Time between two messages of a leader to each other replica.
     pub heartbeat: Duration,
     /// Shortest time without a leader before an election; the longest is twice as long.
@@ -27,6 +27,33 @@
     pub part_bytes: usize,
 }
 
+/// How a group comes to its voters.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum VoterPolicy {
+    /// By name, from the settings. The group is formed once all known keepers are present.
+    Listed(Vec<KeeperName>),
+    /// By presence: keepers that are found and have caught up vote, up to a number of them.
+    Found {
+        /// Keepers that form a new group once all of them are present; empty where a group exists
+        /// already, so that a lost disk can never lead to a second one.
+        founders: Vec<KeeperName>,
+        /// The number of voters that the leader brings the group to.
+        count: usize,
+        /// Time without a message after which a voter gives way to a keeper that is present.
+        retire_after: Duration,
+    },
+}
+
+impl VoterPolicy {
+    /// Returns the keepers that vote in a new group.
+    pub fn founders(&self) -> &[KeeperName] {
+        match self {
+            VoterPolicy::Listed(names) => names,
+            VoterPolicy::Found { founders, .. } => founders,
+        }
+    }
+}
+
 /// What a replica finds on its disk when it starts.
 #[derive(Clone, Debug, Default)]
 pub struct RecoveredState {
@@ -47,6 +74,8 @@
     Tick,
     /// Commands to be replicated, each with a token that comes back with its fate.
     Propose(Vec<(u64, Arc<[u8]>)>),
+    /// Further keepers that were found; those known before stay known.
+    Keepers(Vec<KeeperName>),
     /// All outputs so far are durable.
     Persisted,
     /// The process is about to stop: hand the lead over, if there is one.
--- a/crates/decide/src/replica/lead.rs
+++ b/crates/decide/src/replica/lead.rs
@@ -46,23 +46,29 @@
 
 impl LeaderState {
     pub(super) fn new(first_index: u64, others: Vec<KeeperName>, now: MonoTime) -> LeaderState {
-        let progress = |name| {
-            let progress = FollowerProgress {
-                incarnation: None,
-                lost: BTreeSet::new(),
-                next: first_index,
-                matched: 0,
-                heard_at: now,
-                outgoing: None,
-            };
-            (name, progress)
-        };
-        LeaderState {
+        let mut leader = LeaderState {
             first_index,
-            followers: others.into_iter().map(progress).collect(),
+            followers: BTreeMap::new(),
             tokens: BTreeMap::new(),
             heartbeat_at: now,
+        };
+        for name in others {
+            leader.add_follower(name, first_index, now);
         }
+        leader
+    }
+
+    /// Takes in a keeper of which nothing is known yet; its log is tried from entry `next` on.
+    pub(super) fn add_follower(&mut self, name: KeeperName, next: u64, now: MonoTime) {
+        let progress = FollowerProgress {
+            incarnation: None,
+            lost: BTreeSet::new(),
+            next,
+            matched: 0,
+            heard_at: now,
+            outgoing: None,
+        };
+        self.followers.insert(name, progress);
     }
 
     /// Returns whether `commit` covers all that earlier leaders may have acknowledged.
--- a/crates/decide/src/replica/node.rs
+++ b/crates/decide/src/replica/node.rs
@@ -89,6 +89,7 @@
             out: Vec::new(),
         };
         node.restart_election_timer();
+        node.add_voters();
         node
     }
 
@@ -100,6 +101,7 @@
             ReplicaInput::Message(envelope) => self.receive(envelope),
             ReplicaInput::Tick => self.tick(),
             ReplicaInput::Propose(commands) => self.propose(commands),
+            ReplicaInput::Keepers(names) => self.add_keepers(names),
             ReplicaInput::Persisted => self.note_persisted(),
             ReplicaInput::Resign => self.resign(),
             ReplicaInput::Compact { index, data } => self.compact(index, data),
@@ -213,6 +215,26 @@
         }
     }
 
+    /// Makes the voters of the latest configuration known.
+    pub(super) fn add_voters(&mut self) {
+        let voters = self.config().voters.iter();
+        let names = voters.map(|voter| voter.name.clone()).collect();
+        self.add_keepers(names);
+    }
+
+    fn add_keepers(&mut self, names: Vec<KeeperName>) {
+        let (next, now) = (self.log.last_index() + 1, self.now);
+        for name in names {
+            if self.settings.keepers.contains(&name) {
+                continue;
+            }
+            if let ReplicaRole::Leader(leader) = &mut self.role {
+                leader.add_follower(name.clone(), next, now);
+            }
+            self.settings.keepers.push(name);
+        }
+    }
+
     fn note_persisted(&mut self) {
         self.persisted = self.log.last_index();
         self.advance_commit();
--- a/crates/decide/src/replica/repair.rs
+++ b/crates/decide/src/replica/repair.rs
@@ -1,14 +1,18 @@
-//! Replacement of voters that lost their disk, by the leader.
+//! Changes of the voters by the leader, one at a time: voters that lost their disk are replaced, and
+//! where keepers are found, those that are present take the places that are free.
 
 use super::{
+    interface::VoterPolicy,
     lead::LeaderState,
     message::{EntryPayload, GroupConfig, LogEntry, MemberKey},
     node::{ReplicaNode, ReplicaRole},
 };
 use crate::name::KeeperName;
+use std::time::Duration;
 
 impl ReplicaNode {
-    /// Replaces one voter that came back without its disk: out first, in when that is committed.
+    /// Makes the next change of the voters, once the one before is committed. A voter is replaced by
+    /// taking it out first and the other in when that is committed.
     pub(super) fn repair_voters(&mut self) {
         let ReplicaRole::Leader(leader) = &self.role else {
             return;
@@ -17,11 +21,17 @@
         if self.commit < config_index.max(leader.first_index) {
             return;
         }
-        let names = self.settings.voters.iter();
-        let Some(config) = names
-            .filter_map(|name| self.repair(leader, config, name))
-            .next()
-        else {
+        let next = match &self.settings.voters {
+            VoterPolicy::Listed(names) => names
+                .iter()
+                .find_map(|name| self.repair(leader, config, name)),
+            VoterPolicy::Found {
+                count,
+                retire_after,
+                ..
+            } => self.fill(leader, config, *count, *retire_after),
+        };
+        let Some(config) = next else {
             return;
         };
         let entry = LogEntry {
@@ -39,14 +49,8 @@
         config: &GroupConfig,
         name: &KeeperName,
     ) -> Option<GroupConfig> {
-        let progress = leader.followers.get(name)?;
-        let key = MemberKey {
-            name: name.clone(),
-            incarnation: progress.incarnation?,
-        };
-        let fresh = self.now.since(progress.heard_at) < self.settings.election;
-        let caught_up = progress.matched >= self.commit;
-        if config.contains(&key) || !fresh || !caught_up {
+        let key = self.present(leader, name)?;
+        if config.contains(&key) {
             return None;
         }
         if config.voter(name).is_some() {
@@ -54,4 +58,46 @@
         }
         Some(config.with(key))
     }
+
+    /// Returns the next configuration on the way to `count` voters that are present.
+    fn fill(
+        &self,
+        leader: &LeaderState,
+        config: &GroupConfig,
+        count: usize,
+        retire_after: Duration,
+    ) -> Option<GroupConfig> {
+        let returned = config.voters.iter().find_map(|voter| {
+            let key = self.present(leader, &voter.name)?;
+            (key != *voter).then(|| config.without(&voter.name))
+        });
+        if returned.is_some() {
+            return returned;
+        }
+        let spares = leader.followers.keys();
+        let spare = spares
+            .filter(|name| config.voter(name).is_none())
+            .find_map(|name| self.present(leader, name))?;
+        if config.voters.len() < count {
+            return Some(config.with(spare));
+        }
+        let is_gone = |voter: &&MemberKey| {
+            let progress = leader.followers.get(&voter.name);
+            progress.is_some_and(|p| self.now.since(p.heard_at) >= retire_after)
+        };
+        let gone = config.voters.iter().find(is_gone)?;
+        Some(config.without(&gone.name))
+    }
+
+    /// Returns the present incarnation of `name`, if it was heard just now and has caught up.
+    fn present(&self, leader: &LeaderState, name: &KeeperName) -> Option<MemberKey> {
+        let progress = leader.followers.get(name)?;
+        let key = MemberKey {
+            name: name.clone(),
+            incarnation: progress.incarnation?,
+        };
+        let is_fresh = self.now.since(progress.heard_at) < self.settings.election;
+        let has_caught_up = progress.matched >= self.commit;
+        (is_fresh && has_caught_up).then_some(key)
+    }
 }
--- /dev/null
+++ b/crates/decide/src/service_config/check.rs
@@ -0,0 +1,107 @@
+//! What makes a configuration invalid.
+
+use super::{RouteRule, ServiceConfig};
+use std::fmt;
+
+/// Why a configuration is refused.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ConfigFault {
+    /// A route names a service that the configuration doesn't list.
+    UnknownService {
+        /// The route.
+        route: String,
+        /// The service.
+        service: String,
+    },
+    /// A route's weights add up to 0.
+    NoWeight {
+        /// The route.
+        route: String,
+    },
+    /// A route's timeout is 0.
+    NoTimeout {
+        /// The route.
+        route: String,
+    },
+    /// A route allows no backend server.
+    NoServers {
+        /// The route.
+        route: String,
+    },
+    /// A route's prefix doesn't begin and end with a slash.
+    BadPrefix {
+        /// The route.
+        route: String,
+        /// The prefix.
+        prefix: String,
+    },
+}
+
+impl fmt::Display for ConfigFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConfigFault::UnknownService { route, service } => {
+                write!(f, "route \"{route}\": service \"{service}\" is not listed")
+            }
+            ConfigFault::NoWeight { route } => {
+                write!(f, "route \"{route}\": the weights add up to 0")
+            }
+            ConfigFault::NoTimeout { route } => write!(f, "route \"{route}\": the timeout is 0"),
+            ConfigFault::NoServers { route } => {
+                write!(f, "route \"{route}\": no backend server may be tried")
+            }
+            ConfigFault::BadPrefix { route, prefix } => write!(
+                f,
+                "route \"{route}\": prefix \"{prefix}\" doesn't begin and end with a slash"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for ConfigFault {}
+
+impl ServiceConfig {
+    /// Checks what can be checked without knowing the current version.
+    ///
+    /// # Errors
+    ///
+    /// The first fault.
+    pub fn check(&self) -> Result<(), ConfigFault> {
+        let routes = self.hosts.iter().flat_map(|host| &host.routes);
+        for route in routes {
+            self.check_route(route)?;
+        }
+        Ok(())
+    }
+
+    fn check_route(&self, route: &RouteRule) -> Result<(), ConfigFault> {
+        let name = || route.name.clone();
+        let prefix = &route.path_prefix;
+        if !prefix.starts_with('/') || !prefix.ends_with('/') {
+            return Err(ConfigFault::BadPrefix {
+                route: name(),
+                prefix: prefix.clone(),
+            });
+        }
+        if route.timeout.is_zero() {
+            return Err(ConfigFault::NoTimeout { route: name() });
+        }
+        if route.servers_max == 0 {
+            return Err(ConfigFault::NoServers { route: name() });
+        }
+        let is_listed = |part: &super::ServicePart| {
+            let mut services = self.services.iter();
+            services.any(|service| service.name == part.service)
+        };
+        if let Some(part) = route.parts.iter().find(|part| !is_listed(part)) {
+            return Err(ConfigFault::UnknownService {
+                route: name(),
+                service: part.service.to_string(),
+            });
+        }
+        if route.parts.iter().all(|part| part.weight == 0) {
+            return Err(ConfigFault::NoWeight { route: name() });
+        }
+        Ok(())
+    }
+}
--- a/crates/decide/tests/replica.rs
+++ b/crates/decide/tests/replica.rs
@@ -8,7 +8,7 @@
     replica::{
         AppendResult, EntryPayload, GroupConfig, LogEntry, MemberKey, RecoveredState,
         ReplicaEnvelope, ReplicaInput, ReplicaMessage, ReplicaNode, ReplicaOutput, ReplicaSettings,
-        ReplicaSnapshot, SnapshotMeta,
+        ReplicaSnapshot, SnapshotMeta, VoterPolicy,
     },
     time::MonoTime,
 };
@@ -115,7 +115,7 @@
             groups: 1,
             key: key(0),
             keepers: names.clone(),
-            voters: names,
+            voters: VoterPolicy::Listed(names),
             heartbeat: Duration::from_millis(50),
             election: Duration::from_millis(300),
             part_bytes: 100,
--- a/crates/decide/tests/replica_bed/mod.rs
+++ b/crates/decide/tests/replica_bed/mod.rs
@@ -5,7 +5,7 @@
     name::{CustomerName, Incarnation, KeeperName},
     replica::{
         EntryPayload, GroupConfig, LogEntry, MemberKey, PersistBatch, RecoveredState,
-        ReplicaEnvelope, ReplicaInput, ReplicaNode, ReplicaOutput, ReplicaSettings,
+        ReplicaEnvelope, ReplicaInput, ReplicaNode, ReplicaOutput, ReplicaSettings, VoterPolicy,
     },
     state::ReplicatedState,
     time::MonoTime,
@@ -257,7 +257,7 @@
                 groups: 1,
                 key,
                 keepers: names.clone(),
-                voters: names[..self.settings.voters].to_vec(),
+                voters: VoterPolicy::Listed(names[..self.settings.voters].to_vec()),
                 heartbeat: Duration::from_millis(50),
                 election: Duration::from_millis(300),
                 part_bytes: 100,
--- /dev/null
+++ b/crates/fleet/src/keeper_map.rs
@@ -0,0 +1,108 @@
+//! The keepers that are known, and the links to them.
+
+use agatehill_decide::name::{KeeperName, RegionName, ZoneName};
+use agatehill_peer::fleet::{FleetLink, KeeperRecord};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+/// One known keeper.
+#[derive(Clone, Debug)]
+pub struct KnownKeeper {
+    /// The IP address of its host, which names it.
+    pub name: KeeperName,
+    /// Where it is, once it or another keeper has said so.
+    pub record: Option<KeeperRecord>,
+    /// The link to it.
+    pub link: Arc<FleetLink>,
+}
+
+/// The keepers that are known; none is ever forgotten, as a cut may hide it for long.
+#[derive(Debug)]
+pub struct KeeperMap {
+    port: u16,
+    keepers: Mutex<BTreeMap<KeeperName, KnownKeeper>>,
+}
+
+impl KeeperMap {
+    /// Returns a map of the keepers on `hosts`, all of which take messages at `port`.
+    pub fn open(hosts: &[IpAddr], port: u16) -> KeeperMap {
+        let map = KeeperMap {
+            port,
+            keepers: Mutex::default(),
+        };
+        for host in hosts {
+            map.add(&keeper_name(*host));
+        }
+        map
+    }
+
+    /// Makes `name` known; returns whether it is new.
+    pub fn add(&self, name: &KeeperName) -> bool {
+        let mut keepers = self.lock();
+        if keepers.contains_key(name) {
+            return false;
+        }
+        let Ok(host) = name.as_str().parse::<IpAddr>() else {
+            spdlog::warn!("keeper name is no IP address", kv: { keeper = name.as_str() });
+            return false;
+        };
+        let keeper = KnownKeeper {
+            name: name.clone(),
+            record: None,
+            link: Arc::new(FleetLink::open(SocketAddr::new(host, self.port))),
+        };
+        keepers.insert(name.clone(), keeper);
+        true
+    }
+
+    /// Takes in where keepers are.
+    pub fn learn(&self, records: &[KeeperRecord]) {
+        for record in records {
+            self.add(&record.name);
+            if let Some(keeper) = self.lock().get_mut(&record.name) {
+                keeper.record = Some(record.clone());
+            }
+        }
+    }
+
+    /// Returns the keeper of that name.
+    pub fn get(&self, name: &KeeperName) -> Option<KnownKeeper> {
+        self.lock().get(name).cloned()
+    }
+
+    /// Returns all known keepers.
+    pub fn list(&self) -> Vec<KnownKeeper> {
+        self.lock().values().cloned().collect()
+    }
+
+    /// Returns all known keepers, the nearest to `zone` in `region` first.
+    pub fn nearest(&self, region: &RegionName, zone: &ZoneName) -> Vec<KnownKeeper> {
+        let mut list = self.list();
+        let distance = |keeper: &KnownKeeper| match &keeper.record {
+            Some(record) if record.zone == *zone => 0,
+            Some(record) if record.region == *region => 1,
+            _ => 2,
+        };
+        list.sort_by_key(distance);
+        list
+    }
+
+    /// Returns where the keepers are, as far as that is known.
+    pub fn records(&self) -> Vec<KeeperRecord> {
+        let keepers = self.lock();
+        keepers.values().filter_map(|k| k.record.clone()).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<KeeperName, KnownKeeper>> {
+        self.keepers.lock().expect("no holder of the lock panics")
+    }
+}
+
+/// Returns the name of the keeper on `host`.
+pub fn keeper_name(host: IpAddr) -> KeeperName {
+    let text = host.to_string();
+    KeeperName::try_from(text.as_str()).expect("IPv4 addresses are names")
+}
--- /dev/null
+++ b/crates/fleet/src/sync.rs
@@ -0,0 +1,265 @@
+//! The daemon's side: keeps its copy of the configuration and of the directory up to date, and the
+//! keepers up to date about itself.
+
+use crate::keeper_map::{KeeperMap, KnownKeeper, keeper_name};
+use agatehill_decide::{
+    config_book::ConfigText,
+    host_directory::{HostDirectory, HostRecord, ServerRecord},
+    name::{Incarnation, RegionName, ZoneName},
+};
+use agatehill_peer::fleet::{SyncAsk, SyncPage};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, SystemTime},
+};
+use tokio::sync::watch;
+
+/// Time for which a keeper holds a question back until there is something new.
+const WAIT: Duration = Duration::from_millis(1_000);
+/// Time limit of a question beyond that.
+const GRACE: Duration = Duration::from_millis(600);
+/// Pause after a question that brought no certain answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Questions after which the nearest keeper is tried again.
+const HOME_QUESTIONS: u32 = 10;
+/// Keepers that are told of a change of the own record.
+const TOLD_KEEPERS: usize = 2;
+
+/// What a daemon is told when it starts.
+#[derive(Clone, Debug)]
+pub struct SyncOptions {
+    /// Hosts of some keepers.
+    pub seeds: Vec<IpAddr>,
+    /// Where every keeper takes messages.
+    pub port: u16,
+    /// Where this daemon takes requests from other daemons.
+    pub gate: SocketAddr,
+    /// Region of its host.
+    pub region: RegionName,
+    /// Availability zone of its host.
+    pub zone: ZoneName,
+}
+
+/// The daemon's copy of what the keepers know; clones share it.
+#[derive(Clone)]
+pub struct FleetSync {
+    shared: Arc<SyncShared>,
+}
+
+struct SyncShared {
+    options: SyncOptions,
+    keepers: KeeperMap,
+    record: Mutex<HostRecord>,
+    directory: Mutex<HostDirectory>,
+    config: watch::Sender<Option<ConfigText>>,
+    hosts: watch::Sender<u64>,
+    /// Whether a keeper in touch with the leader has answered since the start.
+    confirmed: watch::Sender<bool>,
+}
+
+/// How far the daemon has got with one keeper.
+#[derive(Clone, Copy, Debug, Default)]
+struct SyncPosition {
+    keeper_run: u64,
+    hosts_at: u64,
+}
+
+impl FleetSync {
+    /// Starts to ask the keepers.
+    pub fn spawn(options: SyncOptions) -> FleetSync {
+        let record = HostRecord {
+            gate: options.gate,
+            run: run_number(),
+            sequence: 0,
+            region: options.region.clone(),
+            zone: options.zone.clone(),
+            server: None,
+        };
+        let sync = FleetSync {
+            shared: Arc::new(SyncShared {
+                keepers: KeeperMap::open(&options.seeds, options.port),
+                options,
+                record: Mutex::new(record),
+                directory: Mutex::default(),
+                config: watch::channel(None).0,
+                hosts: watch::channel(0).0,
+                confirmed: watch::channel(false).0,
+            }),
+        };
+        tokio::spawn(sync.clone().follow());
+        sync
+    }
+
+    /// Watches the newest configuration.
+    pub fn config(&self) -> watch::Receiver<Option<ConfigText>> {
+        self.shared.config.subscribe()
+    }
+
+    /// Watches the number of changes of the directory.
+    pub fn hosts(&self) -> watch::Receiver<u64> {
+        self.shared.hosts.subscribe()
+    }
+
+    /// Watches whether a keeper in touch with the leader has answered since the start.
+    pub fn confirmed(&self) -> watch::Receiver<bool> {
+        self.shared.confirmed.subscribe()
+    }
+
+    /// Returns the records of all hosts, the own one as it is now.
+    pub fn records(&self) -> Vec<HostRecord> {
+        let mine = self.record().clone();
+        let directory = self.directory();
+        let others = directory.iter().filter(|r| r.gate != mine.gate);
+        others.cloned().chain([mine.clone()]).collect()
+    }
+
+    /// Makes further keepers known.
+    pub fn add_keepers(&self, hosts: &[IpAddr]) {
+        for host in hosts {
+            self.shared.keepers.add(&keeper_name(*host));
+        }
+    }
+
+    /// Sets the backend server that takes work here and tells the keepers of a change.
+    pub fn set_server(&self, server: Option<ServerRecord>) {
+        let mut record = self.record();
+        if record.server == server {
+            return;
+        }
+        record.server = server;
+        record.sequence += 1;
+        drop(record);
+        self.shared.hosts.send_modify(|changes| *changes += 1);
+        self.tell();
+    }
+
+    /// Tells a few keepers of the own record, without waiting for their answers.
+    fn tell(&self) {
+        let options = &self.shared.options;
+        let nearest = self.shared.keepers.nearest(&options.region, &options.zone);
+        for keeper in nearest.into_iter().take(TOLD_KEEPERS) {
+            let sync = self.clone();
+            tokio::spawn(async move { sync.ask(&keeper, SyncPosition::default(), None).await });
+        }
+    }
+
+    /// Asks one keeper after the other, for ever.
+    async fn follow(self) {
+        let mut idx = 0;
+        let mut questions = 0;
+        let mut position = SyncPosition::default();
+        loop {
+            let options = &self.shared.options;
+            let nearest = self.shared.keepers.nearest(&options.region, &options.zone);
+            if nearest.is_empty() {
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+            questions += 1;
+            if questions >= HOME_QUESTIONS {
+                questions = 0;
+                idx = 0;
+            }
+            let keeper = &nearest[idx % nearest.len()];
+            let page = self.ask(keeper, position, Some(WAIT)).await;
+            let is_current = page.as_ref().is_some_and(|page| page.is_current);
+            if let Some(page) = page {
+                position = SyncPosition {
+                    keeper_run: page.keeper_run,
+                    hosts_at: page.hosts_at,
+                };
+            }
+            if is_current {
+                self.shared.confirmed.send_replace(true);
+            } else {
+                idx += 1;
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+
+    /// Asks `keeper` and takes its answer in; with `wait` it may hold the answer back so long.
+    async fn ask(
+        &self,
+        keeper: &KnownKeeper,
+        position: SyncPosition,
+        wait: Option<Duration>,
+    ) -> Option<SyncPage> {
+        let held = self
+            .shared
+            .config
+            .borrow()
+            .as_ref()
+            .map_or(0, |c| c.version);
+        let wait_span = wait.unwrap_or_default();
+        let ask = SyncAsk {
+            record: Some(self.record().clone()),
+            config_after: held,
+            keeper_run: position.keeper_run,
+            hosts_after: position.hosts_at,
+            wait_ms: u32::try_from(wait_span.as_millis()).unwrap_or(u32::MAX),
+        };
+        let asked = keeper
+            .link
+            .call(wait_span + GRACE, |client, ctx| async move {
+                client.sync(ctx, ask).await
+            });
+        let page = asked.await.ok()?;
+        self.take(&page);
+        Some(page)
+    }
+
+    fn take(&self, page: &SyncPage) {
+        self.shared.keepers.learn(&page.keepers);
+        if let Some(text) = &page.config {
+            self.take_config(text);
+        }
+        let mut directory = self.directory();
+        let merged = page.hosts.iter().filter(|r| directory.merge((*r).clone()));
+        if merged.count() > 0 {
+            self.shared.hosts.send_modify(|changes| *changes += 1);
+        }
+        let mine = directory.get(self.shared.options.gate).cloned();
+        drop(directory);
+        if let Some(mine) = mine {
+            self.outlive(&mine);
+        }
+    }
+
+    /// Takes in a configuration unless a newer one is held.
+    fn take_config(&self, text: &ConfigText) {
+        self.shared.config.send_if_modified(|held| {
+            let is_newer = held.as_ref().is_none_or(|h| h.version < text.version);
+            if is_newer {
+                *held = Some(text.clone());
+            }
+            is_newer
+        });
+    }
+
+    /// Moves the own run past a record of an earlier one, which a clock that was set back may have
+    /// made larger.
+    fn outlive(&self, known: &HostRecord) {
+        let mut record = self.record();
+        if known.run > record.run {
+            record.run = Incarnation(known.run.0 + 1);
+        }
+    }
+
+    fn record(&self) -> MutexGuard<'_, HostRecord> {
+        let record = self.shared.record.lock();
+        record.expect("no holder of the record panics")
+    }
+
+    fn directory(&self) -> MutexGuard<'_, HostDirectory> {
+        let directory = self.shared.directory.lock();
+        directory.expect("no holder of the directory panics")
+    }
+}
+
+/// Returns a number for this run, larger than that of earlier ones unless the clock was set back.
+fn run_number() -> Incarnation {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    Incarnation(since.map_or(0, |since| since.as_micros() as u64))
+}
--- a/crates/peer/src/body.rs
+++ b/crates/peer/src/body.rs
@@ -32,6 +32,15 @@
         CallBody::Whole(Full::new(bytes))
     }
 
+    /// Returns a body that passes through.
+    pub fn stream<B>(body: B) -> CallBody
+    where
+        B: Body<Data = Bytes> + Send + 'static,
+        B::Error: std::error::Error + Send + Sync + 'static,
+    {
+        CallBody::Stream(body.map_err(io::Error::other).boxed_unsync())
+    }
+
     /// Returns a second copy, unless the body is a stream.
     pub fn try_clone(&self) -> Option<CallBody> {
         match self {
@@ -55,9 +64,7 @@
             .exact()
             .is_some_and(|n| n <= WHOLE_BODY_BYTES_MAX);
         if !is_small {
-            return Ok(CallBody::Stream(
-                body.map_err(io::Error::other).boxed_unsync(),
-            ));
+            return Ok(CallBody::stream(body));
         }
         let bytes = body.collect().await.map_err(io::Error::other)?.to_bytes();
         Ok(CallBody::whole(bytes))
--- /dev/null
+++ b/crates/peer/src/handler.rs
@@ -0,0 +1,27 @@
+//! Runs an async function as a gotham handler.
+
+use crate::body::CallBody;
+use gotham::{handler::HandlerFuture, helpers::http::Body, prelude::*, state::State};
+use http::{HeaderMap, Method, Request, Response, Uri};
+use std::{future::Future, pin::Pin};
+
+/// Answers the request in `state` with what `run` makes of it.
+pub fn respond<F, R>(mut state: State, run: F) -> Pin<Box<HandlerFuture>>
+where
+    F: FnOnce(Request<Body>) -> R + Send + 'static,
+    R: Future<Output = Response<CallBody>> + Send + 'static,
+{
+    Box::pin(async move {
+        let req = take_request(&mut state);
+        let response = run(req).await;
+        Ok((state, response.map(CallBody::into_gotham)))
+    })
+}
+
+fn take_request(state: &mut State) -> Request<Body> {
+    let mut req = Request::new(Body::take_from(state));
+    *req.method_mut() = Method::take_from(state);
+    *req.uri_mut() = Uri::take_from(state);
+    *req.headers_mut() = HeaderMap::take_from(state);
+    req
+}
--- a/crates/peer/src/keeper_client.rs
+++ b/crates/peer/src/keeper_client.rs
@@ -1,8 +1,8 @@
 //! Clients of the keepers: a link to one of them, and a client of all.
 
 use crate::{
-    codec::{PostcardCodec, message_frames},
     keeper::{FeedPage, KeeperControlClient, KeeperError},
+    link::{LinkClient, LinkError, PeerLink, transport},
 };
 use agatehill_decide::{
     claim::{ClaimCommand, ClaimReply},
@@ -22,11 +22,8 @@
     client::{Config, RpcError},
     context::Context,
 };
-use tokio::{net::TcpStream, sync::Mutex, time};
-use tokio_util::codec::Framed;
+use tokio::{net::TcpStream, time};
 
-/// Time limit of a connection attempt.
-const CONNECT_SPAN: Duration = Duration::from_secs(1);
 /// Time limit of one attempt of a command.
 const COMMAND_SPAN: Duration = Duration::from_secs(2);
 /// Time limit of a put over all attempts.
@@ -42,76 +39,6 @@
 /// Pause before another attempt while no keeper leads or can be reached.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Why a link got no answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum LinkError {
-    /// The keeper can't be connected to; nothing was sent.
-    Unreachable,
-    /// The connection broke or stayed silent; the request may have arrived.
-    Silent,
-}
-
-/// A connection to one keeper, replaced when it breaks or stays silent.
-#[derive(Debug)]
-pub struct KeeperLink {
-    addr: SocketAddr,
-    slot: Mutex<LinkSlot>,
-}
-
-#[derive(Debug, Default)]
-struct LinkSlot {
-    client: Option<KeeperControlClient>,
-    /// Counts connections, so that a late failure spares a newer one.
-    generation: u64,
-}
-
-impl KeeperLink {
-    /// Returns a link to the keeper at `addr`; the first request connects.
-    pub fn open(addr: SocketAddr) -> KeeperLink {
-        KeeperLink {
-            addr,
-            slot: Mutex::default(),
-        }
-    }
-
-    /// Returns the keeper's address.
-    pub fn addr(&self) -> SocketAddr {
-        self.addr
-    }
-
-    /// Runs `request` with a time limit; without an answer the connection is given up.
-    ///
-    /// # Errors
-    ///
-    /// The keeper can't be reached or stayed silent.
-    pub async fn call<T, F, Fut>(&self, span: Duration, request: F) -> Result<T, LinkError>
-    where
-        F: FnOnce(KeeperControlClient, Context) -> Fut,
-        Fut: Future<Output = Result<T, RpcError>>,
-    {
-        let (client, generation) = self.connect().await.ok_or(LinkError::Unreachable)?;
-        let mut ctx = tarpc::context::current();
-        ctx.deadline = Instant::now() + span;
-        if let Ok(Ok(answer)) = time::timeout(span, request(client, ctx)).await {
-            return Ok(answer);
-        }
-        let mut slot = self.slot.lock().await;
-        if slot.generation == generation {
-            slot.client = None;
-        }
-        Err(LinkError::Silent)
-    }
-
-    async fn connect(&self) -> Option<(KeeperControlClient, u64)> {
-        let mut slot = self.slot.lock().await;
-        if slot.client.is_none() {
-            slot.client = Some(dial(self.addr).await?);
-            slot.generation += 1;
-        }
-        Some((slot.client.clone()?, slot.generation))
-    }
-}
-
 /// A handle on all keepers; clones share its connections.
 #[derive(Clone, Debug)]
 pub struct KeeperClient {
@@ -282,13 +209,11 @@
     asked.await.ok()?.ok()
 }
 
-/// Opens a connection to the keeper at `addr`; `None` if it can't be reached in time.
-async fn dial(addr: SocketAddr) -> Option<KeeperControlClient> {
-    let connected = time::timeout(CONNECT_SPAN, TcpStream::connect(addr)).await;
-    let stream = connected.ok()?.ok()?;
-    // Without this, small requests wait for the peer's delayed acknowledgement.
-    let _ = stream.set_nodelay(true);
-    let frames = Framed::new(stream, message_frames());
-    let transport = tarpc::serde_transport::new(frames, PostcardCodec);
-    Some(KeeperControlClient::new(Config::default(), transport).spawn())
+impl LinkClient for KeeperControlClient {
+    fn spawn(stream: TcpStream) -> KeeperControlClient {
+        KeeperControlClient::new(Config::default(), transport(stream)).spawn()
+    }
 }
+
+/// A connection to one keeper.
+pub type KeeperLink = PeerLink<KeeperControlClient>;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,13 +1,15 @@
-//! What the system's own processes say to each other.
 //! What daemons and keepers say to each other.
 
 pub mod body;
 pub mod codec;
 pub mod control;
+pub mod fleet;
 pub mod forward;
 pub mod forward_client;
 pub mod gossip;
+pub mod handler;
 pub mod headers;
 pub mod keeper;
 pub mod keeper_client;
+pub mod link;
 pub mod strike;
--- /dev/null
+++ b/crates/relay/src/answer.rs
@@ -0,0 +1,84 @@
+//! The answers that the relay makes itself.
+
+use agatehill_peer::body::CallBody;
+use http::{
+    HeaderValue, Response, StatusCode,
+    header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER},
+};
+use std::time::Duration;
+
+/// Why a request gets no answer of a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RelayRefusal {
+    /// No configuration is known yet; not run.
+    NoConfig,
+    /// No route matches.
+    NoRoute,
+    /// The body is larger than callers may send; not run.
+    TooLarge,
+    /// The caller broke the request off.
+    BadRequest,
+    /// Nothing can run it now; not run.
+    Busy {
+        /// When there should be room.
+        retry_after: Duration,
+    },
+    /// It was sent and no whole answer came: it may have run.
+    Lost,
+    /// No answer in time: it may have run.
+    Late,
+}
+
+impl RelayRefusal {
+    /// Returns the status.
+    pub fn status(self) -> StatusCode {
+        match self {
+            RelayRefusal::NoConfig | RelayRefusal::Busy { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            RelayRefusal::NoRoute => StatusCode::NOT_FOUND,
+            RelayRefusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            RelayRefusal::BadRequest => StatusCode::BAD_REQUEST,
+            RelayRefusal::Lost => StatusCode::BAD_GATEWAY,
+            RelayRefusal::Late => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Returns the reason as a word, for logs and metrics.
+    pub fn reason(self) -> &'static str {
+        match self {
+            RelayRefusal::NoConfig => "no-config",
+            RelayRefusal::NoRoute => "no-route",
+            RelayRefusal::TooLarge => "too-large",
+            RelayRefusal::BadRequest => "bad-request",
+            RelayRefusal::Busy { .. } => "busy",
+            RelayRefusal::Lost => "lost",
+            RelayRefusal::Late => "late",
+        }
+    }
+
+    /// Returns the answer.
+    pub fn response(self) -> Response<CallBody> {
+        let body = CallBody::whole(self.reason().into());
+        let mut response = Response::new(body);
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        let retry_after = match self {
+            RelayRefusal::NoConfig => Some(NO_CONFIG_RETRY),
+            RelayRefusal::Busy { retry_after } => Some(retry_after),
+            _ => None,
+        };
+        if let Some(span) = retry_after {
+            let text = format!("{:.3}", span.as_secs_f64());
+            let value = HeaderValue::try_from(text).expect("numbers are header text");
+            headers.insert(RETRY_AFTER, value);
+        }
+        if self == RelayRefusal::TooLarge {
+            // The rest of the body is not read.
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+/// Time to come back while no configuration is known.
+const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
--- /dev/null
+++ b/crates/relay/src/hop.rs
@@ -0,0 +1,96 @@
+//! What an entry tells a gate about a request, and what the gate tells of its end.
+
+use agatehill_decide::name::ServiceName;
+use http::{HeaderMap, HeaderName, HeaderValue};
+use std::time::Duration;
+
+/// Carries a [`HopHead`].
+const HOP: HeaderName = HeaderName::from_static("agatehill-hop");
+/// Carries a [`HopEnd`].
+const HOP_END: HeaderName = HeaderName::from_static("agatehill-hop-end");
+
+/// What an entry tells a gate about a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HopHead {
+    /// The service that is to run it.
+    pub service: ServiceName,
+    /// The service on whose host the request began.
+    pub caller: ServiceName,
+    /// Rank; 0 is the most important.
+    pub rank: u32,
+    /// Time that is left for it.
+    pub left: Duration,
+    /// Longest useful wait for a slot.
+    pub wait_max: Duration,
+}
+
+/// How a request ended at a gate.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HopEnd {
+    /// The answer is the server's.
+    Answered,
+    /// It has not run and never will; it has not reached the server.
+    Refused,
+    /// It has not run and never will, as the server says.
+    Shed,
+    /// It may have run, and there is no whole answer.
+    Lost,
+}
+
+impl HopHead {
+    /// Writes the head into `headers`.
+    pub fn write(&self, headers: &mut HeaderMap) {
+        let text = format!(
+            "{} {} {} {} {}",
+            self.service,
+            self.caller,
+            self.rank,
+            self.left.as_millis(),
+            self.wait_max.as_millis()
+        );
+        let value = HeaderValue::try_from(text).expect("names and numbers are header text");
+        headers.insert(HOP, value);
+    }
+
+    /// Takes the head out of `headers`; `None` if there is none that can be read.
+    pub fn take(headers: &mut HeaderMap) -> Option<HopHead> {
+        let value = headers.remove(HOP)?;
+        let mut words = value.to_str().ok()?.split(' ');
+        Some(HopHead {
+            service: ServiceName::try_from(words.next()?).ok()?,
+            caller: ServiceName::try_from(words.next()?).ok()?,
+            rank: words.next()?.parse().ok()?,
+            left: Duration::from_millis(words.next()?.parse().ok()?),
+            wait_max: Duration::from_millis(words.next()?.parse().ok()?),
+        })
+    }
+}
+
+impl HopEnd {
+    /// Returns the end as a word, for the header and for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            HopEnd::Answered => "answered",
+            HopEnd::Refused => "refused",
+            HopEnd::Shed => "shed",
+            HopEnd::Lost => "lost",
+        }
+    }
+
+    /// Writes the end into `headers`.
+    pub fn write(self, headers: &mut HeaderMap) {
+        headers.insert(HOP_END, HeaderValue::from_static(self.as_str()));
+    }
+
+    /// Takes the end out of `headers`; `None` if there is none that can be read.
+    pub fn take(headers: &mut HeaderMap) -> Option<HopEnd> {
+        let value = headers.remove(HOP_END)?;
+        let ends = [
+            HopEnd::Answered,
+            HopEnd::Refused,
+            HopEnd::Shed,
+            HopEnd::Lost,
+        ];
+        ends.into_iter().find(|end| value == end.as_str())
+    }
+}
--- /dev/null
+++ b/crates/relay/src/hosts.rs
@@ -0,0 +1,64 @@
+//! The gates that an entry may send requests to, by service.
+
+use agatehill_decide::{
+    host_directory::HostRecord,
+    name::{RegionName, ServiceName, ZoneName},
+    placement::{GateChoice, GateDistance},
+};
+use arc_swap::ArcSwap;
+use std::{collections::HashMap, sync::Arc};
+
+/// The gates of all services, read without locks; clones share it.
+#[derive(Clone, Debug)]
+pub struct GateView {
+    region: RegionName,
+    zone: ZoneName,
+    gates: Arc<ArcSwap<HashMap<ServiceName, Arc<Vec<GateChoice>>>>>,
+}
+
+impl GateView {
+    /// Opens an empty view from `zone` in `region`.
+    pub fn open(region: RegionName, zone: ZoneName) -> GateView {
+        GateView {
+            region,
+            zone,
+            gates: Arc::default(),
+        }
+    }
+
+    /// Returns the gates of `service`.
+    pub fn get(&self, service: &ServiceName) -> Arc<Vec<GateChoice>> {
+        self.gates.load().get(service).cloned().unwrap_or_default()
+    }
+
+    /// Replaces all gates by those of `records`.
+    pub fn set(&self, records: &[HostRecord]) {
+        let mut gates: HashMap<ServiceName, Vec<GateChoice>> = HashMap::new();
+        for record in records {
+            let Some(server) = &record.server else {
+                continue;
+            };
+            let choice = GateChoice {
+                gate: record.gate,
+                distance: self.distance(record),
+                slots: server.slots,
+            };
+            gates
+                .entry(server.service.clone())
+                .or_default()
+                .push(choice);
+        }
+        let gates = gates.into_iter().map(|(name, list)| (name, Arc::new(list)));
+        self.gates.store(Arc::new(gates.collect()));
+    }
+
+    fn distance(&self, record: &HostRecord) -> GateDistance {
+        if record.zone == self.zone {
+            GateDistance::Zone
+        } else if record.region == self.region {
+            GateDistance::Region
+        } else {
+            GateDistance::Remote
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,11 @@
+//! The path of a request that is routed by host and path: from its caller through the entry of any
+//! daemon to the gate beside the chosen backend server, and back.
+
+pub mod answer;
+pub mod entry;
+pub mod gate;
+pub mod headers;
+pub mod hop;
+pub mod hosts;
+pub mod local;
+pub mod pool;
--- a/bin/keeper/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -110,6 +110,9 @@
                 GroupEvent::Message(envelope) => {
                     outputs.extend(self.step(ReplicaInput::Message(envelope)));
                 }
+                GroupEvent::Keepers(names) => {
+                    outputs.extend(self.step(ReplicaInput::Keepers(names)));
+                }
                 GroupEvent::Resign => outputs.extend(self.step(ReplicaInput::Resign)),
                 GroupEvent::Propose { command, reply } => {
                     let token = self.new_token();
--- a/bin/keeper/src/group.rs
+++ b/crates/replica/src/group.rs
@@ -3,6 +3,7 @@
 use crate::{driver::GroupDriver, outbox::PeerOutbox};
 use agatehill_decide::{
     claim::{ClaimCommand, ClaimTable},
+    config_book::ConfigBook,
     contract_book::ContractBook,
     name::KeeperName,
     replica::{ReplicaEnvelope, ReplicaNode, ReplicaSettings, ReplicaStatus},
@@ -28,7 +29,7 @@
 const PROPOSE_SPAN: Duration = Duration::from_millis(1_200);
 
 /// A state that a group of this keeper can replicate.
-pub(crate) trait GroupState: Default + ReplicatedState + Send + Sync + 'static {
+pub trait GroupState: Default + ReplicatedState + Send + Sync + 'static {
     /// Returns the command that ages the state by time the leader has measured, if there is one.
     fn tick(elapsed: Duration) -> Option<Self::Command>;
 }
@@ -39,6 +40,12 @@
     }
 }
 
+impl GroupState for ConfigBook {
+    fn tick(_: Duration) -> Option<Self::Command> {
+        None
+    }
+}
+
 impl GroupState for ClaimTable {
     fn tick(elapsed: Duration) -> Option<ClaimCommand> {
         let elapsed_seconds = u32::try_from(elapsed.as_secs()).unwrap_or(u32::MAX);
@@ -48,7 +55,7 @@
 
 /// Why a command has no reply.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) enum ProposeError {
+pub enum ProposeError {
     /// Another keeper leads; nothing was proposed.
     NotLeader(Option<KeeperName>),
     /// The command may or may not be run.
@@ -66,6 +73,8 @@
         /// Where its fate goes.
         reply: oneshot::Sender<Result<R, ProposeError>>,
     },
+    /// Further keepers were found.
+    Keepers(Vec<KeeperName>),
     /// The process is about to stop.
     Resign,
 }
@@ -89,7 +98,7 @@
 }
 
 /// A handle on a group; clones share it.
-pub(crate) struct GroupHandle<S: ReplicatedState> {
+pub struct GroupHandle<S: ReplicatedState> {
     shared: Arc<GroupShared<S>>,
     events: SyncSender<GroupEvent<S::Reply>>,
 }
@@ -110,7 +119,7 @@
     /// Opens the group whose files are in `folder` and starts its thread.
     ///
     /// The incarnation in `settings` is that of a new folder.
-    pub(crate) fn open(
+    pub fn open(
         mut settings: ReplicaSettings,
         folder: &Path,
         clock: MonoClock,
@@ -143,7 +152,7 @@
     }
 
     /// Proposes `command` and waits for its reply.
-    pub(crate) async fn propose(&self, command: &S::Command) -> Result<S::Reply, ProposeError> {
+    pub async fn propose(&self, command: &S::Command) -> Result<S::Reply, ProposeError> {
         let command = postcard::to_stdvec(command).expect("commands are serialisable");
         let (reply, replied) = oneshot::channel();
         let event = GroupEvent::Propose {
@@ -159,29 +168,35 @@
         }
     }
 
+    /// Makes further keepers known to the replica.
+    pub fn add_keepers(&self, names: Vec<KeeperName>) {
+        // When the thread can't keep up, the keepers are told of again with the next look.
+        let _ = self.events.try_send(GroupEvent::Keepers(names));
+    }
+
     /// Hands the lead over, if this keeper leads.
-    pub(crate) fn resign(&self) {
+    pub fn resign(&self) {
         let _ = self.events.try_send(GroupEvent::Resign);
     }
 
     /// Takes a message of another replica; it is dropped if too many wait.
-    pub(crate) fn deliver(&self, envelope: ReplicaEnvelope) {
+    pub fn deliver(&self, envelope: ReplicaEnvelope) {
         let _ = self.events.try_send(GroupEvent::Message(envelope));
     }
 
     /// Reads the state as far as it is applied here.
-    pub(crate) fn read<T>(&self, get: impl FnOnce(&S) -> T) -> T {
+    pub fn read<T>(&self, get: impl FnOnce(&S) -> T) -> T {
         let state = self.shared.state.read();
         get(&state.expect("no holder of the lock panics"))
     }
 
     /// Watches the applied log position.
-    pub(crate) fn applied(&self) -> watch::Receiver<u64> {
+    pub fn applied(&self) -> watch::Receiver<u64> {
         self.shared.applied.subscribe()
     }
 
     /// Returns what the replica is at the moment.
-    pub(crate) fn status(&self) -> ReplicaStatus {
+    pub fn status(&self) -> ReplicaStatus {
         let status = self.shared.status.lock();
         status.expect("no holder of the lock panics").clone()
     }
--- a/bin/keeper/src/outbox.rs
+++ b/crates/replica/src/outbox.rs
@@ -4,9 +4,13 @@
     name::KeeperName,
     replica::{ReplicaEnvelope, ReplicaMessage},
 };
-use agatehill_peer::keeper_client::KeeperLink;
 use metrics::counter;
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    future::Future,
+    sync::{Arc, RwLock},
+    time::Duration,
+};
 use tokio::sync::{Semaphore, mpsc};
 
 /// Messages that wait for a connection before further ones are dropped.
@@ -21,29 +25,45 @@
 /// Least throughput that a connection is granted, in bytes a millisecond.
 const BYTES_PER_MS: usize = 2_000;
 
-/// Queues of messages to the other keepers.
+/// A way to one other keeper.
+pub trait ReplicaLink: Send + Sync + 'static {
+    /// Delivers messages within `span`; they may get lost, the replicas send them again.
+    fn deliver(
+        &self,
+        envelopes: Vec<ReplicaEnvelope>,
+        span: Duration,
+    ) -> impl Future<Output = ()> + Send;
+}
+
+/// Queues of messages to the other keepers; clones share them.
 #[derive(Clone)]
-pub(crate) struct PeerOutbox {
+pub struct PeerOutbox {
     group: u16,
-    queues: Arc<HashMap<KeeperName, mpsc::Sender<ReplicaEnvelope>>>,
+    queues: Arc<RwLock<HashMap<KeeperName, mpsc::Sender<ReplicaEnvelope>>>>,
 }
 
 impl PeerOutbox {
-    /// Opens queues over `links`.
-    pub(crate) fn spawn(links: &HashMap<KeeperName, Arc<KeeperLink>>) -> PeerOutbox {
-        let queue = |(name, link): (&KeeperName, &Arc<KeeperLink>)| {
-            let (queue, waiting) = mpsc::channel(QUEUE_MAX);
-            tokio::spawn(pump(link.clone(), waiting));
-            (name.clone(), queue)
-        };
+    /// Opens an outbox without keepers.
+    pub fn open() -> PeerOutbox {
         PeerOutbox {
             group: 0,
-            queues: Arc::new(links.iter().map(queue).collect()),
+            queues: Arc::default(),
+        }
+    }
+
+    /// Opens the queue of the keeper `name`, unless there is one already.
+    pub fn add<L: ReplicaLink>(&self, name: &KeeperName, link: Arc<L>) {
+        let mut queues = self.queues.write().expect("no holder of the lock panics");
+        if queues.contains_key(name) {
+            return;
         }
+        let (queue, waiting) = mpsc::channel(QUEUE_MAX);
+        tokio::spawn(pump(link, waiting));
+        queues.insert(name.clone(), queue);
     }
 
     /// Returns the same queues for the messages of `group`.
-    pub(crate) fn of_group(&self, group: u16) -> PeerOutbox {
+    pub fn of_group(&self, group: u16) -> PeerOutbox {
         PeerOutbox {
             group,
             queues: self.queues.clone(),
@@ -51,22 +71,22 @@
     }
 
     /// Returns the group that it is for.
-    pub(crate) fn group(&self) -> u16 {
+    pub fn group(&self) -> u16 {
         self.group
     }
 
-    /// Sends a message; it is dropped if too many wait.
-    pub(crate) fn send(&self, envelope: ReplicaEnvelope) {
-        let Some(queue) = self.queues.get(&envelope.to) else {
-            return;
-        };
-        if queue.try_send(envelope).is_err() {
+    /// Sends a message; it is dropped if too many wait or the keeper has no queue.
+    pub fn send(&self, envelope: ReplicaEnvelope) {
+        let queues = self.queues.read().expect("no holder of the lock panics");
+        let queue = queues.get(&envelope.to);
+        let is_sent = queue.is_some_and(|queue| queue.try_send(envelope).is_ok());
+        if !is_sent {
             counter!("agatehill_replica_messages_dropped").increment(1);
         }
     }
 }
 
-async fn pump(link: Arc<KeeperLink>, mut waiting: mpsc::Receiver<ReplicaEnvelope>) {
+async fn pump<L: ReplicaLink>(link: Arc<L>, mut waiting: mpsc::Receiver<ReplicaEnvelope>) {
     let permits = Arc::new(Semaphore::new(IN_FLIGHT_MAX));
     loop {
         let mut batch = Vec::new();
@@ -81,12 +101,7 @@
             let extra = u64::try_from(bytes / BYTES_PER_MS).unwrap_or(u64::MAX);
             let span = DELIVER_SPAN + Duration::from_millis(extra);
             counter!("agatehill_replica_messages_sent").increment(batch.len() as u64);
-            // What is lost here the replicas send again.
-            let _ = link
-                .call(span, |client, ctx| async move {
-                    client.deliver(ctx, batch).await
-                })
-                .await;
+            link.deliver(batch, span).await;
         });
     }
 }
