--- a/crates/decide/src/repeat_budget.rs
+++ b/crates/decide/src/repeat_budget.rs
@@ -2,17 +2,16 @@
 //!
 //! Every daemon keeps its own share, as a part of the requests that it sends itself, so that the
 //! sum over all daemons stays within the bound without a message. A repeat near the root repeats
-//! all calls below it, so that the part is a fraction of the bound.
+//! all calls below it: at the end of a chain the parts of all its services add up.
 
 use crate::name::ServiceName;
 use std::collections::HashMap;
 
-/// Repeats that are earned with each first request.
-const EARNED: f64 = 0.05;
+/// Repeats that are earned with each first request; four services deep, the sum stays below the
+/// fifth that is allowed.
+const EARNED: f64 = 0.04;
 /// Most repeats that are saved up.
-const SAVED_MAX: f64 = 2.0;
-/// Repeats that a daemon may send before it has earned any.
-const SAVED_FIRST: f64 = 1.0;
+const SAVED_MAX: f64 = 1.0;
 
 /// Repeats that a daemon may still send, by service.
 #[derive(Debug, Default)]
@@ -39,7 +38,7 @@
 
     fn saved(&mut self, service: &ServiceName) -> &mut f64 {
         if !self.saved.contains_key(service) {
-            self.saved.insert(service.clone(), SAVED_FIRST);
+            self.saved.insert(service.clone(), 0.0);
         }
         self.saved.get_mut(service).expect("inserted above")
     }
--- /dev/null
+++ b/crates/decide/tests/host_directory.rs
@@ -0,0 +1,59 @@
+//! The directory of hosts: the newest record wins, whatever the order of their arrival.
+
+use agatehill_decide::{
+    host_directory::{HostDirectory, HostRecord},
+    name::{Incarnation, RegionName, ZoneName},
+};
+use rstest::rstest;
+
+fn record(host: u8, run: u64, sequence: u64) -> HostRecord {
+    HostRecord {
+        gate: ([10, 0, 0, host], 80).into(),
+        run: Incarnation(run),
+        sequence,
+        region: RegionName::try_from("vest").unwrap(),
+        zone: ZoneName::try_from("herning-1").unwrap(),
+        server: None,
+    }
+}
+
+#[rstest]
+#[case::newer(record(1, 5, 2), true)]
+#[case::same(record(1, 5, 1), false)]
+#[case::older(record(1, 5, 0), false)]
+#[case::newer_run(record(1, 6, 0), true)]
+#[case::earlier_run(record(1, 4, 9), false)]
+#[case::other_host(record(2, 1, 0), true)]
+fn merges(#[case] next: HostRecord, #[case] is_taken: bool) {
+    let mut directory = HostDirectory::default();
+    directory.merge(record(1, 5, 1));
+    assert_eq!(directory.merge(next), is_taken);
+}
+
+#[test]
+fn changes_are_told_from_any_point_on() {
+    let mut directory = HostDirectory::default();
+    directory.merge(record(1, 1, 0));
+    let before = directory.changes();
+    directory.merge(record(2, 1, 0));
+    directory.merge(record(1, 1, 1));
+    assert_eq!(directory.changed_after(0).len(), 2);
+    assert_eq!(directory.changed_after(before).len(), 2);
+    assert!(directory.changed_after(directory.changes()).is_empty());
+}
+
+#[test]
+fn digests_agree_whatever_the_order() {
+    let records = [record(1, 1, 0), record(2, 1, 3), record(1, 1, 4)];
+    let mut first = HostDirectory::default();
+    let mut second = HostDirectory::default();
+    for record in &records {
+        first.merge(record.clone());
+    }
+    for record in records.iter().rev() {
+        second.merge(record.clone());
+    }
+    assert_eq!(first.digest(), second.digest());
+    second.merge(record(3, 1, 0));
+    assert_ne!(first.digest(), second.digest());
+}
--- a/crates/decide/tests/replica.rs
+++ b/crates/decide/tests/replica.rs
@@ -53,20 +53,36 @@
         loss in 0u32..200,
         faults in 1u32..40,
     ) {
-        check_schedule(BedSettings { seed, voters, learners, loss, faults });
+        let is_found = false;
+        check_schedule(BedSettings { seed, voters, learners, is_found, loss, faults });
+    }
+
+    #[test]
+    fn accepted_contracts_survive_any_schedule_among_found_keepers(
+        seed in any::<u64>(),
+        voters in prop::sample::select(vec![3usize, 5]),
+        learners in 0usize..3,
+        loss in 0u32..200,
+        faults in 1u32..40,
+    ) {
+        let is_found = true;
+        check_schedule(BedSettings { seed, voters, learners, is_found, loss, faults });
     }
 }
 
 /// A second disk is lost in the moment in which the voters have replaced the first.
 #[rstest]
-#[case::three_voters(3)]
-#[case::five_voters(5)]
-fn second_disk_lost_right_after_the_repair(#[case] voters: usize) {
+#[case::three_voters(3, false)]
+#[case::five_voters(5, false)]
+#[case::three_found_voters(3, true)]
+#[case::five_found_voters(5, true)]
+fn second_disk_lost_right_after_the_repair(#[case] voters: usize, #[case] is_found: bool) {
     for seed in 0..20 {
         let mut bed = ReplicaBed::open(BedSettings {
             seed,
             voters,
             learners: 1,
+            is_found,
             loss: 0,
             faults: 0,
         });
@@ -81,6 +97,30 @@
     }
 }
 
+/// Two of five found voters lose their disks at once, over and over: what was accepted stays.
+#[test]
+fn two_disks_lost_at_once_among_five_found_voters() {
+    for seed in 0..20 {
+        let mut bed = ReplicaBed::open(BedSettings {
+            seed,
+            voters: 5,
+            learners: 1,
+            is_found: true,
+            loss: 0,
+            faults: 0,
+        });
+        bed.run(Duration::from_secs(3), false);
+        for round in 0..6 {
+            bed.lose_disk(round % 6);
+            bed.lose_disk((round + 1) % 6);
+            bed.run_until_whole(REPAIR_SPAN);
+            assert!(bed.is_whole(), "the voters were not replaced");
+        }
+        bed.quiet(Duration::from_secs(5));
+        bed.check_converged();
+    }
+}
+
 /// The disk and the node of one of three voters, driven by hand.
 struct LoneVoter {
     disk: RecoveredState,
--- a/crates/decide/tests/replica_bed/mod.rs
+++ b/crates/decide/tests/replica_bed/mod.rs
@@ -18,6 +18,10 @@
 
 const TICK: Duration = Duration::from_millis(10);
 const SNAPSHOT_ENTRIES: u64 = 20;
+/// Keepers that form the group where keepers are found.
+const FOUNDERS: usize = 3;
+/// Time without a message after which a voter that was found gives way to another keeper.
+const RETIRE_AFTER: Duration = Duration::from_secs(1);
 
 /// How rough a schedule is.
 #[derive(Clone, Copy, Debug)]
@@ -25,6 +29,8 @@
     pub(crate) seed: u64,
     pub(crate) voters: usize,
     pub(crate) learners: usize,
+    /// Whether keepers are found, from the first [`FOUNDERS`] on, instead of listed.
+    pub(crate) is_found: bool,
     /// Messages lost and sent twice, each per thousand.
     pub(crate) loss: u32,
     /// Chance of a fault at each tick, per thousand.
@@ -133,7 +139,11 @@
         }
         self.start_keepers();
         self.deliver();
+        let names: Vec<_> = self.keepers.iter().map(|k| k.name.clone()).collect();
         for idx in 0..self.keepers.len() {
+            if self.settings.is_found {
+                self.step(idx, ReplicaInput::Keepers(names.clone()));
+            }
             self.step(idx, ReplicaInput::Tick);
         }
     }
@@ -178,9 +188,15 @@
         }
     }
 
-    /// Returns whether the group's voters are the present incarnations of the settings' voters.
+    /// Returns whether the group's voters are the present incarnations of the settings' voters or,
+    /// where keepers are found, of any keepers.
     pub(crate) fn is_whole(&self) -> bool {
         let config = &self.committed_config.1;
+        if self.settings.is_found {
+            let keys: Vec<_> = (0..self.keepers.len()).map(|idx| self.key(idx)).collect();
+            let are_present = config.voters.iter().all(|voter| keys.contains(voter));
+            return config.voters.len() == self.settings.voters && are_present;
+        }
         let is_voter = |idx: usize| config.contains(&self.key(idx));
         config.voters.len() == self.settings.voters && (0..self.settings.voters).all(is_voter)
     }
@@ -252,12 +268,27 @@
             if keeper.node.is_some() || self.now < keeper.restart_at {
                 continue;
             }
+            let policy = match self.settings.is_found {
+                false => VoterPolicy::Listed(names[..self.settings.voters].to_vec()),
+                true => VoterPolicy::Found {
+                    founders: match keeper.incarnation {
+                        0 => names[..FOUNDERS].to_vec(),
+                        _ => Vec::new(),
+                    },
+                    count: self.settings.voters,
+                    retire_after: RETIRE_AFTER,
+                },
+            };
+            let known = match self.settings.is_found {
+                false => names.clone(),
+                true => vec![keeper.name.clone()],
+            };
             let settings = ReplicaSettings {
                 group: 0,
                 groups: 1,
                 key,
-                keepers: names.clone(),
-                voters: VoterPolicy::Listed(names[..self.settings.voters].to_vec()),
+                keepers: known,
+                voters: policy,
                 heartbeat: Duration::from_millis(50),
                 election: Duration::from_millis(300),
                 part_bytes: 100,
--- /dev/null
+++ b/crates/decide/tests/service_config.rs
@@ -0,0 +1,128 @@
+//! Checks of a service configuration, the lookup of routes and the spread over weighted services.
+
+use agatehill_decide::{
+    name::ServiceName,
+    service_config::{
+        CallerLimits, ConfigFault, HostRoutes, RouteKind, RouteRule, RouteTable, ServiceConfig,
+        ServicePart, ServiceSpec,
+    },
+    weighted_pick::WeightedPick,
+};
+use rstest::rstest;
+use std::time::Duration;
+
+fn name(text: &str) -> ServiceName {
+    ServiceName::try_from(text).unwrap()
+}
+
+fn part(service: &str, weight: u32) -> ServicePart {
+    ServicePart {
+        service: name(service),
+        weight,
+    }
+}
+
+fn rule(prefix: &str) -> RouteRule {
+    RouteRule {
+        name: format!("route of {prefix}"),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_secs(1),
+        priority: 0,
+        parts: vec![part("techreg", 1)],
+        servers_max: 2,
+    }
+}
+
+fn config(routes: Vec<RouteRule>) -> ServiceConfig {
+    let service = |text: &str| ServiceSpec {
+        name: name(text),
+        health_path: "/health".to_owned(),
+        connections_max: 100,
+    };
+    ServiceConfig {
+        version: 1,
+        services: vec![service("techreg"), service("gasdata")],
+        limits: CallerLimits {
+            head_bytes_max: 16_384,
+            body_bytes_max: 1 << 20,
+            head_limit: Duration::from_secs(3),
+            idle_limit: Duration::from_secs(15),
+        },
+        hosts: vec![HostRoutes {
+            host: "a.example".to_owned(),
+            routes,
+        }],
+    }
+}
+
+fn changed(change: impl FnOnce(&mut RouteRule)) -> RouteRule {
+    let mut rule = rule("/a/");
+    change(&mut rule);
+    rule
+}
+
+fn fault_name(fault: &ConfigFault) -> &'static str {
+    match fault {
+        ConfigFault::UnknownService { .. } => "service",
+        ConfigFault::NoWeight { .. } => "weight",
+        ConfigFault::NoTimeout { .. } => "timeout",
+        ConfigFault::NoServers { .. } => "servers",
+        ConfigFault::BadPrefix { .. } => "prefix",
+    }
+}
+
+#[rstest]
+#[case::whole(rule("/a/"), None)]
+#[case::unknown_service(changed(|r| r.parts = vec![part("other", 1)]), Some("service"))]
+#[case::one_of_two_unknown(
+    changed(|r| r.parts = vec![part("techreg", 1), part("other", 0)]), Some("service")
+)]
+#[case::no_weight(
+    changed(|r| r.parts = vec![part("techreg", 0), part("gasdata", 0)]), Some("weight")
+)]
+#[case::no_service(changed(|r| r.parts = vec![]), Some("weight"))]
+#[case::no_timeout(changed(|r| r.timeout = Duration::ZERO), Some("timeout"))]
+#[case::no_servers(changed(|r| r.servers_max = 0), Some("servers"))]
+#[case::open_prefix(changed(|r| r.path_prefix = "/a".to_owned()), Some("prefix"))]
+fn checks(#[case] rule: RouteRule, #[case] fault: Option<&str>) {
+    let checked = config(vec![rule]).check();
+    assert_eq!(checked.as_ref().err().map(fault_name), fault);
+}
+
+#[rstest]
+#[case::shortest("a.example", "/a/x", Some("/a/"))]
+#[case::longest("a.example", "/a/b/x", Some("/a/b/"))]
+#[case::the_prefix_itself("a.example", "/a/b/", Some("/a/b/"))]
+#[case::half_a_segment("a.example", "/a/bc", Some("/a/"))]
+#[case::with_port("a.example:80", "/a/x", Some("/a/"))]
+#[case::other_case("A.Example", "/a/x", Some("/a/"))]
+#[case::other_host("b.example", "/a/x", None)]
+#[case::other_path("a.example", "/b/x", None)]
+fn lookup(#[case] host: &str, #[case] path: &str, #[case] prefix: Option<&str>) {
+    let table = RouteTable::from(config(vec![rule("/a/"), rule("/a/b/")]));
+    let found = table.find(host, path).map(|rule| rule.path_prefix.as_str());
+    assert_eq!(found, prefix);
+}
+
+#[rstest]
+#[case::halves(&[1, 1])]
+#[case::ninety_ten(&[90, 10])]
+#[case::with_a_closed_part(&[7, 0, 3])]
+fn shares_follow_the_weights(#[case] weights: &[u32]) {
+    let parts: Vec<_> = weights
+        .iter()
+        .map(|weight| part("techreg", *weight))
+        .collect();
+    let mut pick = WeightedPick::default();
+    let mut counts = vec![0u32; parts.len()];
+    for _ in 0..300 {
+        counts[pick.next(&parts)] += 1;
+    }
+    let total: u32 = weights.iter().sum();
+    for (count, weight) in counts.iter().zip(weights) {
+        let wanted = 300.0 * f64::from(*weight) / f64::from(total);
+        assert!((f64::from(*count) - wanted).abs() <= 1.0, "{counts:?}");
+    }
+}
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -216,6 +216,14 @@
         })
     }
 
+    /// Makes further keepers known.
+    pub fn add_keepers(&self, hosts: &[IpAddr]) {
+        for host in hosts {
+            self.shared.keepers.add(&keeper_name(*host));
+        }
+        self.link_keepers();
+    }
+
     /// Hands the lead over, before the process stops.
     pub async fn resign(&self) {
         self.shared.group.resign();
