Log and count every decision on a request; serve metrics and state of the platform's processes

Decision lines: one at the entry and one at the gate for each request, with the inputs that decided it, bounded a second by decide::line_budget, with a count of those left out. Lines to the standard output are written by a thread of their own and dropped rather than waited for. /metrics and /dump are served on the port that deploy/system.toml names.

A try whose time runs out before anything was sent is now refused as not run (503), not as unknown (504); a request body that does not come in time is answered with 408; one over the limit with 413, also when it comes in chunks.

--- a/crates/config/src/log.rs
+++ b/crates/config/src/log.rs
@@ -1,11 +1,12 @@
 //! Logs: structured lines, written only for changes of state.
 
 use crate::{SettingsCheck, SettingsFault};
+use metrics::counter;
 use serde::{Deserialize, Serialize};
 use spdlog::{
     Level, LevelFilter, Logger,
     formatter::{Formatter, FullFormatter, JsonFormatter},
-    sink::{FileSink, Sink, StdStreamSink},
+    sink::{AsyncPoolSink, FileSink, OverflowPolicy, Sink, StdStreamSink},
     terminal_style::StyleMode,
 };
 use std::{fmt, path::PathBuf, sync::Arc};
@@ -13,7 +14,8 @@
 /// Target that stands for the standard error stream.
 pub const STDERR_TARGET: &str = "stderr";
 
-/// Target that stands for the standard output stream.
+/// Target that stands for the standard output stream, written to by a thread of its own: when the
+/// stream takes nothing for long, lines are dropped rather than anybody waits.
 pub const STDOUT_TARGET: &str = "stdout";
 
 /// Where log lines go and which.
@@ -128,6 +130,11 @@
     }
     if settings.target.as_os_str() == STDOUT_TARGET {
         let sink = stream.stdout().formatter(formatter).build_arc()?;
+        let sink = AsyncPoolSink::builder()
+            .sink(sink)
+            .overflow_policy(OverflowPolicy::DropIncoming)
+            .error_handler(|_| counter!("agatehill_log_lines_dropped").increment(1))
+            .build_arc()?;
         return Ok(sink);
     }
     let sink = FileSink::builder()
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod inquiry;
 pub mod level;
 pub mod limit;
+pub mod line_budget;
 pub mod member;
 pub mod name;
 pub mod outcome;
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -16,6 +16,8 @@
     NoRoute,
     /// The body is larger than callers may send; not run.
     TooLarge,
+    /// The body does not come in time; not run.
+    SlowBody,
     /// The caller broke the request off.
     BadRequest,
     /// Nothing can run it now; not run.
@@ -36,6 +38,7 @@
             RelayRefusal::NoConfig | RelayRefusal::Busy { .. } => StatusCode::SERVICE_UNAVAILABLE,
             RelayRefusal::NoRoute => StatusCode::NOT_FOUND,
             RelayRefusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            RelayRefusal::SlowBody => StatusCode::REQUEST_TIMEOUT,
             RelayRefusal::BadRequest => StatusCode::BAD_REQUEST,
             RelayRefusal::Lost => StatusCode::BAD_GATEWAY,
             RelayRefusal::Late => StatusCode::GATEWAY_TIMEOUT,
@@ -48,6 +51,7 @@
             RelayRefusal::NoConfig => "no-config",
             RelayRefusal::NoRoute => "no-route",
             RelayRefusal::TooLarge => "too-large",
+            RelayRefusal::SlowBody => "slow-body",
             RelayRefusal::BadRequest => "bad-request",
             RelayRefusal::Busy { .. } => "busy",
             RelayRefusal::Lost => "lost",
@@ -72,7 +76,7 @@
             let value = HeaderValue::try_from(text).expect("numbers are header text");
             headers.insert(RETRY_AFTER, value);
         }
-        if self == RelayRefusal::TooLarge {
+        if matches!(self, RelayRefusal::SlowBody | RelayRefusal::TooLarge) {
             // The rest of the body is not read.
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -1,10 +1,11 @@
 //! The gate: the only way to the backend server on this host.
 
 use crate::{
-    headers::{HeaderNames, millis_value, strip_connection},
+    decision_log::{DecisionLog, GateDecision, request_id},
+    headers::{HeaderNames, millis_value},
     hop::{HopEnd, HopHead},
     local::{LocalServer, SlotGuard},
-    pool::{ConnectionPool, PoolOptions, PooledAnswer, SendFailure, drop_framing},
+    pool::{ConnectionPool, PoolOptions, PooledAnswer, SendFailure},
 };
 use agatehill_decide::{admission::AdmissionAsk, server_track::ServerBeat, time::MonoTime};
 use agatehill_peer::body::CallBody;
@@ -29,6 +30,8 @@
     pub end: HopEnd,
     /// The server's answer, if `end` is [`HopEnd::Answered`].
     pub answer: Option<Response<CallBody>>,
+    /// Why, for logs and metrics.
+    pub reason: &'static str,
     /// When there should be room, if it was refused.
     pub retry_after: Duration,
 }
@@ -39,12 +42,26 @@
     names: Arc<HeaderNames>,
     server: LocalServer,
     pool: ConnectionPool,
+    log: Arc<DecisionLog>,
     clock: MonoClock,
 }
 
+/// What is known of a request at its end, for the log.
+struct GateWait {
+    server: Option<String>,
+    /// Requests that ran and that waited when it came.
+    load: (u32, usize),
+    waited: Duration,
+}
+
 impl RequestGate {
     /// Opens the gate to `server`.
-    pub fn spawn(names: Arc<HeaderNames>, server: LocalServer, clock: MonoClock) -> RequestGate {
+    pub fn spawn(
+        names: Arc<HeaderNames>,
+        server: LocalServer,
+        log: Arc<DecisionLog>,
+        clock: MonoClock,
+    ) -> RequestGate {
         let pool = ConnectionPool::open(PoolOptions {
             connect_limit: CONNECT_LIMIT,
             idle_limit: IDLE_LIMIT,
@@ -53,6 +70,7 @@
             names,
             server,
             pool,
+            log,
             clock,
         };
         tokio::spawn(gate.clone().sweep());
@@ -67,25 +85,57 @@
     /// Runs `req` on the server. Dropping the future cancels the request.
     pub async fn run(&self, head: &HopHead, req: Request<CallBody>) -> GateResult {
         let began = self.clock.now();
+        let id = request_id(req.headers(), &self.names.request_id).to_owned();
+        let mut wait = GateWait {
+            server: None,
+            load: self.server.load(),
+            waited: Duration::ZERO,
+        };
+        let result = self.admit_and_send(head, req, began, &mut wait).await;
+        let now = self.clock.now();
+        let decision = GateDecision {
+            id: &id,
+            head,
+            end: result.end,
+            reason: result.reason,
+            server: wait.server.as_deref(),
+            load: wait.load,
+            waited: wait.waited,
+            took: now.since(began),
+        };
+        self.log.gate(&decision, now);
+        result
+    }
+
+    async fn admit_and_send(
+        &self,
+        head: &HopHead,
+        req: Request<CallBody>,
+        began: MonoTime,
+        wait: &mut GateWait,
+    ) -> GateResult {
         let Some(beat) = self.serving(head) else {
-            return GateResult::refused(COME_BACK);
+            return GateResult::refused("no-server", COME_BACK);
         };
+        wait.server = Some(beat.id.clone());
         let ask = AdmissionAsk {
             rank: head.rank,
             start_by: began + head.wait_max.min(head.left),
         };
-        let slot = match self.server.admit(ask).await {
+        let admitted = self.server.admit(ask).await;
+        wait.waited = self.clock.now().since(began);
+        let slot = match admitted {
             Ok(slot) => slot,
-            Err(refusal) => return GateResult::refused(refusal.retry_after),
+            Err(refusal) => return GateResult::refused("no-slot", refusal.retry_after),
         };
         // The server may have begun to leave, or another one may have come, during the wait.
         match self.serving(head) {
             Some(now) if now.id == beat.id && now.born == beat.born => {}
-            _ => return GateResult::refused(COME_BACK),
+            _ => return GateResult::refused("server-left", COME_BACK),
         }
-        let left = head.left.saturating_sub(self.clock.now().since(began));
+        let left = head.left.saturating_sub(wait.waited);
         if left.is_zero() {
-            return GateResult::refused(COME_BACK);
+            return GateResult::refused("no-time", COME_BACK);
         }
         self.send(head, &beat, req, slot, left).await
     }
@@ -111,19 +161,21 @@
             Ok(Ok(answer)) => answer,
             Ok(Err(SendFailure::NotSent)) => {
                 self.server.note_down(&beat.id);
-                return GateResult::refused(COME_BACK);
+                return GateResult::refused("server-down", COME_BACK);
             }
-            Ok(Err(SendFailure::Lost)) | Err(_) => return GateResult::lost(),
+            Ok(Err(SendFailure::Lost)) => return GateResult::lost("connection-lost"),
+            Err(_) => return GateResult::lost("no-answer-in-time"),
         };
         match self.classify(&answer.head, id.as_ref()) {
             HopEnd::Answered => {}
             // Whatever follows on the connection belongs to nobody.
-            HopEnd::Lost => return GateResult::lost(),
+            HopEnd::Lost => return GateResult::lost("answer-foreign"),
             HopEnd::Shed | HopEnd::Refused => {
                 // Read, so that the connection can be used again.
                 let _ = timeout(left, answer.read(())).await;
                 return GateResult {
                     end: HopEnd::Shed,
+                    reason: "server-shed",
                     answer: None,
                     retry_after: COME_BACK,
                 };
@@ -135,14 +187,11 @@
 
     async fn read(&self, answer: PooledAnswer, slot: SlotGuard, end: MonoTime) -> GateResult {
         let left = end.since(self.clock.now());
-        let Ok(Ok((mut head, body))) = timeout(left, answer.read(slot)).await else {
-            return GateResult::lost();
+        let Ok(Ok((head, body))) = timeout(left, answer.read(slot)).await else {
+            return GateResult::lost("answer-broken");
         };
-        strip_connection(&mut head.headers);
-        if matches!(body, CallBody::Whole(_)) {
-            drop_framing(&mut head.headers);
-        }
         GateResult {
+            reason: "answered",
             end: HopEnd::Answered,
             answer: Some(Response::from_parts(head, body)),
             retry_after: Duration::ZERO,
@@ -200,18 +249,20 @@
 
 impl GateResult {
     /// Returns the end of a request that has not reached the server.
-    pub fn refused(retry_after: Duration) -> GateResult {
+    pub fn refused(reason: &'static str, retry_after: Duration) -> GateResult {
         GateResult {
             end: HopEnd::Refused,
+            reason,
             answer: None,
             retry_after,
         }
     }
 
     /// Returns the end of a request that may have run.
-    pub fn lost() -> GateResult {
+    pub fn lost(reason: &'static str) -> GateResult {
         GateResult {
             end: HopEnd::Lost,
+            reason,
             answer: None,
             retry_after: Duration::ZERO,
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -2,6 +2,8 @@
 //! daemon to the gate beside the chosen backend server, and back.
 
 pub mod answer;
+pub mod body;
+pub mod decision_log;
 pub mod entry;
 pub mod gate;
 pub mod headers;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,9 +1,13 @@
 //! HTTP/1.1 connections that are used again: one request at a time on each, and none after
 //! anything about an answer was wrong.
 
+use crate::{
+    body::{BodyLimits, read_body},
+    headers::strip_connection,
+};
 use agatehill_peer::body::CallBody;
 use bytes::Bytes;
-use http::{HeaderMap, Request, response::Parts};
+use http::{Request, header::CONTENT_LENGTH, response::Parts};
 use http_body::{Body, Frame, SizeHint};
 use hyper::{
     body::Incoming,
@@ -13,7 +17,6 @@
 use socket2::{SockRef, TcpKeepalive};
 use std::{
     collections::HashMap,
-    io,
     net::SocketAddr,
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard},
@@ -190,7 +193,8 @@
 }
 
 impl PooledAnswer {
-    /// Reads the body: whole if it is small, else as a stream that keeps `guard` until its end.
+    /// Reads the body: whole if it is small, else as a stream that keeps `guard` until its end. The
+    /// head loses what concerns the connection alone.
     ///
     /// # Errors
     ///
@@ -199,28 +203,19 @@
     where
         G: Send + Unpin + 'static,
     {
-        let PooledAnswer { head, mut body } = self;
-        let mut start = Vec::new();
-        loop {
-            let frame = std::future::poll_fn(|cx| Pin::new(&mut body).poll_frame(cx)).await;
-            match frame {
-                None => return Ok((head, CallBody::whole(start.into()))),
-                Some(Err(_)) => return Err(SendFailure::Lost),
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        start.extend_from_slice(&data);
-                    }
-                }
-            }
-            if start.len() > WHOLE_ANSWER_MAX {
-                let stream = StartedBody {
-                    start: Some(start.into()),
-                    rest: body,
-                    _guard: guard,
-                };
-                return Ok((head, CallBody::stream(stream)));
-            }
+        let PooledAnswer { mut head, body } = self;
+        let limits = BodyLimits {
+            whole_max: WHOLE_ANSWER_MAX,
+            size_max: u64::MAX,
+        };
+        let read = read_body(body, limits, guard).await;
+        let body = read.map_err(|_| SendFailure::Lost)?;
+        strip_connection(&mut head.headers);
+        if matches!(body, CallBody::Whole(_)) {
+            // Its length is known again.
+            head.headers.remove(CONTENT_LENGTH);
         }
+        Ok((head, body))
     }
 }
 
@@ -273,34 +268,6 @@
     }
 }
 
-/// A body of which the start has been read.
-struct StartedBody<G> {
-    start: Option<Bytes>,
-    rest: PooledBody,
-    _guard: G,
-}
-
-impl<G: Unpin> Body for StartedBody<G> {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        if let Some(start) = self.start.take() {
-            return Poll::Ready(Some(Ok(Frame::data(start))));
-        }
-        let frame = ready!(Pin::new(&mut self.rest).poll_frame(cx));
-        Poll::Ready(frame.map(|frame| frame.map_err(io::Error::other)))
-    }
-}
-
-/// Returns whether the framing headers of `headers` still hold for a body that was read whole.
-pub fn drop_framing(headers: &mut HeaderMap) {
-    headers.remove(http::header::CONTENT_LENGTH);
-}
-
 /// Sets the socket's options; without one that the system refuses the connection still works.
 fn set_options(stream: &TcpStream) {
     // Without it, small requests wait for the peer's delayed acknowledgement.
