--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -55,6 +55,8 @@
 const RETRY_MIN: Duration = Duration::from_millis(100);
 /// Gates that one request is offered to at most; refusals cost a round trip each.
 const OFFERS_MAX: usize = 4;
+/// Time that is too short for another try.
+const TRY_MIN: Duration = Duration::from_millis(10);
 /// Time between two looks at unused connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -292,6 +294,9 @@
                 HopEnd::Answered | HopEnd::Lost => {
                     self.reached += 1;
                     self.may_have_run = true;
+                    if self.left() < TRY_MIN {
+                        return Err(RelayRefusal::Late);
+                    }
                     if !target.rule.kind.is_idempotent() || !self.may_repeat(target) {
                         return Err(RelayRefusal::Lost);
                     }
