Limit a route by lateness, find silent gates, and keep a majority of found voters

A gate that says nothing until a caller's time runs out was not noted at all, because the waiting future was dropped; it is now avoided and its pooled connections are closed.

The first election after a start waits a quarter of the usual time: the probe disturbs no leader.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod resend;
 pub mod retry;
 pub mod route;
+pub mod route_limit;
 pub mod server_track;
 pub mod service_config;
 pub mod silence;
--- a/crates/decide/src/replica/elect.rs
+++ b/crates/decide/src/replica/elect.rs
@@ -8,6 +8,9 @@
 };
 use std::{collections::BTreeSet, time::Duration};
 
+/// Part of the shortest election time that is waited after a start.
+const FIRST_ELECTION_PART: u32 = 4;
+
 /// Votes gathered so far.
 #[derive(Debug)]
 pub(super) struct ElectionState {
@@ -23,6 +26,15 @@
         self.election_at = self.now + span + extra;
     }
 
+    /// Sets the first election timer after a start. It is shorter: a leader that lives is heard
+    /// within a few heartbeats, and the probe disturbs none.
+    pub(super) fn start_election_timer(&mut self) {
+        let span = self.settings.election / FIRST_ELECTION_PART;
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX).max(1);
+        let extra = Duration::from_micros(self.random % micros);
+        self.election_at = self.now + self.settings.heartbeat + span + extra;
+    }
+
     pub(super) fn tick_election(&mut self) {
         if self.now < self.election_at {
             return;
--- a/crates/decide/src/replica/node.rs
+++ b/crates/decide/src/replica/node.rs
@@ -88,7 +88,7 @@
             random,
             out: Vec::new(),
         };
-        node.restart_election_timer();
+        node.start_election_timer();
         node.add_voters();
         node
     }
--- a/crates/decide/src/replica/repair.rs
+++ b/crates/decide/src/replica/repair.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 impl ReplicaNode {
-    /// Makes the next change of the voters, once the one before is committed. A voter is replaced by
-    /// taking it out first and the other in when that is committed.
+    /// Makes the next change of the voters, once the one before is committed. A voter that lost its
+    /// disk is taken out first, and in again when that is committed.
     pub(super) fn repair_voters(&mut self) {
         let ReplicaRole::Leader(leader) = &self.role else {
             return;
@@ -67,26 +67,36 @@
         count: usize,
         retire_after: Duration,
     ) -> Option<GroupConfig> {
-        let returned = config.voters.iter().find_map(|voter| {
-            let key = self.present(leader, &voter.name)?;
-            (key != *voter).then(|| config.without(&voter.name))
-        });
-        if returned.is_some() {
-            return returned;
-        }
         let spares = leader.followers.keys();
-        let spare = spares
-            .filter(|name| config.voter(name).is_none())
-            .find_map(|name| self.present(leader, name))?;
-        if config.voters.len() < count {
-            return Some(config.with(spare));
+        let mut spares = spares.filter(|name| config.voter(name).is_none());
+        let spare = spares.find_map(|name| self.present(leader, name));
+        // First of all as many as there should be: with fewer, fewer disks may be lost.
+        if let Some(spare) = &spare
+            && config.voters.len() < count
+        {
+            return Some(config.with(spare.clone()));
+        }
+        let returned = config.voters.iter().find(|voter| {
+            let present = self.present(leader, &voter.name);
+            present.is_some_and(|key| key != **voter)
+        });
+        if let Some(voter) = returned {
+            return Some(config.without(&voter.name));
         }
         let is_gone = |voter: &&MemberKey| {
             let progress = leader.followers.get(&voter.name);
             progress.is_some_and(|p| self.now.since(p.heard_at) >= retire_after)
         };
-        let gone = config.voters.iter().find(is_gone)?;
-        Some(config.without(&gone.name))
+        let gone = config.voters.iter().find(is_gone);
+        if config.voters.len() > count {
+            let others = config.voters.iter().rev();
+            let mut others = others.filter(|voter| **voter != self.settings.key);
+            return Some(config.without(&gone.or_else(|| others.next())?.name));
+        }
+        // A voter that is gone may hold what is needed when disks are lost: it leaves only after
+        // another has taken its place.
+        gone?;
+        Some(config.with(spare?))
     }
 
     /// Returns the present incarnation of `name`, if it was heard just now and has caught up.
--- a/crates/decide/tests/replica.rs
+++ b/crates/decide/tests/replica.rs
@@ -97,6 +97,20 @@
     }
 }
 
+/// Two disks are lost while a voter that was cut off gives way to another keeper. With the voter out
+/// before the other was in, no majority of the voters was left.
+#[test]
+fn a_voter_that_is_cut_off_leaves_only_after_another_has_come() {
+    check_schedule(BedSettings {
+        seed: 4_900_873_746_604_409_544,
+        voters: 5,
+        learners: 2,
+        is_found: true,
+        loss: 196,
+        faults: 7,
+    });
+}
+
 /// Two of five found voters lose their disks at once, over and over: what was accepted stays.
 #[test]
 fn two_disks_lost_at_once_among_five_found_voters() {
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -5,22 +5,26 @@
 use agatehill_decide::{
     config_book::ConfigText,
     host_directory::{HostDirectory, HostRecord, ServerRecord},
-    name::{Incarnation, RegionName, ZoneName},
+    name::{Incarnation, KeeperName, RegionName, ZoneName},
 };
 use agatehill_peer::fleet::{SyncAsk, SyncPage};
+use futures_util::future::join_all;
 use std::{
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, SystemTime},
 };
-use tokio::sync::watch;
+use tokio::{sync::watch, time::timeout};
 
-/// Time for which a keeper holds a question back until there is something new.
-const WAIT: Duration = Duration::from_millis(1_000);
-/// Time limit of a question beyond that.
-const GRACE: Duration = Duration::from_millis(600);
-/// Pause after a question that brought no certain answer.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Time for which a keeper holds a question back until there is something new. With the limits
+/// below, a keeper that falls silent costs 1.4 s at most before another has been asked.
+const WAIT: Duration = Duration::from_millis(700);
+/// Time limit of a question beyond that, connection included.
+const GRACE: Duration = Duration::from_millis(300);
+/// Time limit of the questions to all keepers at once.
+const ALL_SPAN: Duration = Duration::from_millis(400);
+/// Pause after questions that brought no certain answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Questions after which the nearest keeper is tried again.
 const HOME_QUESTIONS: u32 = 10;
 /// Keepers that are told of a change of the own record.
@@ -65,6 +69,15 @@
     hosts_at: u64,
 }
 
+impl From<&SyncPage> for SyncPosition {
+    fn from(page: &SyncPage) -> SyncPosition {
+        SyncPosition {
+            keeper_run: page.keeper_run,
+            hosts_at: page.hosts_at,
+        }
+    }
+}
+
 impl FleetSync {
     /// Starts to ask the keepers.
     pub fn spawn(options: SyncOptions) -> FleetSync {
@@ -136,55 +149,76 @@
 
     /// Tells a few keepers of the own record, without waiting for their answers.
     fn tell(&self) {
-        let options = &self.shared.options;
-        let nearest = self.shared.keepers.nearest(&options.region, &options.zone);
-        for keeper in nearest.into_iter().take(TOLD_KEEPERS) {
+        for keeper in self.nearest().into_iter().take(TOLD_KEEPERS) {
             let sync = self.clone();
-            tokio::spawn(async move { sync.ask(&keeper, SyncPosition::default(), None).await });
+            tokio::spawn(async move {
+                let start = SyncPosition::default();
+                sync.ask(&keeper, start, Duration::ZERO).await
+            });
         }
     }
 
-    /// Asks one keeper after the other, for ever.
+    /// Asks the nearest keeper that is in touch with the leader, for ever.
     async fn follow(self) {
-        let mut idx = 0;
+        let mut home: Option<KeeperName> = None;
         let mut questions = 0;
         let mut position = SyncPosition::default();
         loop {
-            let options = &self.shared.options;
-            let nearest = self.shared.keepers.nearest(&options.region, &options.zone);
-            if nearest.is_empty() {
-                tokio::time::sleep(RETRY_PAUSE).await;
-                continue;
-            }
             questions += 1;
-            if questions >= HOME_QUESTIONS {
-                questions = 0;
-                idx = 0;
-            }
-            let keeper = &nearest[idx % nearest.len()];
-            let page = self.ask(keeper, position, Some(WAIT)).await;
-            let is_current = page.as_ref().is_some_and(|page| page.is_current);
-            if let Some(page) = page {
-                position = SyncPosition {
-                    keeper_run: page.keeper_run,
-                    hosts_at: page.hosts_at,
-                };
+            if questions % HOME_QUESTIONS == 0 {
+                home = None;
             }
-            if is_current {
-                self.shared.confirmed.send_replace(true);
-            } else {
-                idx += 1;
+            let nearest = self.nearest();
+            let named = nearest.iter().find(|k| Some(&k.name) == home.as_ref());
+            let Some(keeper) = named.or(nearest.first()) else {
                 tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            };
+            match self.ask(keeper, position, WAIT).await {
+                Some(page) if page.is_current => {
+                    position = SyncPosition::from(&page);
+                    home = Some(keeper.name.clone());
+                    self.shared.confirmed.send_replace(true);
+                }
+                _ => {
+                    position = SyncPosition::default();
+                    home = self.ask_all(&nearest).await;
+                    if home.is_none() {
+                        tokio::time::sleep(RETRY_PAUSE).await;
+                    }
+                }
             }
         }
     }
 
-    /// Asks `keeper` and takes its answer in; with `wait` it may hold the answer back so long.
+    /// Asks all keepers at once; returns the first of `nearest` that is in touch with the leader.
+    async fn ask_all(&self, nearest: &[KnownKeeper]) -> Option<KeeperName> {
+        let ask = |keeper| async move {
+            let asked = self.ask(keeper, SyncPosition::default(), Duration::ZERO);
+            let page = timeout(ALL_SPAN, asked).await.ok()??;
+            page.is_current.then(|| keeper.name.clone())
+        };
+        let current = join_all(nearest.iter().map(ask)).await;
+        let home = current.into_iter().flatten().next();
+        if home.is_some() {
+            self.shared.confirmed.send_replace(true);
+        }
+        let name = home.as_ref().map_or("none", KeeperName::as_str);
+        spdlog::info!("home keeper changes", kv: { keeper = name, asked = nearest.len() as u64 });
+        home
+    }
+
+    fn nearest(&self) -> Vec<KnownKeeper> {
+        let options = &self.shared.options;
+        self.shared.keepers.nearest(&options.region, &options.zone)
+    }
+
+    /// Asks `keeper`, which may hold its answer back for `wait`, and takes the answer in.
     async fn ask(
         &self,
         keeper: &KnownKeeper,
         position: SyncPosition,
-        wait: Option<Duration>,
+        wait: Duration,
     ) -> Option<SyncPage> {
         let held = self
             .shared
@@ -192,20 +226,19 @@
             .borrow()
             .as_ref()
             .map_or(0, |c| c.version);
-        let wait_span = wait.unwrap_or_default();
         let ask = SyncAsk {
             record: Some(self.record().clone()),
             config_after: held,
             keeper_run: position.keeper_run,
             hosts_after: position.hosts_at,
-            wait_ms: u32::try_from(wait_span.as_millis()).unwrap_or(u32::MAX),
+            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
         };
-        let asked = keeper
-            .link
-            .call(wait_span + GRACE, |client, ctx| async move {
-                client.sync(ctx, ask).await
-            });
-        let page = asked.await.ok()?;
+        let limit = wait + GRACE;
+        let asked = keeper.link.call(
+            limit,
+            |client, ctx| async move { client.sync(ctx, ask).await },
+        );
+        let page = timeout(limit, asked).await.ok()?.ok()?;
         self.take(&page);
         Some(page)
     }
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -55,6 +55,13 @@
 const RETRY_MIN: Duration = Duration::from_millis(100);
 /// Gates that one request is offered to at most; refusals cost a round trip each.
 const OFFERS_MAX: usize = 4;
+/// Part of its route's timeout from which a request of the most important rank counts as late.
+const LATE_PART_FIRST: f64 = 0.85;
+/// The same for the other ranks, which so give way before.
+const LATE_PART: f64 = 0.6;
+/// Time under way to a gate after which the end of a request without a word from it counts as a
+/// failure of the gate.
+const SILENT_LIMIT: Duration = Duration::from_millis(400);
 /// Time that is too short for another try.
 const TRY_MIN: Duration = Duration::from_millis(10);
 /// Time between two looks at unused connections.
@@ -370,15 +377,17 @@
         let hop = HopHead {
             service: target.service.clone(),
             caller: self.entry.options.service.clone(),
+            route: target.route,
             rank: target.rule.priority,
             left,
+            late_after: late_after(&target.rule),
             wait_max: target.rule.target.mul_f64(0.5).min(left.mul_f64(0.7)),
         };
         let entry = self.entry;
         let options = &entry.options;
         let began = options.clock.now();
         self.tried.push(gate);
-        let pending = PendingGuard::begin(entry, gate);
+        let mut pending = PendingGuard::begin(entry, gate);
         let req = self.request(body);
         self.is_out = true;
         let result = if gate == options.gate_addr {
@@ -387,6 +396,7 @@
             entry.send(gate, &hop, req).await
         };
         self.is_out = false;
+        pending.is_settled = true;
         drop(pending);
         entry.note_result(target, gate, &result, began);
         result
@@ -466,18 +476,34 @@
 struct PendingGuard<'a> {
     entry: &'a RequestEntry,
     gate: SocketAddr,
+    began: MonoTime,
+    /// Whether the gate has said how it ended.
+    is_settled: bool,
 }
 
 impl<'a> PendingGuard<'a> {
     fn begin(entry: &'a RequestEntry, gate: SocketAddr) -> PendingGuard<'a> {
         entry.lock().placement.begin(gate);
-        PendingGuard { entry, gate }
+        PendingGuard {
+            entry,
+            gate,
+            began: entry.options.clock.now(),
+            is_settled: false,
+        }
     }
 }
 
 impl Drop for PendingGuard<'_> {
     fn drop(&mut self) {
-        self.entry.lock().placement.end(self.gate);
+        let now = self.entry.options.clock.now();
+        let is_silent = !self.is_settled && now.since(self.began) >= SILENT_LIMIT;
+        let mut state = self.entry.lock();
+        state.placement.end(self.gate);
+        if is_silent {
+            state.placement.fail(self.gate, now);
+            drop(state);
+            self.entry.pool.forget(self.gate);
+        }
     }
 }
 
@@ -495,6 +521,15 @@
     }
 }
 
+/// Returns the time after which a request of `rule` counts as late at its gate.
+fn late_after(rule: &RouteRule) -> Duration {
+    let part = match rule.priority {
+        0 => LATE_PART_FIRST,
+        _ => LATE_PART,
+    };
+    rule.timeout.mul_f64(part).min(rule.target)
+}
+
 fn find_rule<'a>(table: &'a RouteTable, head: &Parts) -> Option<&'a Arc<RouteRule>> {
     let host = match head.headers.get(HOST) {
         Some(value) => value.to_str().ok()?,
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -4,7 +4,7 @@
     decision_log::{DecisionLog, GateDecision, request_id},
     headers::{HeaderNames, millis_value},
     hop::{HopEnd, HopHead},
-    local::{LocalServer, SlotGuard},
+    local::{LocalServer, RunEnd, SlotAsk, SlotGuard},
     pool::{ConnectionPool, PoolOptions, PooledAnswer, SendFailure},
 };
 use agatehill_decide::{admission::AdmissionAsk, server_track::ServerBeat, time::MonoTime};
@@ -118,15 +118,20 @@
             return GateResult::refused("no-server", COME_BACK);
         };
         wait.server = Some(beat.id.clone());
-        let ask = AdmissionAsk {
-            rank: head.rank,
-            start_by: began + head.wait_max.min(head.left),
+        let ask = SlotAsk {
+            route: head.route,
+            came: began,
+            late_after: head.late_after,
+            admission: AdmissionAsk {
+                rank: head.rank,
+                start_by: began + head.wait_max.min(head.left),
+            },
         };
         let admitted = self.server.admit(ask).await;
         wait.waited = self.clock.now().since(began);
         let slot = match admitted {
             Ok(slot) => slot,
-            Err(refusal) => return GateResult::refused("no-slot", refusal.retry_after),
+            Err(refusal) => return GateResult::refused(refusal.reason, refusal.retry_after),
         };
         // The server may have begun to leave, or another one may have come, during the wait.
         match self.serving(head) {
@@ -160,10 +165,14 @@
         let answer = match sent.await {
             Ok(Ok(answer)) => answer,
             Ok(Err(SendFailure::NotSent)) => {
+                slot.set_end(RunEnd::Failed);
                 self.server.note_down(&beat.id);
                 return GateResult::refused("server-down", COME_BACK);
             }
-            Ok(Err(SendFailure::Lost)) => return GateResult::lost("connection-lost"),
+            Ok(Err(SendFailure::Lost)) => {
+                slot.set_end(RunEnd::Failed);
+                return GateResult::lost("connection-lost");
+            }
             Err(_) => return GateResult::lost("no-answer-in-time"),
         };
         match self.classify(&answer.head, id.as_ref()) {
@@ -171,6 +180,7 @@
             // Whatever follows on the connection belongs to nobody.
             HopEnd::Lost => return GateResult::lost("answer-foreign"),
             HopEnd::Shed | HopEnd::Refused => {
+                slot.set_end(RunEnd::Failed);
                 // Read, so that the connection can be used again.
                 let _ = timeout(left, answer.read(())).await;
                 return GateResult {
@@ -181,7 +191,10 @@
                 };
             }
         }
-        slot.set_telling();
+        slot.set_end(match answer.head.status.is_server_error() {
+            true => RunEnd::Failed,
+            false => RunEnd::Done,
+        });
         self.read(answer, slot, end).await
     }
 
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -1,6 +1,6 @@
 //! What an entry tells a gate about a request, and what the gate tells of its end.
 
-use agatehill_decide::name::ServiceName;
+use agatehill_decide::{name::ServiceName, placement::RouteKey};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use std::time::Duration;
 
@@ -16,12 +16,16 @@
     pub service: ServiceName,
     /// The service on whose host the request began.
     pub caller: ServiceName,
+    /// The route.
+    pub route: RouteKey,
     /// Rank; 0 is the most important.
     pub rank: u32,
     /// Time that is left for it.
     pub left: Duration,
     /// Longest useful wait for a slot.
     pub wait_max: Duration,
+    /// Time from which it counts as late.
+    pub late_after: Duration,
 }
 
 /// How a request ended at a gate.
@@ -41,12 +45,14 @@
     /// Writes the head into `headers`.
     pub fn write(&self, headers: &mut HeaderMap) {
         let text = format!(
-            "{} {} {} {} {}",
+            "{} {} {:x} {} {} {} {}",
             self.service,
             self.caller,
+            self.route.0,
             self.rank,
             self.left.as_millis(),
-            self.wait_max.as_millis()
+            self.wait_max.as_millis(),
+            self.late_after.as_millis()
         );
         let value = HeaderValue::try_from(text).expect("names and numbers are header text");
         headers.insert(HOP, value);
@@ -59,9 +65,11 @@
         Some(HopHead {
             service: ServiceName::try_from(words.next()?).ok()?,
             caller: ServiceName::try_from(words.next()?).ok()?,
+            route: RouteKey(u64::from_str_radix(words.next()?, 16).ok()?),
             rank: words.next()?.parse().ok()?,
-            left: Duration::from_millis(words.next()?.parse().ok()?),
-            wait_max: Duration::from_millis(words.next()?.parse().ok()?),
+            left: take_millis(&mut words)?,
+            wait_max: take_millis(&mut words)?,
+            late_after: take_millis(&mut words)?,
         })
     }
 }
@@ -94,3 +102,7 @@
         ends.into_iter().find(|end| value == end.as_str())
     }
 }
+
+fn take_millis<'a>(words: &mut impl Iterator<Item = &'a str>) -> Option<Duration> {
+    Some(Duration::from_millis(words.next()?.parse().ok()?))
+}
--- a/crates/relay/src/local.rs
+++ b/crates/relay/src/local.rs
@@ -2,11 +2,15 @@
 
 use agatehill_decide::{
     admission::{Admission, AdmissionAsk, AdmissionTurn, SlotAdmission, WaitKey},
+    placement::RouteKey,
+    route_limit::RouteLimit,
     server_track::{BeatEffect, ServerBeat, ServerTrack},
+    time::MonoTime,
 };
 use agatehill_process::clock::MonoClock;
 use slotmap::SecondaryMap;
 use std::{
+    collections::HashMap,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
@@ -14,10 +18,28 @@
 
 /// Time to come back to a server that takes no work, for requests that find no other.
 const COME_BACK: Duration = Duration::from_millis(300);
+/// Time to come back to a route whose requests come late, longer than such a spell mostly lasts
+/// when everybody waits.
+const COME_BACK_PRESSED: Duration = Duration::from_millis(1_000);
+
+/// A request that asks for a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct SlotAsk {
+    /// Its route.
+    pub route: RouteKey,
+    /// When it came.
+    pub came: MonoTime,
+    /// Time from then on after which it counts as late.
+    pub late_after: Duration,
+    /// What decides on its slot.
+    pub admission: AdmissionAsk,
+}
 
 /// Why a request gets no slot; it has not run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SlotRefusal {
+    /// Why, for logs and metrics.
+    pub reason: &'static str,
     /// Expected time until there is room.
     pub retry_after: Duration,
 }
@@ -38,6 +60,9 @@
     track: ServerTrack,
     admission: SlotAdmission,
     waiting: SecondaryMap<WaitKey, oneshot::Sender<bool>>,
+    slots: u32,
+    /// Limits of the routes whose requests come here.
+    limits: HashMap<RouteKey, RouteLimit>,
     /// Counts incarnations; slots of an earlier one are not given back.
     generation: u64,
     is_closed: bool,
@@ -50,6 +75,8 @@
             track: ServerTrack::new(silence_max),
             admission: SlotAdmission::new(1),
             waiting: SecondaryMap::new(),
+            slots: 1,
+            limits: HashMap::new(),
             generation: 0,
             is_closed: false,
         };
@@ -72,8 +99,11 @@
             state.generation += 1;
             state.refuse_waiting();
             state.admission = SlotAdmission::new(slots);
+            state.limits.clear();
+            state.slots = slots;
         } else if effect == BeatEffect::Changed {
             state.admission.set_slots(slots);
+            state.slots = slots;
         }
         drop(state);
         self.refresh();
@@ -138,49 +168,70 @@
     ///
     /// # Errors
     ///
-    /// There is no room in time, or the server takes no work any more.
-    pub async fn admit(&self, ask: AdmissionAsk) -> Result<SlotGuard, SlotRefusal> {
-        let (generation, ticket) = match self.offer(ask) {
-            (generation, SlotOffer::Run) => return Ok(self.guard(generation)),
-            (_, SlotOffer::Refuse(refusal)) => return Err(refusal),
-            (generation, SlotOffer::Wait(ticket)) => (generation, ticket),
+    /// The route's limit is reached, there is no room in time, or the server takes no work any more.
+    pub async fn admit(&self, ask: SlotAsk) -> Result<SlotGuard, SlotRefusal> {
+        let place = self.enter(ask)?;
+        let ticket = match self.offer(ask.admission) {
+            SlotOffer::Run => return Ok(self.guard(place)),
+            SlotOffer::Refuse(refusal) => return Err(refusal),
+            SlotOffer::Wait(ticket) => ticket,
         };
-        let mut ticket = WaitGuard {
+        let generation = place.generation;
+        let mut wait = WaitGuard {
             server: self,
             ticket,
             generation,
         };
-        let left = ask.start_by.since(self.shared.clock.now());
-        match tokio::time::timeout(left, &mut ticket.ticket.told).await {
-            Ok(Ok(true)) => Ok(self.guard(generation)),
+        let left = ask.admission.start_by.since(self.shared.clock.now());
+        match tokio::time::timeout(left, &mut wait.ticket.told).await {
+            Ok(Ok(true)) => Ok(self.guard(place)),
             _ => Err(SlotRefusal {
+                reason: "no-slot",
                 retry_after: COME_BACK,
             }),
         }
     }
 
-    fn offer(&self, ask: AdmissionAsk) -> (u64, SlotOffer) {
+    /// Takes a request in within its route's limit.
+    fn enter(&self, ask: SlotAsk) -> Result<RoutePlace, SlotRefusal> {
+        let mut state = self.lock();
+        let slots = state.slots;
+        let limit = state.limits.entry(ask.route);
+        if !limit.or_insert_with(|| RouteLimit::new(slots)).enter() {
+            return Err(SlotRefusal {
+                reason: "route-limit",
+                retry_after: COME_BACK_PRESSED,
+            });
+        }
+        Ok(RoutePlace {
+            server: self.clone(),
+            generation: state.generation,
+            ask,
+            end: RunEnd::Open,
+        })
+    }
+
+    fn offer(&self, ask: AdmissionAsk) -> SlotOffer {
         let now = self.shared.clock.now();
         let mut state = self.lock();
-        let generation = state.generation;
-        let offer = match state.admission.offer(ask, now) {
+        match state.admission.offer(ask, now) {
             Admission::Run => SlotOffer::Run,
-            Admission::Refuse { retry_after } => SlotOffer::Refuse(SlotRefusal { retry_after }),
+            Admission::Refuse { retry_after } => SlotOffer::Refuse(SlotRefusal {
+                reason: "no-slot",
+                retry_after,
+            }),
             Admission::Wait(key) => {
                 let (tx, told) = oneshot::channel();
                 state.waiting.insert(key, tx);
                 SlotOffer::Wait(WaitTicket { key, told })
             }
-        };
-        (generation, offer)
+        }
     }
 
-    fn guard(&self, generation: u64) -> SlotGuard {
+    fn guard(&self, place: RoutePlace) -> SlotGuard {
         SlotGuard {
-            server: self.clone(),
-            generation,
+            place,
             since: self.shared.clock.now(),
-            is_telling: false,
         }
     }
 
@@ -201,7 +252,7 @@
 
 impl LocalState {
     /// Tells requests what has become of their wait; a slot of one that has gone is passed on.
-    fn tell(&mut self, turn: AdmissionTurn, now: agatehill_decide::time::MonoTime) {
+    fn tell(&mut self, turn: AdmissionTurn, now: MonoTime) {
         for key in turn.late {
             if let Some(tx) = self.waiting.remove(key) {
                 // A caller that has gone away needs no refusal.
@@ -260,25 +311,70 @@
     }
 }
 
-/// A slot of the server; given back on drop.
-pub struct SlotGuard {
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunEnd {
+    /// It has not ended: its caller went away or its time ran out.
+    Open,
+    /// With the server's success.
+    Done,
+    /// In another way, which tells nothing about the time that requests need.
+    Failed,
+}
+
+/// A request's place within the limit of its route; given back on drop.
+struct RoutePlace {
     server: LocalServer,
     generation: u64,
-    since: agatehill_decide::time::MonoTime,
-    is_telling: bool,
+    ask: SlotAsk,
+    end: RunEnd,
+}
+
+impl RoutePlace {
+    /// Returns whether the request was late, if its end tells.
+    fn is_late(&self, now: MonoTime) -> Option<bool> {
+        let is_late = now.since(self.ask.came) >= self.ask.late_after;
+        match self.end {
+            RunEnd::Done => Some(is_late),
+            RunEnd::Open => is_late.then_some(true),
+            RunEnd::Failed => None,
+        }
+    }
+}
+
+impl Drop for RoutePlace {
+    fn drop(&mut self) {
+        let now = self.server.shared.clock.now();
+        let is_late = self.is_late(now);
+        let mut state = self.server.lock();
+        if state.generation != self.generation {
+            return;
+        }
+        let slots = state.slots;
+        if let Some(limit) = state.limits.get_mut(&self.ask.route) {
+            limit.leave(is_late, slots, now);
+        }
+    }
+}
+
+/// A slot of the server; given back on drop.
+pub struct SlotGuard {
+    place: RoutePlace,
+    since: MonoTime,
 }
 
 impl SlotGuard {
-    /// Marks the time for which the slot is held as one that tells how long requests take.
-    pub fn set_telling(&mut self) {
-        self.is_telling = true;
+    /// Sets how the run ended.
+    pub fn set_end(&mut self, end: RunEnd) {
+        self.place.end = end;
     }
 }
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
-        let held = self.server.shared.clock.now().since(self.since);
-        let held = self.is_telling.then_some(held);
-        self.server.release(self.generation, held);
+        let server = &self.place.server;
+        let held = server.shared.clock.now().since(self.since);
+        let held = (self.place.end == RunEnd::Done).then_some(held);
+        server.release(self.place.generation, held);
     }
 }
