--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod digest;
 pub mod document;
 pub mod gate;
+pub mod home_keeper;
 pub mod host_directory;
 pub mod inquiry;
 pub mod level;
--- a/crates/decide/src/replica/lead.rs
+++ b/crates/decide/src/replica/lead.rs
@@ -13,6 +13,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
+    time::Duration,
 };
 
 /// Size of commands after which a message takes no further entry, in bytes.
@@ -40,6 +41,8 @@
     next: u64,
     pub(super) matched: u64,
     pub(super) heard_at: MonoTime,
+    /// Since when it has been heard without a pause, in this incarnation.
+    pub(super) steady_since: MonoTime,
     /// The snapshot on its way.
     outgoing: Option<OutgoingSnapshot>,
 }
@@ -66,6 +69,7 @@
             next,
             matched: 0,
             heard_at: now,
+            steady_since: now,
             outgoing: None,
         };
         self.followers.insert(name, progress);
@@ -86,10 +90,15 @@
 
 impl FollowerProgress {
     /// Takes note of the sender's incarnation; returns whether its message counts.
-    fn observe(&mut self, incarnation: Incarnation, now: MonoTime) -> bool {
+    ///
+    /// After a pause, as when this leader itself stood still, what is heard may be old.
+    fn observe(&mut self, incarnation: Incarnation, now: MonoTime, pause: Duration) -> bool {
         if self.lost.contains(&incarnation) {
             return false;
         }
+        if self.incarnation != Some(incarnation) || now.since(self.heard_at) >= pause {
+            self.steady_since = now;
+        }
         if let Some(old) = self.incarnation.filter(|old| *old != incarnation) {
             self.lost.insert(old);
             self.matched = 0;
@@ -153,13 +162,14 @@
             return self.observe_term(term);
         }
         let (now, last) = (self.now, self.log.last_index());
+        let pause = self.settings.election;
         let ReplicaRole::Leader(leader) = &mut self.role else {
             return;
         };
         let Some(progress) = leader.followers.get_mut(&from.name) else {
             return;
         };
-        if !progress.observe(from.incarnation, now) {
+        if !progress.observe(from.incarnation, now, pause) {
             return;
         }
         let mut more = false;
--- a/crates/decide/src/replica/repair.rs
+++ b/crates/decide/src/replica/repair.rs
@@ -99,14 +99,17 @@
         Some(config.with(spare?))
     }
 
-    /// Returns the present incarnation of `name`, if it was heard just now and has caught up.
+    /// Returns the present incarnation of `name`, if it has been heard for a while without a pause
+    /// and has caught up.
     fn present(&self, leader: &LeaderState, name: &KeeperName) -> Option<MemberKey> {
         let progress = leader.followers.get(name)?;
         let key = MemberKey {
             name: name.clone(),
             incarnation: progress.incarnation?,
         };
-        let is_fresh = self.now.since(progress.heard_at) < self.settings.election;
+        let election = self.settings.election;
+        let is_fresh = self.now.since(progress.heard_at) < election
+            && self.now.since(progress.steady_since) >= election;
         let has_caught_up = progress.matched >= self.commit;
         (is_fresh && has_caught_up).then_some(key)
     }
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -4,6 +4,9 @@
 use crate::keeper_map::{KeeperMap, KnownKeeper, keeper_name};
 use agatehill_decide::{
     config_book::ConfigText,
+    home_keeper::{
+        ALL_LIMIT, HomeKeeper, KeeperQuestion, QUESTION_GRACE, QUESTION_WAIT, RETRY_PAUSE,
+    },
     host_directory::{HostDirectory, HostRecord, ServerRecord},
     name::{Incarnation, KeeperName, RegionName, ZoneName},
 };
@@ -16,17 +19,6 @@
 };
 use tokio::{sync::watch, time::timeout};
 
-/// Time for which a keeper holds a question back until there is something new. With the limits
-/// below, a keeper that falls silent costs 1.4 s at most before another has been asked.
-const WAIT: Duration = Duration::from_millis(700);
-/// Time limit of a question beyond that, connection included.
-const GRACE: Duration = Duration::from_millis(300);
-/// Time limit of the questions to all keepers at once.
-const ALL_SPAN: Duration = Duration::from_millis(400);
-/// Pause after questions that brought no certain answer.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Questions after which the nearest keeper is tried again.
-const HOME_QUESTIONS: u32 = 10;
 /// Keepers that are told of a change of the own record.
 const TOLD_KEEPERS: usize = 2;
 
@@ -158,35 +150,29 @@
         }
     }
 
-    /// Asks the nearest keeper that is in touch with the leader, for ever.
+    /// Asks the keepers for what is new, for ever.
     async fn follow(self) {
-        let mut home: Option<KeeperName> = None;
-        let mut questions = 0;
+        let mut home = HomeKeeper::default();
         let mut position = SyncPosition::default();
         loop {
-            questions += 1;
-            if questions % HOME_QUESTIONS == 0 {
-                home = None;
-            }
             let nearest = self.nearest();
-            let named = nearest.iter().find(|k| Some(&k.name) == home.as_ref());
-            let Some(keeper) = named.or(nearest.first()) else {
-                tokio::time::sleep(RETRY_PAUSE).await;
-                continue;
-            };
-            match self.ask(keeper, position, WAIT).await {
-                Some(page) if page.is_current => {
-                    position = SyncPosition::from(&page);
-                    home = Some(keeper.name.clone());
-                    self.shared.confirmed.send_replace(true);
+            let names: Vec<_> = nearest.iter().map(|k| k.name.clone()).collect();
+            match home.next(&names) {
+                KeeperQuestion::One(name) => {
+                    let keeper = nearest.iter().find(|k| k.name == name);
+                    let keeper = keeper.expect("the name is one of those given");
+                    let page = self.ask(keeper, position, QUESTION_WAIT).await;
+                    let page = page.filter(|page| page.is_current);
+                    home.note_one(&name, page.is_some());
+                    position = page.as_ref().map(SyncPosition::from).unwrap_or_default();
                 }
-                _ => {
-                    position = SyncPosition::default();
-                    home = self.ask_all(&nearest).await;
-                    if home.is_none() {
-                        tokio::time::sleep(RETRY_PAUSE).await;
-                    }
+                KeeperQuestion::All => {
+                    let current = self.ask_all(&nearest).await;
+                    let keeper = current.as_ref().map_or("none", KeeperName::as_str);
+                    spdlog::info!("home keeper changes", kv: { keeper });
+                    home.note_all(current);
                 }
+                KeeperQuestion::Pause => tokio::time::sleep(RETRY_PAUSE).await,
             }
         }
     }
@@ -195,17 +181,11 @@
     async fn ask_all(&self, nearest: &[KnownKeeper]) -> Option<KeeperName> {
         let ask = |keeper| async move {
             let asked = self.ask(keeper, SyncPosition::default(), Duration::ZERO);
-            let page = timeout(ALL_SPAN, asked).await.ok()??;
+            let page = timeout(ALL_LIMIT, asked).await.ok()??;
             page.is_current.then(|| keeper.name.clone())
         };
         let current = join_all(nearest.iter().map(ask)).await;
-        let home = current.into_iter().flatten().next();
-        if home.is_some() {
-            self.shared.confirmed.send_replace(true);
-        }
-        let name = home.as_ref().map_or("none", KeeperName::as_str);
-        spdlog::info!("home keeper changes", kv: { keeper = name, asked = nearest.len() as u64 });
-        home
+        current.into_iter().flatten().next()
     }
 
     fn nearest(&self) -> Vec<KnownKeeper> {
@@ -233,13 +213,16 @@
             hosts_after: position.hosts_at,
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
         };
-        let limit = wait + GRACE;
+        let limit = wait + QUESTION_GRACE;
         let asked = keeper.link.call(
             limit,
             |client, ctx| async move { client.sync(ctx, ask).await },
         );
         let page = timeout(limit, asked).await.ok()?.ok()?;
         self.take(&page);
+        if page.is_current {
+            self.shared.confirmed.send_replace(true);
+        }
         Some(page)
     }
 
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -54,7 +54,10 @@
 /// Shortest time to come back after a refusal.
 const RETRY_MIN: Duration = Duration::from_millis(100);
 /// Gates that one request is offered to at most; refusals cost a round trip each.
-const OFFERS_MAX: usize = 4;
+const OFFERS_MAX: usize = 2;
+/// Latency that a refusal counts as: more than the way to another zone of the region, less than that
+/// to another region, where the same load is likely to wait.
+const REFUSED_LATENCY: Duration = Duration::from_millis(300);
 /// Part of its route's timeout from which a request of the most important rank counts as late.
 const LATE_PART_FIRST: f64 = 0.85;
 /// The same for the other ranks, which so give way before.
@@ -426,8 +429,7 @@
         let latency = match result.end {
             HopEnd::Lost => return state.placement.fail(gate, now),
             HopEnd::Answered => now.since(began),
-            // Counts like an answer that came too late.
-            HopEnd::Refused | HopEnd::Shed => target.rule.target,
+            HopEnd::Refused | HopEnd::Shed => REFUSED_LATENCY,
         };
         state.placement.observe(gate, target.route, latency, now);
     }
