--- a/crates/config/src/log.rs
+++ b/crates/config/src/log.rs
@@ -9,7 +9,7 @@
     sink::{AsyncPoolSink, FileSink, OverflowPolicy, Sink, StdStreamSink},
     terminal_style::StyleMode,
 };
-use std::{fmt, path::PathBuf, sync::Arc};
+use std::{fmt, path::PathBuf, str::FromStr, sync::Arc};
 
 /// Target that stands for the standard error stream.
 pub const STDERR_TARGET: &str = "stderr";
@@ -46,6 +46,23 @@
     Debug,
 }
 
+impl FromStr for LogLevel {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<LogLevel, String> {
+        match text {
+            "off" => Ok(LogLevel::Off),
+            "error" => Ok(LogLevel::Error),
+            "warn" => Ok(LogLevel::Warn),
+            "info" => Ok(LogLevel::Info),
+            "debug" => Ok(LogLevel::Debug),
+            _ => Err(format!(
+                "log level \"{text}\" is none of off, error, warn, info, debug"
+            )),
+        }
+    }
+}
+
 /// Form of a log line.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
