--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -529,7 +529,7 @@
         0 => LATE_PART_FIRST,
         _ => LATE_PART,
     };
-    rule.timeout.mul_f64(part).min(rule.target)
+    rule.timeout.mul_f64(part)
 }
 
 fn find_rule<'a>(table: &'a RouteTable, head: &Parts) -> Option<&'a Arc<RouteRule>> {
