--- a/crates/decide/src/route_limit.rs
+++ b/crates/decide/src/route_limit.rs
@@ -1,4 +1,4 @@
-//! Limits how many requests of one route run at one backend server at once, by how much of their
+//! Limits how many requests of one route run or wait at one backend server at once, by how much of their
 //! time they need.
 //!
 //! Answers the load pattern of a scarce service deep in the call graph, after a surge or a restart
@@ -22,6 +22,8 @@
 const CUT_INTERVAL: Duration = Duration::from_millis(250);
 /// Requests that are let in for each one that ended in time, in parts of the limit.
 const GROWTH: f64 = 2.0;
+/// Highest limit, in slots of the server; what waits for a slot counts as well.
+pub const SLOTS_MAX: f64 = 8.0;
 /// Lowest limit.
 const LIMIT_MIN: f64 = 2.0;
 
@@ -38,7 +40,7 @@
     /// Returns the limit of a route at a server with `slots` slots.
     pub fn new(slots: u32) -> RouteLimit {
         RouteLimit {
-            limit: f64::from(slots),
+            limit: f64::from(slots) * SLOTS_MAX,
             running: 0,
             late_share: 0.0,
             cut_at: None,
@@ -65,7 +67,7 @@
         }
         if was_full {
             let grown = self.limit + GROWTH / self.limit;
-            self.limit = grown.min(f64::from(slots));
+            self.limit = grown.min(f64::from(slots) * SLOTS_MAX);
         }
     }
 
@@ -74,11 +76,6 @@
         self.limit
     }
 
-    /// Returns whether nothing runs and the limit binds nothing.
-    pub fn is_idle(&self, slots: u32) -> bool {
-        self.running == 0 && self.limit >= f64::from(slots)
-    }
-
     fn cut_if_due(&mut self, now: MonoTime) {
         let is_soon = self.cut_at.is_some_and(|at| now.since(at) < CUT_INTERVAL);
         if is_soon || self.late_share < LATE_SHARE_MAX {
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -54,7 +54,7 @@
 /// Shortest time to come back after a refusal.
 const RETRY_MIN: Duration = Duration::from_millis(100);
 /// Gates that one request is offered to at most; refusals cost a round trip each.
-const OFFERS_MAX: usize = 2;
+const OFFERS_MAX: usize = 3;
 /// Latency that a refusal counts as: more than the way to another zone of the region, less than that
 /// to another region, where the same load is likely to wait.
 const REFUSED_LATENCY: Duration = Duration::from_millis(300);
