--- a/crates/decide/tests/route_limit.rs
+++ b/crates/decide/tests/route_limit.rs
@@ -244,7 +244,7 @@
         }
     }
     assert!(limit.limit() <= 3.0, "{limit:?}");
-    for round in 0..2_000 {
+    for round in 0..20_000 {
         let mut entered = 0;
         while limit.enter() {
             entered += 1;
