--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -46,6 +46,7 @@
 struct WaitingAsk {
     ask: AdmissionAsk,
     order: u64,
+    since: MonoTime,
 }
 
 /// The slots of one backend server and the requests that wait for them.
@@ -95,14 +96,20 @@
             return Admission::Run;
         }
         let ahead = self.queue.range(..(ask.rank + 1, 0)).count();
-        let wait = self.expected_wait(ahead);
+        let wait = self
+            .expected_wait(ahead)
+            .max(self.oldest_wait(ask.rank, now));
         if now + wait > ask.start_by {
             let retry_after = self.expected_wait(self.queue.len());
             return Admission::Refuse { retry_after };
         }
         let order = self.next_order;
         self.next_order += 1;
-        let key = self.waiting.insert(WaitingAsk { ask, order });
+        let key = self.waiting.insert(WaitingAsk {
+            ask,
+            order,
+            since: now,
+        });
         self.queue.insert((ask.rank, order), key);
         Admission::Wait(key)
     }
@@ -150,6 +157,14 @@
         self.waiting.drain().map(|(key, _)| key).collect()
     }
 
+    /// Returns how long the first request of `rank` has waited. Where more important ones keep coming,
+    /// that tells more than the number of those ahead.
+    fn oldest_wait(&self, rank: u32, now: MonoTime) -> Duration {
+        let mut same = self.queue.range((rank, 0)..(rank + 1, 0));
+        let oldest = same.next().and_then(|(_, key)| self.waiting.get(*key));
+        oldest.map_or(Duration::ZERO, |waiting| now.since(waiting.since))
+    }
+
     fn expected_wait(&self, ahead: usize) -> Duration {
         let turns = (ahead + 1) as f64 / f64::from(self.slots);
         self.hold.mul_f64(turns)
--- a/crates/decide/tests/admission.rs
+++ b/crates/decide/tests/admission.rs
@@ -74,6 +74,21 @@
     wait(&mut slots, ask(0, 150));
 }
 
+/// More important requests keep coming, so that one of the last rank has waited long already. The
+/// next of its rank would wait as long: it is told at once instead of after its whole patience.
+#[test]
+fn behind_a_rank_that_does_not_move_nobody_waits() {
+    let mut slots = busy();
+    wait(&mut slots, ask(2, 9_000));
+    let now = MonoTime::from_millis(600);
+    let offer = |slots: &mut SlotAdmission, start_by| slots.offer(ask(2, start_by), now);
+    assert!(matches!(offer(&mut slots, 1_100), Admission::Refuse { .. }));
+    assert!(matches!(offer(&mut slots, 1_300), Admission::Wait(_)));
+    // Another rank is not concerned.
+    let more_important = slots.offer(ask(0, 1_100), now);
+    assert!(matches!(more_important, Admission::Wait(_)));
+}
+
 #[test]
 fn what_has_become_late_does_not_run() {
     let mut slots = busy();
