Split the call from its entry; log requests that are given up

The log lines are written when the request or its visit at a gate is dropped, so that a caller that leaves (caller-gone) and an entry that gives up (given-up) leave a line too; before, a 504 had often no line of its gate.

--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -1,12 +1,13 @@
-//! The entry: takes requests from callers on this host, finds their route and sends each to the
-//! gates of its service until one answers, nothing more may be tried or the time is up.
+//! The entry: takes requests from callers on this host, and from other entries those for the server
+//! on this host.
 
 use crate::{
     answer::RelayRefusal,
-    body::{BodyFault, BodyLimits, read_body},
-    decision_log::{DecisionLog, EntryDecision, request_id},
+    body::{BodyLimits, read_body},
+    call::{RETRY_MIN, RequestCall, WHOLE_REQUEST_MAX},
+    decision_log::DecisionLog,
     gate::{GateResult, RequestGate},
-    headers::{HeaderNames, millis, strip_connection},
+    headers::HeaderNames,
     hop::{HopEnd, HopHead},
     hosts::GateView,
     pool::{ConnectionPool, PoolOptions, SendFailure},
@@ -16,7 +17,6 @@
     placement::{GatePlacement, RouteKey},
     repeat_budget::RepeatBudget,
     service_config::{RouteRule, RouteTable},
-    time::MonoTime,
     weighted_pick::WeightedPick,
 };
 use agatehill_peer::body::CallBody;
@@ -24,13 +24,11 @@
 use arc_swap::ArcSwapOption;
 use gotham::helpers::http::Body;
 use http::{
-    HeaderValue, Request, Response, Uri, Version,
-    header::{CONNECTION, HOST, RETRY_AFTER},
-    request::Parts,
+    HeaderValue, Request, Response,
+    header::{CONNECTION, RETRY_AFTER},
 };
 use std::{
     collections::HashMap,
-    hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
@@ -43,30 +41,6 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// Time after which an unused connection to another daemon is closed.
 const IDLE_LIMIT: Duration = Duration::from_secs(10);
-/// Largest request body that is held whole, so that it can be sent again, in bytes.
-const WHOLE_REQUEST_MAX: usize = 256 * 1024;
-/// Time that a caller is kept waiting beyond its route's timeout, for an answer on its way.
-const TIMEOUT_GRACE: Duration = Duration::from_millis(100);
-/// Time kept back from a caller's deadline, for the answer's way.
-const ANSWER_TIME: Duration = Duration::from_millis(20);
-/// Deadline of a request that names none.
-const DEADLINE_DEFAULT: Duration = Duration::from_secs(5);
-/// Shortest time to come back after a refusal.
-const RETRY_MIN: Duration = Duration::from_millis(100);
-/// Gates that one request is offered to at most; refusals cost a round trip each.
-const OFFERS_MAX: usize = 3;
-/// Latency that a refusal counts as: more than the way to another zone of the region, less than that
-/// to another region, where the same load is likely to wait.
-const REFUSED_LATENCY: Duration = Duration::from_millis(300);
-/// Part of its route's timeout from which a request of the most important rank counts as late.
-const LATE_PART_FIRST: f64 = 0.85;
-/// The same for the other ranks, which so give way before.
-const LATE_PART: f64 = 0.6;
-/// Time under way to a gate after which the end of a request without a word from it counts as a
-/// failure of the gate.
-const SILENT_LIMIT: Duration = Duration::from_millis(400);
-/// Time that is too short for another try.
-const TRY_MIN: Duration = Duration::from_millis(10);
 /// Time between two looks at unused connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -90,48 +64,21 @@
 
 /// The entry of this host.
 pub struct RequestEntry {
-    options: EntryOptions,
-    pool: ConnectionPool,
-    table: ArcSwapOption<RouteTable>,
+    pub(crate) options: EntryOptions,
+    pub(crate) pool: ConnectionPool,
+    pub(crate) table: ArcSwapOption<RouteTable>,
     state: Mutex<EntryState>,
     is_draining: AtomicBool,
 }
 
+/// What an entry has learnt and may still spend.
 #[derive(Default)]
-struct EntryState {
-    placement: GatePlacement,
-    budget: RepeatBudget,
+pub(crate) struct EntryState {
+    pub(crate) placement: GatePlacement,
+    pub(crate) budget: RepeatBudget,
     picks: HashMap<RouteKey, WeightedPick>,
 }
 
-/// One request on its way.
-struct RequestCall<'a> {
-    entry: &'a RequestEntry,
-    head: Parts,
-    began: MonoTime,
-    /// Time that the caller waits for its answer.
-    patience: Duration,
-    table: Option<Arc<RouteTable>>,
-    /// Where it goes, once that is known.
-    target: Option<RequestTarget>,
-    tried: Vec<SocketAddr>,
-    /// Backend servers that it reached.
-    reached: u32,
-    /// Whether a try ended without a word on whether it has run.
-    may_have_run: bool,
-    /// Whether a try is under way that may have reached a gate.
-    is_out: bool,
-    outcome: &'static str,
-}
-
-/// Where a request goes.
-#[derive(Clone)]
-struct RequestTarget {
-    rule: Arc<RouteRule>,
-    route: RouteKey,
-    service: ServiceName,
-}
-
 impl RequestEntry {
     /// Opens an entry without a configuration.
     pub fn spawn(options: EntryOptions) -> Arc<RequestEntry> {
@@ -177,17 +124,8 @@
 
     /// Answers a request of a caller.
     pub async fn call(&self, req: Request<Body>) -> Response<CallBody> {
-        let began = self.options.clock.now();
         let (head, body) = req.into_parts();
-        let mut call = RequestCall::new(self, head, began);
-        let mut response = match call.relay(body).await {
-            Ok(response) => response,
-            Err(refusal) => {
-                call.outcome = refusal.reason();
-                refusal.response()
-            }
-        };
-        call.note_end(response.status().as_u16());
+        let mut response = RequestCall::new(self, head).answer(body).await;
         if self.is_draining.load(Ordering::Relaxed) {
             let headers = response.headers_mut();
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
@@ -221,221 +159,8 @@
         response
     }
 
-    fn pick(&self, rule: &RouteRule, route: RouteKey) -> ServiceName {
-        let mut state = self.lock();
-        let pick = state.picks.entry(route).or_default();
-        let idx = pick.next(&rule.parts);
-        rule.parts[idx].service.clone()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, EntryState> {
-        self.state.lock().expect("no holder of the state panics")
-    }
-}
-
-impl<'a> RequestCall<'a> {
-    fn new(entry: &'a RequestEntry, head: Parts, began: MonoTime) -> RequestCall<'a> {
-        let asked = millis(&head.headers, &entry.options.names.deadline_ms);
-        RequestCall {
-            entry,
-            head,
-            began,
-            patience: asked.unwrap_or(DEADLINE_DEFAULT),
-            table: entry.table.load_full(),
-            target: None,
-            tried: Vec::new(),
-            reached: 0,
-            may_have_run: false,
-            is_out: false,
-            outcome: "answered",
-        }
-    }
-
-    async fn relay(&mut self, body: Body) -> Result<Response<CallBody>, RelayRefusal> {
-        let table = self.table.clone().ok_or(RelayRefusal::NoConfig)?;
-        let rule = find_rule(&table, &self.head).ok_or(RelayRefusal::NoRoute)?;
-        let route = route_key(rule);
-        let target = RequestTarget {
-            rule: rule.clone(),
-            route,
-            service: self.entry.pick(rule, route),
-        };
-        self.target = Some(target.clone());
-        let answer_by = self.patience.saturating_sub(ANSWER_TIME);
-        self.patience = answer_by.min(rule.timeout + TIMEOUT_GRACE);
-        strip_connection(&mut self.head.headers);
-        let limits = BodyLimits {
-            whole_max: WHOLE_REQUEST_MAX,
-            size_max: table.config().limits.body_bytes_max,
-        };
-        let read = tokio::time::timeout(self.patience, read_body(body, limits, ())).await;
-        let body = match read {
-            Ok(Ok(body)) => body,
-            Ok(Err(BodyFault::TooLarge)) => return Err(RelayRefusal::TooLarge),
-            Ok(Err(BodyFault::Broken)) => return Err(RelayRefusal::BadRequest),
-            Err(_) => return Err(RelayRefusal::SlowBody),
-        };
-        match tokio::time::timeout(self.left(), self.run(&target, body)).await {
-            Ok(result) => result,
-            Err(_) if self.is_out || self.may_have_run => Err(RelayRefusal::Late),
-            Err(_) => Err(busy(RETRY_MIN)),
-        }
-    }
-
-    async fn run(
-        &mut self,
-        target: &RequestTarget,
-        body: CallBody,
-    ) -> Result<Response<CallBody>, RelayRefusal> {
-        let mut next = Some(body);
-        let mut retry_after = RETRY_MIN;
-        self.entry.lock().budget.earn(&target.service);
-        while let Some(body) = next.take() {
-            let Some(gate) = self.choose(target) else {
-                break;
-            };
-            let copy = body.try_clone();
-            let result = self.offer(target, gate, body).await;
-            if let Some(answer) = result.answer {
-                return Ok(answer);
-            }
-            retry_after = retry_after.max(result.retry_after);
-            match result.end {
-                HopEnd::Answered | HopEnd::Lost => {
-                    self.reached += 1;
-                    self.may_have_run = true;
-                    if self.left() < TRY_MIN {
-                        return Err(RelayRefusal::Late);
-                    }
-                    if !target.rule.kind.is_idempotent() || !self.may_repeat(target) {
-                        return Err(RelayRefusal::Lost);
-                    }
-                }
-                HopEnd::Shed => {
-                    self.reached += 1;
-                    if !self.may_repeat(target) {
-                        break;
-                    }
-                }
-                HopEnd::Refused => {}
-            }
-            next = copy;
-        }
-        match self.may_have_run {
-            true => Err(RelayRefusal::Lost),
-            false => Err(busy(retry_after)),
-        }
-    }
-
-    /// Writes the request's end to the log.
-    fn note_end(&self, status: u16) {
-        let now = self.entry.options.clock.now();
-        let target = self.target.as_ref();
-        let version = self.table.as_ref().map_or(0, |t| t.config().version);
-        let decision = EntryDecision {
-            id: request_id(&self.head.headers, &self.entry.options.names.request_id),
-            route: target.map(|target| target.rule.name.as_str()),
-            version,
-            service: target.map(|target| &target.service),
-            tried: &self.tried,
-            reached: self.reached + u32::from(self.outcome == "answered"),
-            outcome: self.outcome,
-            status,
-            patience: self.patience,
-            took: now.since(self.began),
-        };
-        self.entry.options.log.entry(&decision, now);
-    }
-
-    fn left(&self) -> Duration {
-        let end = self.began + self.patience;
-        end.since(self.entry.options.clock.now())
-    }
-
-    fn may_repeat(&self, target: &RequestTarget) -> bool {
-        let is_allowed = self.reached < target.rule.servers_max;
-        is_allowed && self.entry.lock().budget.spend(&target.service)
-    }
-
-    fn choose(&self, target: &RequestTarget) -> Option<SocketAddr> {
-        if self.tried.len() >= OFFERS_MAX || self.reached >= target.rule.servers_max {
-            return None;
-        }
-        let choices = self.entry.options.gates.get(&target.service);
-        let now = self.entry.options.clock.now();
-        let state = self.entry.lock();
-        state
-            .placement
-            .choose(&choices, &self.tried, target.route, now)
-    }
-
-    /// Offers the request to `gate` and takes note of what came of it.
-    async fn offer(
-        &mut self,
-        target: &RequestTarget,
-        gate: SocketAddr,
-        body: CallBody,
-    ) -> GateResult {
-        let left = self.left();
-        let hop = HopHead {
-            service: target.service.clone(),
-            caller: self.entry.options.service.clone(),
-            route: target.route,
-            rank: target.rule.priority,
-            left,
-            late_after: late_after(&target.rule),
-            wait_max: target.rule.target.mul_f64(0.5).min(left.mul_f64(0.7)),
-        };
-        let entry = self.entry;
-        let options = &entry.options;
-        let began = options.clock.now();
-        self.tried.push(gate);
-        let mut pending = PendingGuard::begin(entry, gate);
-        let req = self.request(body);
-        self.is_out = true;
-        let result = if gate == options.gate_addr {
-            options.gate.run(&hop, req).await
-        } else {
-            entry.send(gate, &hop, req).await
-        };
-        self.is_out = false;
-        pending.is_settled = true;
-        drop(pending);
-        entry.note_result(target, gate, &result, began);
-        result
-    }
-
-    fn request(&self, body: CallBody) -> Request<CallBody> {
-        let mut req = Request::new(body);
-        *req.method_mut() = self.head.method.clone();
-        *req.uri_mut() = origin_form(&self.head.uri);
-        *req.version_mut() = Version::HTTP_11;
-        *req.headers_mut() = self.head.headers.clone();
-        req
-    }
-}
-
-impl RequestEntry {
-    /// Takes note of what the end of a request says of `gate`.
-    fn note_result(
-        &self,
-        target: &RequestTarget,
-        gate: SocketAddr,
-        result: &GateResult,
-        began: MonoTime,
-    ) {
-        let now = self.options.clock.now();
-        let mut state = self.lock();
-        let latency = match result.end {
-            HopEnd::Lost => return state.placement.fail(gate, now),
-            HopEnd::Answered => now.since(began),
-            HopEnd::Refused | HopEnd::Shed => REFUSED_LATENCY,
-        };
-        state.placement.observe(gate, target.route, latency, now);
-    }
-
     /// Sends a request to the gate of another host.
-    async fn send(
+    pub(crate) async fn send(
         &self,
         gate: SocketAddr,
         hop: &HopHead,
@@ -472,40 +197,17 @@
             retry_after: Duration::ZERO,
         }
     }
-}
-
-/// A request under way to a gate.
-struct PendingGuard<'a> {
-    entry: &'a RequestEntry,
-    gate: SocketAddr,
-    began: MonoTime,
-    /// Whether the gate has said how it ended.
-    is_settled: bool,
-}
 
-impl<'a> PendingGuard<'a> {
-    fn begin(entry: &'a RequestEntry, gate: SocketAddr) -> PendingGuard<'a> {
-        entry.lock().placement.begin(gate);
-        PendingGuard {
-            entry,
-            gate,
-            began: entry.options.clock.now(),
-            is_settled: false,
-        }
+    /// Returns the service that the next request of `rule` goes to.
+    pub(crate) fn pick(&self, rule: &RouteRule, route: RouteKey) -> ServiceName {
+        let mut state = self.lock();
+        let pick = state.picks.entry(route).or_default();
+        let idx = pick.next(&rule.parts);
+        rule.parts[idx].service.clone()
     }
-}
 
-impl Drop for PendingGuard<'_> {
-    fn drop(&mut self) {
-        let now = self.entry.options.clock.now();
-        let is_silent = !self.is_settled && now.since(self.began) >= SILENT_LIMIT;
-        let mut state = self.entry.lock();
-        state.placement.end(self.gate);
-        if is_silent {
-            state.placement.fail(self.gate, now);
-            drop(state);
-            self.entry.pool.forget(self.gate);
-        }
+    pub(crate) fn lock(&self) -> MutexGuard<'_, EntryState> {
+        self.state.lock().expect("no holder of the state panics")
     }
 }
 
@@ -515,43 +217,3 @@
         pool.sweep();
     }
 }
-
-/// Returns the refusal of a request that has not run.
-fn busy(retry_after: Duration) -> RelayRefusal {
-    RelayRefusal::Busy {
-        retry_after: spread(retry_after),
-    }
-}
-
-/// Returns the time after which a request of `rule` counts as late at its gate.
-fn late_after(rule: &RouteRule) -> Duration {
-    let part = match rule.priority {
-        0 => LATE_PART_FIRST,
-        _ => LATE_PART,
-    };
-    rule.timeout.mul_f64(part)
-}
-
-fn find_rule<'a>(table: &'a RouteTable, head: &Parts) -> Option<&'a Arc<RouteRule>> {
-    let host = match head.headers.get(HOST) {
-        Some(value) => value.to_str().ok()?,
-        None => head.uri.host()?,
-    };
-    table.find(host, head.uri.path())
-}
-
-fn route_key(rule: &RouteRule) -> RouteKey {
-    let mut hasher = DefaultHasher::new();
-    rule.name.hash(&mut hasher);
-    RouteKey(hasher.finish())
-}
-
-fn origin_form(uri: &Uri) -> Uri {
-    let path = uri.path_and_query().map_or("/", |path| path.as_str());
-    path.parse().unwrap_or_else(|_| uri.clone())
-}
-
-/// Spreads a time to come back, so that callers don't return in step.
-fn spread(span: Duration) -> Duration {
-    span.mul_f64(1.0 + rand::random::<f64>() * 0.5)
-}
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -46,12 +46,52 @@
     clock: MonoClock,
 }
 
-/// What is known of a request at its end, for the log.
-struct GateWait {
+/// A request at the gate; its end is written to the log on drop.
+struct GateVisit<'a> {
+    gate: &'a RequestGate,
+    head: &'a HopHead,
+    id: String,
+    began: MonoTime,
     server: Option<String>,
     /// Requests that ran and that waited when it came.
     load: (u32, usize),
     waited: Duration,
+    end: HopEnd,
+    reason: &'static str,
+}
+
+impl<'a> GateVisit<'a> {
+    fn begin(gate: &'a RequestGate, head: &'a HopHead, id: &str) -> GateVisit<'a> {
+        GateVisit {
+            gate,
+            head,
+            id: id.to_owned(),
+            began: gate.clock.now(),
+            server: None,
+            load: gate.server.load(),
+            waited: Duration::ZERO,
+            // Until it ends otherwise its entry may give it up.
+            end: HopEnd::Lost,
+            reason: "given-up",
+        }
+    }
+}
+
+impl Drop for GateVisit<'_> {
+    fn drop(&mut self) {
+        let now = self.gate.clock.now();
+        let decision = GateDecision {
+            id: &self.id,
+            head: self.head,
+            end: self.end,
+            reason: self.reason,
+            server: self.server.as_deref(),
+            load: self.load,
+            waited: self.waited,
+            took: now.since(self.began),
+        };
+        self.gate.log.gate(&decision, now);
+    }
 }
 
 impl RequestGate {
@@ -84,26 +124,11 @@
 
     /// Runs `req` on the server. Dropping the future cancels the request.
     pub async fn run(&self, head: &HopHead, req: Request<CallBody>) -> GateResult {
-        let began = self.clock.now();
-        let id = request_id(req.headers(), &self.names.request_id).to_owned();
-        let mut wait = GateWait {
-            server: None,
-            load: self.server.load(),
-            waited: Duration::ZERO,
-        };
-        let result = self.admit_and_send(head, req, began, &mut wait).await;
-        let now = self.clock.now();
-        let decision = GateDecision {
-            id: &id,
-            head,
-            end: result.end,
-            reason: result.reason,
-            server: wait.server.as_deref(),
-            load: wait.load,
-            waited: wait.waited,
-            took: now.since(began),
-        };
-        self.log.gate(&decision, now);
+        let id = request_id(req.headers(), &self.names.request_id);
+        let mut visit = GateVisit::begin(self, head, id);
+        let result = self.admit_and_send(head, req, &mut visit).await;
+        visit.end = result.end;
+        visit.reason = result.reason;
         result
     }
 
@@ -111,13 +136,13 @@
         &self,
         head: &HopHead,
         req: Request<CallBody>,
-        began: MonoTime,
-        wait: &mut GateWait,
+        visit: &mut GateVisit<'_>,
     ) -> GateResult {
+        let began = visit.began;
         let Some(beat) = self.serving(head) else {
             return GateResult::refused("no-server", COME_BACK);
         };
-        wait.server = Some(beat.id.clone());
+        visit.server = Some(beat.id.clone());
         let ask = SlotAsk {
             route: head.route,
             came: began,
@@ -128,7 +153,7 @@
             },
         };
         let admitted = self.server.admit(ask).await;
-        wait.waited = self.clock.now().since(began);
+        visit.waited = self.clock.now().since(began);
         let slot = match admitted {
             Ok(slot) => slot,
             Err(refusal) => return GateResult::refused(refusal.reason, refusal.retry_after),
@@ -138,7 +163,7 @@
             Some(now) if now.id == beat.id && now.born == beat.born => {}
             _ => return GateResult::refused("server-left", COME_BACK),
         }
-        let left = head.left.saturating_sub(wait.waited);
+        let left = head.left.saturating_sub(visit.waited);
         if left.is_zero() {
             return GateResult::refused("no-time", COME_BACK);
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod answer;
 pub mod body;
+mod call;
 pub mod decision_log;
 pub mod entry;
 pub mod gate;
--- a/crates/relay/tests/faults.rs
+++ b/crates/relay/tests/faults.rs
@@ -5,7 +5,8 @@
 
 use rstest::rstest;
 use support::{
-    BODY_BYTES_MAX, Manner, TestAnswer, blank_daemon, header, one_daemon, send, two_daemons,
+    BODY_BYTES_MAX, Manner, TestAnswer, blank_daemon, eventually, header, one_daemon, send,
+    send_and_leave, two_daemons,
 };
 
 const GET: &str = "GET /safe/x";
@@ -99,6 +100,24 @@
     }
 }
 
+/// A caller that goes away takes its request along, here and beside another host's server.
+#[tokio::test]
+async fn a_request_whose_caller_leaves_is_cancelled() {
+    for line in [GET, POST] {
+        let [first, second] = two_daemons().await;
+        first.server.set(Manner::Silent);
+        second.server.set(Manner::Silent);
+        let cuts = || first.server.cuts() + second.server.cuts();
+        let runs = || first.server.runs() + second.server.runs();
+        // Both take the same server: one beside it, one from the other host.
+        for (idx, daemon) in (1..).zip([&first, &second]) {
+            send_and_leave(daemon.addr(), line, || runs() == idx).await;
+            eventually(|| cuts() == idx).await;
+        }
+        assert_eq!(first.server.runs(), 2);
+    }
+}
+
 /// An idempotent request whose answer got lost is run again elsewhere.
 #[tokio::test]
 async fn a_lost_answer_of_an_idempotent_request_is_made_up_for() {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -69,7 +69,7 @@
     Unframed,
     /// The same, and resets the connection in the middle of the body.
     UnframedReset,
-    /// Runs it and says nothing.
+    /// Runs it and says nothing until its caller goes.
     Silent,
     /// Rejects it before its body is read.
     Early,
@@ -82,6 +82,7 @@
     manner: Arc<Mutex<Manner>>,
     runs: Arc<AtomicU32>,
     bodies: Arc<Mutex<Vec<Vec<u8>>>>,
+    cuts: Arc<AtomicU32>,
 }
 
 impl TestServer {
@@ -93,16 +94,22 @@
             manner: Arc::new(Mutex::new(Manner::Answer)),
             runs: Arc::default(),
             bodies: Arc::default(),
+            cuts: Arc::default(),
         };
         let shared = (
             server.manner.clone(),
             server.runs.clone(),
             server.bodies.clone(),
+            server.cuts.clone(),
         );
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let (manner, runs, bodies) = shared.clone();
-                tokio::spawn(serve(stream, manner, runs, bodies));
+                let (manner, runs, bodies, cuts) = shared.clone();
+                tokio::spawn(async move {
+                    if serve(stream, manner, runs, bodies).await == ServeEnd::Cut {
+                        cuts.fetch_add(1, Ordering::Relaxed);
+                    }
+                });
             }
         });
         server
@@ -117,6 +124,11 @@
         self.runs.load(Ordering::Relaxed)
     }
 
+    /// Returns how many requests lost their caller while they ran.
+    pub(crate) fn cuts(&self) -> u32 {
+        self.cuts.load(Ordering::Relaxed)
+    }
+
     /// Returns the bodies of the requests that it has run.
     pub(crate) fn bodies(&self) -> Vec<Vec<u8>> {
         self.bodies.lock().unwrap().clone()
@@ -141,7 +153,7 @@
     manner: Arc<Mutex<Manner>>,
     runs: Arc<AtomicU32>,
     bodies: Arc<Mutex<Vec<Vec<u8>>>>,
-) {
+) -> ServeEnd {
     let mut buf = Vec::new();
     while let Some(head) = read_head(&mut stream, &mut buf).await {
         let manner = *manner.lock().unwrap();
@@ -152,7 +164,7 @@
             let _ = stream.write_all(text.as_bytes()).await;
         }
         let Some(body) = read_body(&mut stream, &mut buf, &head).await else {
-            return;
+            return ServeEnd::Closed;
         };
         match manner {
             Manner::Early => continue,
@@ -162,10 +174,25 @@
                 bodies.lock().unwrap().push(body);
             }
         }
+        if manner == Manner::Silent {
+            // Nothing more is sent on this connection: a read ends when it closes.
+            let _ = stream.read(&mut [0]).await;
+            return ServeEnd::Cut;
+        }
         if !answer(&mut stream, manner, &id).await {
-            return;
+            return ServeEnd::Closed;
         }
     }
+    ServeEnd::Closed
+}
+
+/// How a connection to a backend server ended.
+#[derive(Eq, PartialEq)]
+enum ServeEnd {
+    /// Between two requests, or as the server wanted.
+    Closed,
+    /// By its caller, while a request ran.
+    Cut,
 }
 
 /// Answers in `manner`; returns whether the connection stays open.
@@ -191,11 +218,7 @@
         Manner::Unframed | Manner::UnframedReset => {
             format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s-{id}\r\n\r\nhello")
         }
-        Manner::Silent => {
-            tokio::time::sleep(ANSWER_LIMIT).await;
-            return false;
-        }
-        Manner::Reset | Manner::Close | Manner::Early => String::new(),
+        Manner::Reset | Manner::Close | Manner::Early | Manner::Silent => String::new(),
     };
     let _ = stream.write_all(text.as_bytes()).await;
     if manner == Manner::UnframedReset {
@@ -357,6 +380,25 @@
     pub(crate) is_whole: bool,
 }
 
+/// Sends a request on a new connection and closes it as soon as `is_enough`.
+pub(crate) async fn send_and_leave(addr: SocketAddr, line: &str, is_enough: impl Fn() -> bool) {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    let text =
+        format!("{line} HTTP/1.1\r\nhost: a.example\r\nx-id: gone\r\nx-deadline: 5000\r\n\r\n");
+    stream.write_all(text.as_bytes()).await.unwrap();
+    eventually(is_enough).await;
+}
+
+/// Waits until `is_so`.
+pub(crate) async fn eventually(is_so: impl Fn() -> bool) {
+    let wait = async {
+        while !is_so() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(ANSWER_LIMIT, wait).await.unwrap();
+}
+
 /// Sends a request on a new connection; `None` if the connection ends without an answer.
 pub(crate) async fn send(
     addr: SocketAddr,
