--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -7,6 +7,9 @@
 };
 use std::time::Duration;
 
+/// Time to come back while no configuration is known.
+const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
+
 /// Why a request gets no answer of a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RelayRefusal {
@@ -83,6 +86,3 @@
         response
     }
 }
-
-/// Time to come back while no configuration is known.
-const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
--- a/crates/relay/src/local.rs
+++ b/crates/relay/src/local.rs
@@ -158,7 +158,7 @@
         }
     }
 
-    /// Returns running and waiting requests and the number of slots known.
+    /// Returns how many requests run and how many wait.
     pub fn load(&self) -> (u32, usize) {
         let state = self.lock();
         (state.admission.running(), state.admission.queued())
