Take the limits on request heads and idle connections from the configuration

Cause: 413 followed the configuration in force, 431 and the time limits of a request head and of an idle connection did not. The listener gave both one fixed limit of 60 s, and a head of any size up to hyper's buffer was taken.

Change: process::connection keeps the two time limits in the stream under hyper, which has one limit for both and so can't keep them apart; they change while connections are open. Half a head is answered 408. The relay counts a head as it is sent and answers 431. Waits at work on a request have no limit here.

Before: a test of the binary got 503 for 431 and no end of the connection.

--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -2,6 +2,7 @@
 //! accept loop of its HTTP listeners.
 
 pub mod clock;
+pub mod connection;
 pub mod drain;
 pub mod health;
 pub mod serve;
--- a/crates/process/src/serve.rs
+++ b/crates/process/src/serve.rs
@@ -1,5 +1,6 @@
 //! The accept loop that runs a gotham handler over HTTP/1.1 and h2c, with a graceful stop.
 
+use crate::connection::{GuardedBody, PhaseClock, SharedLimits, TimedStream};
 use gotham::{handler::NewHandler, service::call_handler, state::State};
 use http::Request;
 use hyper::{body::Incoming, service::service_fn};
@@ -17,8 +18,6 @@
     task::JoinHandle,
 };
 
-/// Time for a caller to send a request head, also on an idle connection.
-const HEAD_READ_LIMIT: Duration = Duration::from_secs(60);
 /// Time between keep-alive pings on an HTTP/2 connection.
 const PING_INTERVAL: Duration = Duration::from_secs(5);
 /// Time after which an unanswered keep-alive ping closes an HTTP/2 connection.
@@ -55,6 +54,22 @@
         HttpServer::bind_limited(addr, handler, Semaphore::MAX_PERMITS).await
     }
 
+    /// Binds `addr` and serves `handler`, with time limits that the owner of `limits` sets.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound.
+    pub async fn bind_timed<H>(
+        addr: SocketAddr,
+        handler: H,
+        limits: SharedLimits,
+    ) -> io::Result<HttpServer>
+    where
+        H: NewHandler + 'static,
+    {
+        HttpServer::spawn(addr, handler, limits, Semaphore::MAX_PERMITS).await
+    }
+
     /// Binds `addr` and serves `handler`; past `connections_max` open connections new ones wait.
     ///
     /// # Errors
@@ -65,6 +80,18 @@
         handler: H,
         connections_max: usize,
     ) -> io::Result<HttpServer>
+    where
+        H: NewHandler + 'static,
+    {
+        HttpServer::spawn(addr, handler, SharedLimits::default(), connections_max).await
+    }
+
+    async fn spawn<H>(
+        addr: SocketAddr,
+        handler: H,
+        limits: SharedLimits,
+        connections_max: usize,
+    ) -> io::Result<HttpServer>
     where
         H: NewHandler + 'static,
     {
@@ -74,6 +101,7 @@
         let task = tokio::spawn(accept_loop(
             listener,
             Arc::new(handler),
+            limits,
             Arc::new(Semaphore::new(connections_max)),
             stopped,
         ));
@@ -96,6 +124,7 @@
 async fn accept_loop<H>(
     listener: TcpListener,
     handler: Arc<H>,
+    limits: SharedLimits,
     free: Arc<Semaphore>,
     mut stopped: oneshot::Receiver<()>,
 ) where
@@ -105,7 +134,9 @@
     loop {
         tokio::select! {
             accepted = accept(&listener, &free) => match accepted {
-                Ok(accepted) => spawn_connection(accepted, handler.clone(), &graceful),
+                Ok(accepted) => {
+                    spawn_connection(accepted, handler.clone(), limits.clone(), &graceful);
+                }
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             },
             _ = &mut stopped => break,
@@ -136,8 +167,12 @@
     })
 }
 
-fn spawn_connection<H>(accepted: AcceptedConnection, handler: Arc<H>, graceful: &GracefulShutdown)
-where
+fn spawn_connection<H>(
+    accepted: AcceptedConnection,
+    handler: Arc<H>,
+    limits: SharedLimits,
+    graceful: &GracefulShutdown,
+) where
     H: NewHandler + 'static,
 {
     let AcceptedConnection {
@@ -146,7 +181,17 @@
         permit,
     } = accepted;
     set_options(&stream);
-    let service = service_fn(move |req: Request<Incoming>| serve_one(handler.clone(), req, peer));
+    let clock = PhaseClock::open();
+    let stream = TimedStream::new(stream, clock.clone(), limits);
+    let service = service_fn(move |req: Request<Incoming>| {
+        let guard = clock.begin();
+        let response = serve_one(handler.clone(), req, peer);
+        async move {
+            Ok::<_, gotham::anyhow::Error>(
+                response.await?.map(|body| GuardedBody::new(body, guard)),
+            )
+        }
+    });
     let conn = connection_builder()
         .serve_connection(TokioIo::new(stream), service)
         .into_owned();
@@ -202,7 +247,8 @@
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_READ_LIMIT);
+        // The stream has the limits.
+        .header_read_timeout(None);
     builder
         .http2()
         .timer(TokioTimer::new())
--- a/crates/process/tests/serve.rs
+++ b/crates/process/tests/serve.rs
@@ -1,9 +1,14 @@
-//! The limit on open connections.
+//! The limits on open connections: their number, and the time for a head and between requests.
 
-use agatehill_process::serve::HttpServer;
-use gotham::{helpers::http::response::create_empty_response, state::State};
+use agatehill_process::{
+    connection::{ConnectionLimits, SharedLimits},
+    serve::HttpServer,
+};
+use gotham::{
+    handler::HandlerFuture, helpers::http::response::create_empty_response, state::State,
+};
 use http::StatusCode;
-use std::time::Duration;
+use std::{pin::Pin, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -11,6 +16,10 @@
 
 /// Time in which a connection past the limit must stay unanswered.
 const QUIET: Duration = Duration::from_millis(300);
+/// A limit that passes within a test.
+const SHORT: Duration = Duration::from_millis(150);
+/// A limit that does not pass within a test.
+const LONG: Duration = Duration::from_secs(600);
 /// Only ends a test that hangs.
 const GIVE_UP: Duration = Duration::from_secs(30);
 
@@ -50,3 +59,74 @@
         "the second gets its turn"
     );
 }
+
+fn slow(state: State) -> Pin<Box<HandlerFuture>> {
+    Box::pin(async move {
+        tokio::time::sleep(SHORT * 4).await;
+        Ok(ok(state))
+    })
+}
+
+async fn open(limits: &SharedLimits) -> (HttpServer, TcpStream) {
+    let addr = "127.0.0.1:0".parse().expect("an address");
+    let server = HttpServer::bind_timed(addr, || Ok(slow), limits.clone())
+        .await
+        .expect("a free port");
+    let stream = TcpStream::connect(server.local_addr())
+        .await
+        .expect("a connection");
+    (server, stream)
+}
+
+fn limits(head: Duration, idle: Duration) -> SharedLimits {
+    let limits = SharedLimits::default();
+    limits.set(ConnectionLimits { head, idle });
+    limits
+}
+
+/// Reads until the connection ends.
+async fn read_all(stream: &mut TcpStream) -> String {
+    let mut text = String::new();
+    let read = tokio::time::timeout(GIVE_UP, stream.read_to_string(&mut text));
+    read.await.expect("the connection ends").expect("no reset");
+    text
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn half_a_head_is_answered_408_in_time() {
+    let (_server, mut stream) = open(&limits(SHORT, LONG)).await;
+    stream.write_all(b"GET / HTTP/1.1\r\nhost").await.unwrap();
+    assert!(read_all(&mut stream).await.starts_with("HTTP/1.1 408 "));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn half_a_head_on_a_kept_connection_is_answered_408() {
+    let (_server, mut stream) = open(&limits(SHORT, LONG)).await;
+    assert!(ask(&mut stream, GIVE_UP).await);
+    // A connection between two requests has the other limit.
+    tokio::time::sleep(SHORT * 2).await;
+    assert!(ask(&mut stream, GIVE_UP).await);
+    stream.write_all(b"GET / HT").await.unwrap();
+    assert!(read_all(&mut stream).await.starts_with("HTTP/1.1 408 "));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_connection_ends_without_a_word() {
+    let (_server, mut stream) = open(&limits(LONG, SHORT)).await;
+    // At work on a request for longer than either limit, it does not end.
+    assert!(ask(&mut stream, GIVE_UP).await);
+    assert_eq!(read_all(&mut stream).await, "");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn new_limits_hold_on_open_connections() {
+    let shared = limits(LONG, LONG);
+    let (_server, mut stream) = open(&shared).await;
+    assert!(ask(&mut stream, GIVE_UP).await);
+    shared.set(ConnectionLimits {
+        head: SHORT,
+        idle: LONG,
+    });
+    stream.write_all(b"GET / HT").await.unwrap();
+    assert!(read_all(&mut stream).await.starts_with("HTTP/1.1 408 "));
+}
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -17,6 +17,8 @@
     NoConfig,
     /// No route matches.
     NoRoute,
+    /// The head is larger than callers may send; not run.
+    HeadTooLarge,
     /// The body is larger than callers may send; not run.
     TooLarge,
     /// The body does not come in time; not run.
@@ -40,6 +42,7 @@
         match self {
             RelayRefusal::NoConfig | RelayRefusal::Busy { .. } => StatusCode::SERVICE_UNAVAILABLE,
             RelayRefusal::NoRoute => StatusCode::NOT_FOUND,
+            RelayRefusal::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             RelayRefusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RelayRefusal::SlowBody => StatusCode::REQUEST_TIMEOUT,
             RelayRefusal::BadRequest => StatusCode::BAD_REQUEST,
@@ -53,6 +56,7 @@
         match self {
             RelayRefusal::NoConfig => "no-config",
             RelayRefusal::NoRoute => "no-route",
+            RelayRefusal::HeadTooLarge => "head-too-large",
             RelayRefusal::TooLarge => "too-large",
             RelayRefusal::SlowBody => "slow-body",
             RelayRefusal::BadRequest => "bad-request",
@@ -79,7 +83,11 @@
             let value = HeaderValue::try_from(text).expect("numbers are header text");
             headers.insert(RETRY_AFTER, value);
         }
-        if matches!(self, RelayRefusal::SlowBody | RelayRefusal::TooLarge) {
+        let is_unread = matches!(
+            self,
+            RelayRefusal::SlowBody | RelayRefusal::TooLarge | RelayRefusal::HeadTooLarge
+        );
+        if is_unread {
             // The rest of the body is not read.
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -9,7 +9,7 @@
     decision_log::{EntryDecision, request_id},
     entry::RequestEntry,
     gate::GateResult,
-    headers::{millis, strip_connection},
+    headers::{head_bytes, millis, strip_connection},
     hop::{HopEnd, HopHead},
 };
 use agatehill_decide::{
@@ -123,6 +123,9 @@
 
     async fn relay(&mut self, body: Body) -> Result<Response<CallBody>, RelayRefusal> {
         let table = self.table.clone().ok_or(RelayRefusal::NoConfig)?;
+        if head_bytes(&self.head) > table.config().limits.head_bytes_max {
+            return Err(RelayRefusal::HeadTooLarge);
+        }
         let rule = find_rule(&table, &self.head).ok_or(RelayRefusal::NoRoute)?;
         let route = route_key(rule);
         let target = RequestTarget {
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -6,6 +6,7 @@
         CONNECTION, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING,
         UPGRADE,
     },
+    request::Parts,
 };
 use std::time::Duration;
 
@@ -57,6 +58,14 @@
     }
 }
 
+/// Returns the size of a request head as a caller sends it over HTTP/1.1, in bytes.
+pub(crate) fn head_bytes(head: &Parts) -> usize {
+    let line = format!("{} {} HTTP/1.1\r\n", head.method, head.uri).len();
+    let fields = head.headers.iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    line + fields.sum::<usize>() + "\r\n".len()
+}
+
 /// Returns the time in milliseconds that the header `name` holds; `None` if it is missing or is no
 /// number.
 pub fn millis(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
--- a/crates/relay/tests/faults.rs
+++ b/crates/relay/tests/faults.rs
@@ -5,8 +5,8 @@
 
 use rstest::rstest;
 use support::{
-    BODY_BYTES_MAX, Manner, TestAnswer, blank_daemon, eventually, header, one_daemon, send,
-    send_and_leave, two_daemons,
+    BODY_BYTES_MAX, HEAD_BYTES_MAX, Manner, TestAnswer, blank_daemon, eventually, header,
+    one_daemon, send, send_and_leave, send_bytes, two_daemons,
 };
 
 const GET: &str = "GET /safe/x";
@@ -188,6 +188,27 @@
     assert_eq!(daemon.server.runs(), 0);
 }
 
+/// The head may be as large as callers are allowed to send, counted as it is sent, and no larger.
+#[rstest]
+#[case::largest(0, 200)]
+#[case::larger(1, 431)]
+#[tokio::test]
+async fn heads_have_a_largest_size(#[case] beyond: usize, #[case] status: u16) {
+    let daemon = one_daemon().await;
+    let mut lines = vec![GET.to_owned() + " HTTP/1.1"];
+    for line in ["host: a.example", "x-id: r-1", "x-deadline: 5000"] {
+        lines.push(line.to_owned());
+    }
+    let size = |lines: &[String]| lines.iter().map(|line| line.len() + 2).sum::<usize>() + 2;
+    let rest = HEAD_BYTES_MAX + beyond - size(&lines) - "x-fill: \r\n".len();
+    lines.push(format!("x-fill: {}", "f".repeat(rest)));
+    assert_eq!(size(&lines), HEAD_BYTES_MAX + beyond);
+    let text = lines.join("\r\n") + "\r\n\r\n";
+    let answer = send_bytes(daemon.addr(), text.as_bytes()).await.unwrap();
+    assert_eq!(answer.status, status, "{answer:?}");
+    assert_eq!(daemon.server.runs(), u32::from(status == 200));
+}
+
 #[tokio::test]
 async fn without_a_configuration_nothing_is_unknown() {
     let daemon = blank_daemon().await;
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -34,6 +34,7 @@
     time::timeout,
 };
 
+pub(crate) const HEAD_BYTES_MAX: usize = 16_384;
 pub(crate) const BODY_BYTES_MAX: usize = 1 << 20;
 /// Time within which any answer must come.
 const ANSWER_LIMIT: Duration = Duration::from_secs(10);
@@ -413,11 +414,16 @@
     for (name, value) in headers {
         text += &format!("{name}: {value}\r\n");
     }
-    let mut stream = TcpStream::connect(addr).await.unwrap();
     let mut bytes = (text + "\r\n").into_bytes();
     bytes.extend_from_slice(body);
+    send_bytes(addr, &bytes).await
+}
+
+/// Sends the bytes of one request on a connection of its own; `None` without an answer.
+pub(crate) async fn send_bytes(addr: SocketAddr, bytes: &[u8]) -> Option<TestAnswer> {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
     // A daemon may answer and close before it has read all.
-    let _ = stream.write_all(&bytes).await;
+    let _ = stream.write_all(bytes).await;
     timeout(ANSWER_LIMIT, read_answer(&mut stream))
         .await
         .unwrap()
@@ -500,7 +506,7 @@
             connections_max: 10,
         }],
         limits: CallerLimits {
-            head_bytes_max: 16_384,
+            head_bytes_max: HEAD_BYTES_MAX,
             body_bytes_max: BODY_BYTES_MAX as u64,
             head_limit: Duration::from_secs(3),
             idle_limit: Duration::from_secs(15),
