Run fewer requests at once where a server's last slots slow it down

Change: decide::slot_limit compares how long requests take at four levels of fullness, 85 to 100 in 100 of the slots, and holds a full server at the level at which most end in the same time; each level is tried again every 20 s.

Ruled out: a fixed limit below all slots, which costs servers without such a knee as much as it gains; comparing neighbouring levels only, which stops on a plateau (294 slots, knee at 0.9); estimates from the first requests that end at a level, which are the short ones.

Test: decide slot_limit, a server that is always full, at least nine tenths of what the best limit gives; without the limit the same load stays below that.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod server_track;
 pub mod service_config;
 pub mod silence;
+pub mod slot_limit;
 pub mod state;
 pub mod time;
 pub mod weighted_pick;
--- a/crates/relay/src/local.rs
+++ b/crates/relay/src/local.rs
@@ -5,6 +5,7 @@
     placement::RouteKey,
     route_limit::RouteLimit,
     server_track::{BeatEffect, ServerBeat, ServerTrack},
+    slot_limit::SlotLimit,
     time::MonoTime,
 };
 use agatehill_process::clock::MonoClock;
@@ -61,6 +62,8 @@
     admission: SlotAdmission,
     waiting: SecondaryMap<WaitKey, oneshot::Sender<bool>>,
     slots: u32,
+    /// How many of the slots are worth using.
+    slot_limit: SlotLimit,
     /// Limits of the routes whose requests come here.
     limits: HashMap<RouteKey, RouteLimit>,
     /// Counts incarnations; slots of an earlier one are not given back.
@@ -76,6 +79,7 @@
             admission: SlotAdmission::new(1),
             waiting: SecondaryMap::new(),
             slots: 1,
+            slot_limit: SlotLimit::new(1),
             limits: HashMap::new(),
             generation: 0,
             is_closed: false,
@@ -99,10 +103,12 @@
             state.generation += 1;
             state.refuse_waiting();
             state.admission = SlotAdmission::new(slots);
+            state.slot_limit = SlotLimit::new(slots);
             state.limits.clear();
             state.slots = slots;
         } else if effect == BeatEffect::Changed {
             state.admission.set_slots(slots);
+            state.slot_limit = SlotLimit::new(slots);
             state.slots = slots;
         }
         drop(state);
@@ -231,17 +237,28 @@
     fn guard(&self, place: RoutePlace) -> SlotGuard {
         SlotGuard {
             place,
+            running: self.lock().admission.running(),
             since: self.shared.clock.now(),
         }
     }
 
-    fn release(&self, generation: u64, held: Option<Duration>) {
+    /// Gives the slot of a run back that began in `generation`; `run` tells how long it took, if it
+    /// tells anything.
+    fn release(&self, generation: u64, run: Option<RunTime>) {
         let now = self.shared.clock.now();
         let mut state = self.lock();
-        if state.generation == generation {
-            let turn = state.admission.release(held, now);
-            state.tell(turn, now);
+        if state.generation != generation {
+            return;
+        }
+        if let Some(run) = run {
+            state
+                .slot_limit
+                .observe(run.route, run.running, run.held, now);
+            let limit = state.slot_limit.limit();
+            state.admission.set_slots(limit);
         }
+        let turn = state.admission.release(run.map(|run| run.held), now);
+        state.tell(turn, now);
     }
 
     fn lock(&self) -> MutexGuard<'_, LocalState> {
@@ -357,9 +374,19 @@
     }
 }
 
+/// How long a request ran.
+#[derive(Clone, Copy, Debug)]
+struct RunTime {
+    route: RouteKey,
+    /// Requests that ran when it began, itself included.
+    running: u32,
+    held: Duration,
+}
+
 /// A slot of the server; given back on drop.
 pub struct SlotGuard {
     place: RoutePlace,
+    running: u32,
     since: MonoTime,
 }
 
@@ -373,8 +400,12 @@
 impl Drop for SlotGuard {
     fn drop(&mut self) {
         let server = &self.place.server;
-        let held = server.shared.clock.now().since(self.since);
-        let held = (self.place.end == RunEnd::Done).then_some(held);
-        server.release(self.place.generation, held);
+        let run = RunTime {
+            route: self.place.ask.route,
+            running: self.running,
+            held: server.shared.clock.now().since(self.since),
+        };
+        let is_done = self.place.end == RunEnd::Done;
+        server.release(self.place.generation, is_done.then_some(run));
     }
 }
