Know which request a call is made for; spend the budget of repeats where it helps

Change: calls end with their parent, so decide::call_parent finds it among the runs of the server by its deadline. A call has its root's rank, waits before what begins with that rank, and tells whether it comes from a repeat. RepeatBudget now counts such calls as used; what remains, 0.16 a request, may be spent at any service.

Ruled out: a share of repeats in the whole load of a host instead of a mark on each request: roots of callers beside a server of the last service would be counted too, and the shares feed on themselves until nothing is left.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 //! daemons, the keepers, the property tests and the bench all drive the same code.
 
 pub mod admission;
+pub mod call_parent;
 pub mod chain;
 pub mod claim;
 pub mod config_book;
--- a/crates/decide/src/repeat_budget.rs
+++ b/crates/decide/src/repeat_budget.rs
@@ -1,17 +1,21 @@
 //! The budget for sending a request to a second backend server.
 //!
-//! Every daemon keeps its own share, as a part of the requests that it sends itself, so that the
-//! sum over all daemons stays within the bound without a message. A repeat near the root repeats
-//! all calls below it: at the end of a chain the parts of all its services add up.
+//! Every daemon keeps its own part of it, as a part of the requests that it sends itself, so that
+//! the sum over all daemons stays within the bound without a message. A repeat near the root repeats
+//! all calls below it, which count as repeats too; so a call of a repeat uses the budget up instead
+//! of adding to it. A service that fails at the end of a chain may use the whole budget, unless
+//! those above it do.
 
 use crate::name::ServiceName;
 use std::collections::HashMap;
 
-/// Repeats that are earned with each first request; four services deep, the sum stays below the
-/// fifth that is allowed.
-const EARNED: f64 = 0.04;
+/// Repeats that are earned with each request; below the fifth that is allowed, as the parts of
+/// daemons with many calls of repeats are not made up for by the others.
+const EARNED: f64 = 0.16;
 /// Most repeats that are saved up.
 const SAVED_MAX: f64 = 1.0;
+/// Most repeats that are owed, so that a spell of them above is over soon.
+const OWED_MAX: f64 = 5.0;
 
 /// Repeats that a daemon may still send, by service.
 #[derive(Debug, Default)]
@@ -20,10 +24,12 @@
 }
 
 impl RepeatBudget {
-    /// Takes note of a first request for `service`.
-    pub fn earn(&mut self, service: &ServiceName) {
+    /// Takes note of a request for `service` that is sent for the first time; `is_repeat` if it is a
+    /// call of a repeat.
+    pub fn earn(&mut self, service: &ServiceName, is_repeat: bool) {
+        let used = f64::from(u8::from(is_repeat));
         let saved = self.saved(service);
-        *saved = (*saved + EARNED).min(SAVED_MAX);
+        *saved = (*saved + EARNED - used).clamp(-OWED_MAX, SAVED_MAX);
     }
 
     /// Spends a repeat, if there is one.
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -13,6 +13,7 @@
     hop::{HopEnd, HopHead},
 };
 use agatehill_decide::{
+    call_parent::ParentRun,
     name::ServiceName,
     placement::RouteKey,
     service_config::{RouteRule, RouteTable},
@@ -61,6 +62,8 @@
     /// Time that the caller waits for its answer.
     patience: Duration,
     table: Option<Arc<RouteTable>>,
+    /// The request that the server on this host makes it for, if it does.
+    parent: Option<ParentRun>,
     /// Where it goes, once that is known.
     target: Option<RequestTarget>,
     tried: Vec<SocketAddr>,
@@ -92,11 +95,14 @@
     /// Returns a request that has just come.
     pub(crate) fn new(entry: &'a RequestEntry, head: Parts) -> RequestCall<'a> {
         let asked = millis(&head.headers, &entry.options.names.deadline_ms);
+        let began = entry.options.clock.now();
+        let server = entry.options.gate.server();
         RequestCall {
             entry,
             head,
-            began: entry.options.clock.now(),
+            began,
             patience: asked.unwrap_or(DEADLINE_DEFAULT),
+            parent: asked.and_then(|asked| server.find_parent(began + asked)),
             table: entry.table.load_full(),
             target: None,
             tried: Vec::new(),
@@ -162,7 +168,8 @@
     ) -> Result<Response<CallBody>, RelayRefusal> {
         let mut next = Some(body);
         let mut retry_after = RETRY_MIN;
-        self.entry.lock().budget.earn(&target.service);
+        let is_repeat = self.parent.is_some_and(|parent| parent.is_repeat);
+        self.entry.lock().budget.earn(&target.service, is_repeat);
         while let Some(body) = next.take() {
             let Some(gate) = self.choose(target) else {
                 break;
@@ -234,9 +241,13 @@
             service: target.service.clone(),
             caller: self.entry.options.service.clone(),
             route: target.route,
-            rank: target.rule.priority,
+            rank: self
+                .parent
+                .map_or(target.rule.priority, |parent| parent.rank),
             left,
             late_after: late_after(&target.rule),
+            is_call: self.parent.is_some(),
+            is_repeat: self.reached > 0 || self.parent.is_some_and(|parent| parent.is_repeat),
             wait_max: target.rule.target.mul_f64(0.5).min(left.mul_f64(0.7)),
         };
         let entry = self.entry;
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -127,6 +127,8 @@
             service = decision.head.service.as_str(),
             caller = decision.head.caller.as_str(),
             rank = decision.head.rank,
+            is_call = decision.head.is_call,
+            is_repeat = decision.head.is_repeat,
             server = decision.server.unwrap_or(""),
             end = decision.end.as_str(),
             reason = decision.reason,
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -7,7 +7,9 @@
     local::{LocalServer, RunEnd, SlotAsk, SlotGuard},
     pool::{ConnectionPool, PoolOptions, PooledAnswer, SendFailure},
 };
-use agatehill_decide::{admission::AdmissionAsk, server_track::ServerBeat, time::MonoTime};
+use agatehill_decide::{
+    admission::AdmissionAsk, call_parent::ParentRun, server_track::ServerBeat, time::MonoTime,
+};
 use agatehill_peer::body::CallBody;
 use agatehill_process::clock::MonoClock;
 use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_ENCODING, response::Parts};
@@ -148,7 +150,7 @@
             came: began,
             late_after: head.late_after,
             admission: AdmissionAsk {
-                rank: head.rank,
+                rank: slot_rank(head),
                 start_by: began + head.wait_max.min(head.left),
             },
         };
@@ -186,6 +188,11 @@
         let id = req.headers().get(&self.names.request_id).cloned();
         self.prepare(head, beat, &mut req, left);
         let end = self.clock.now() + left;
+        let run = ParentRun {
+            rank: head.rank,
+            is_repeat: head.is_repeat,
+        };
+        slot.begin(end, run);
         let sent = timeout(left, self.pool.send(beat.address, req));
         let answer = match sent.await {
             Ok(Ok(answer)) => answer,
@@ -306,3 +313,9 @@
         }
     }
 }
+
+/// Returns the rank of a request among those that wait for a slot: calls go before what begins with the
+/// same rank, as work has been done for them already.
+fn slot_rank(head: &HopHead) -> u32 {
+    head.rank * 2 + u32::from(!head.is_call)
+}
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -18,7 +18,7 @@
     pub caller: ServiceName,
     /// The route.
     pub route: RouteKey,
-    /// Rank; 0 is the most important.
+    /// Rank of the request at the root; 0 is the most important.
     pub rank: u32,
     /// Time that is left for it.
     pub left: Duration,
@@ -26,6 +26,10 @@
     pub wait_max: Duration,
     /// Time from which it counts as late.
     pub late_after: Duration,
+    /// Whether a backend server makes it for a request that it runs.
+    pub is_call: bool,
+    /// Whether it is a repeat, or a call of one.
+    pub is_repeat: bool,
 }
 
 /// How a request ended at a gate.
@@ -45,14 +49,16 @@
     /// Writes the head into `headers`.
     pub fn write(&self, headers: &mut HeaderMap) {
         let text = format!(
-            "{} {} {:x} {} {} {} {}",
+            "{} {} {:x} {} {} {} {} {} {}",
             self.service,
             self.caller,
             self.route.0,
             self.rank,
             self.left.as_millis(),
             self.wait_max.as_millis(),
-            self.late_after.as_millis()
+            self.late_after.as_millis(),
+            u8::from(self.is_call),
+            u8::from(self.is_repeat)
         );
         let value = HeaderValue::try_from(text).expect("names and numbers are header text");
         headers.insert(HOP, value);
@@ -70,6 +76,8 @@
             left: take_millis(&mut words)?,
             wait_max: take_millis(&mut words)?,
             late_after: take_millis(&mut words)?,
+            is_call: take_flag(&mut words)?,
+            is_repeat: take_flag(&mut words)?,
         })
     }
 }
@@ -106,3 +114,7 @@
 fn take_millis<'a>(words: &mut impl Iterator<Item = &'a str>) -> Option<Duration> {
     Some(Duration::from_millis(words.next()?.parse().ok()?))
 }
+
+fn take_flag<'a>(words: &mut impl Iterator<Item = &'a str>) -> Option<bool> {
+    Some(words.next()? == "1")
+}
--- a/crates/relay/src/local.rs
+++ b/crates/relay/src/local.rs
@@ -2,6 +2,7 @@
 
 use agatehill_decide::{
     admission::{Admission, AdmissionAsk, AdmissionTurn, SlotAdmission, WaitKey},
+    call_parent::{ParentKey, ParentRun, ParentRuns},
     placement::RouteKey,
     route_limit::RouteLimit,
     server_track::{BeatEffect, ServerBeat, ServerTrack},
@@ -64,6 +65,8 @@
     slots: u32,
     /// How many of the slots are worth using.
     slot_limit: SlotLimit,
+    /// The requests that it runs.
+    parents: ParentRuns,
     /// Limits of the routes whose requests come here.
     limits: HashMap<RouteKey, RouteLimit>,
     /// Counts incarnations; slots of an earlier one are not given back.
@@ -80,6 +83,7 @@
             waiting: SecondaryMap::new(),
             slots: 1,
             slot_limit: SlotLimit::new(1),
+            parents: ParentRuns::default(),
             limits: HashMap::new(),
             generation: 0,
             is_closed: false,
@@ -170,6 +174,11 @@
         (state.admission.running(), state.admission.queued())
     }
 
+    /// Returns the request that the server makes a call for which must end by `end`.
+    pub fn find_parent(&self, end: MonoTime) -> Option<ParentRun> {
+        self.lock().parents.find(end)
+    }
+
     /// Waits for a slot. Dropping the future gives up the wait.
     ///
     /// # Errors
@@ -238,15 +247,19 @@
         SlotGuard {
             place,
             running: self.lock().admission.running(),
+            parent: None,
             since: self.shared.clock.now(),
         }
     }
 
     /// Gives the slot of a run back that began in `generation`; `run` tells how long it took, if it
     /// tells anything.
-    fn release(&self, generation: u64, run: Option<RunTime>) {
+    fn release(&self, generation: u64, run: Option<RunTime>, parent: Option<ParentKey>) {
         let now = self.shared.clock.now();
         let mut state = self.lock();
+        if let Some(parent) = parent {
+            state.parents.remove(parent);
+        }
         if state.generation != generation {
             return;
         }
@@ -323,7 +336,7 @@
         drop(state);
         // A slot that came in the same moment.
         if let Ok(true) = self.ticket.told.try_recv() {
-            self.server.release(self.generation, None);
+            self.server.release(self.generation, None, None);
         }
     }
 }
@@ -387,10 +400,19 @@
 pub struct SlotGuard {
     place: RoutePlace,
     running: u32,
+    parent: Option<ParentKey>,
     since: MonoTime,
 }
 
 impl SlotGuard {
+    /// Takes note that the server runs the request as `run` and must end by `end`.
+    pub fn begin(&mut self, end: MonoTime, run: ParentRun) {
+        let mut state = self.place.server.lock();
+        if state.generation == self.place.generation {
+            self.parent = Some(state.parents.insert(end, run));
+        }
+    }
+
     /// Sets how the run ended.
     pub fn set_end(&mut self, end: RunEnd) {
         self.place.end = end;
@@ -406,6 +428,6 @@
             held: server.shared.clock.now().since(self.since),
         };
         let is_done = self.place.end == RunEnd::Done;
-        server.release(self.place.generation, is_done.then_some(run));
+        server.release(self.place.generation, is_done.then_some(run), self.parent);
     }
 }
