Make further attempts beside one whose first packet may be lost

Daemons asked all keepers in rounds of up to 0.4 s, as one was still down.

Change: peer::dial makes a further attempt every 200 ms and keeps the earlier ones; links and the daemons' control client use it. A round of questions ends with the first keeper in touch with the leader, and after 250 ms at most.

Ruled out: a shorter limit of one attempt, which a long way would never meet.

--- a/crates/decide/src/home_keeper.rs
+++ b/crates/decide/src/home_keeper.rs
@@ -9,7 +9,7 @@
 /// Time limit of a question beyond the wait, connection included.
 pub const QUESTION_GRACE: Duration = Duration::from_millis(300);
 /// Time limit of the questions to all keepers at once.
-pub const ALL_LIMIT: Duration = Duration::from_millis(400);
+pub const ALL_LIMIT: Duration = Duration::from_millis(250);
 /// Pause after questions to all that brought no certain answer.
 pub const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Questions after which the nearest keeper is tried again.
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -11,7 +11,10 @@
     name::{Incarnation, KeeperName, RegionName, ZoneName},
 };
 use agatehill_peer::fleet::{SyncAsk, SyncPage};
-use futures_util::future::join_all;
+use futures_util::{
+    future::ready,
+    stream::{FuturesUnordered, StreamExt},
+};
 use std::{
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard},
@@ -177,15 +180,16 @@
         }
     }
 
-    /// Asks all keepers at once; returns the first of `nearest` that is in touch with the leader.
-    async fn ask_all(&self, nearest: &[KnownKeeper]) -> Option<KeeperName> {
+    /// Asks all keepers at once; returns the first that answers and is in touch with the leader.
+    async fn ask_all(&self, keepers: &[KnownKeeper]) -> Option<KeeperName> {
         let ask = |keeper| async move {
             let asked = self.ask(keeper, SyncPosition::default(), Duration::ZERO);
             let page = timeout(ALL_LIMIT, asked).await.ok()??;
             page.is_current.then(|| keeper.name.clone())
         };
-        let current = join_all(nearest.iter().map(ask)).await;
-        current.into_iter().flatten().next()
+        let answers: FuturesUnordered<_> = keepers.iter().map(ask).collect();
+        // What the others would have said is asked for with the next question.
+        answers.filter_map(ready).next().await
     }
 
     fn nearest(&self) -> Vec<KnownKeeper> {
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     codec::{PostcardCodec, message_frames},
+    dial::dial,
     keeper::FeedPage,
 };
 use agatehill_decide::{
@@ -33,8 +34,6 @@
 const IDLE_SPAN: Duration = Duration::from_secs(60);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Time limit of a connection attempt.
-const CONNECT_SPAN: Duration = Duration::from_secs(1);
 /// Time limit of a request.
 const REQUEST_SPAN: Duration = Duration::from_secs(2);
 
@@ -168,7 +167,7 @@
         addr: SocketAddr,
         table: MemberExchange,
     ) -> Option<MemberExchange> {
-        let client = dial(addr).await?;
+        let client = connect(addr).await?;
         let asked = time::timeout(REQUEST_SPAN, client.exchange(deadline(), table));
         asked.await.ok()?.ok()?
     }
@@ -180,7 +179,7 @@
         let pooled = self.pool().remove(&addr);
         let client = match pooled {
             Some(client) => client,
-            None => dial(addr).await?,
+            None => connect(addr).await?,
         };
         let asked = time::timeout(REQUEST_SPAN, client.digests(deadline(), ask));
         let reply = asked.await.ok()?.ok()?;
@@ -190,7 +189,7 @@
 
     /// Asks the daemon at `addr` for its contracts; `None` without an answer in time.
     pub async fn contracts(&self, addr: SocketAddr) -> Option<FeedPage> {
-        let client = dial(addr).await?;
+        let client = connect(addr).await?;
         let asked = time::timeout(REQUEST_SPAN, client.contracts(deadline()));
         asked.await.ok()?.ok()
     }
@@ -207,9 +206,8 @@
 }
 
 /// Opens a connection to the daemon at `addr`; `None` if it can't be reached in time.
-async fn dial(addr: SocketAddr) -> Option<PeerControlClient> {
-    let connected = time::timeout(CONNECT_SPAN, TcpStream::connect(addr)).await;
-    let stream = connected.ok()?.ok()?;
+async fn connect(addr: SocketAddr) -> Option<PeerControlClient> {
+    let stream = dial(|| TcpStream::connect(addr)).await?;
     // Without this, small requests wait for the peer's delayed acknowledgement.
     let _ = stream.set_nodelay(true);
     let frames = Framed::new(stream, message_frames());
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod body;
 pub mod codec;
 pub mod control;
+pub mod dial;
 pub mod fleet;
 pub mod forward;
 pub mod forward_client;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -1,6 +1,9 @@
 //! Connections for control messages to other processes of the system.
 
-use crate::codec::{PostcardCodec, message_frames};
+use crate::{
+    codec::{PostcardCodec, message_frames},
+    dial::dial,
+};
 use socket2::{SockRef, TcpKeepalive};
 use std::{
     future::Future,
@@ -11,8 +14,6 @@
 use tokio::{net::TcpStream, sync::Mutex, time};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-/// Time limit of a connection attempt.
-const CONNECT_SPAN: Duration = Duration::from_secs(1);
 /// Silence after which the kernel probes whether the other end is there.
 const PROBE_AFTER: Duration = Duration::from_secs(2);
 /// Time between two such probes.
@@ -109,15 +110,10 @@
     async fn connect(&self) -> Option<(C, u64)> {
         let mut slot = self.slot.lock().await;
         if slot.client.is_none() {
-            slot.client = Some(dial(self.addr).await?);
+            let stream = dial(|| TcpStream::connect(self.addr)).await?;
+            slot.client = Some(C::spawn(stream));
             slot.generation += 1;
         }
         Some((slot.client.clone()?, slot.generation))
     }
 }
-
-/// Opens a connection to `addr`; `None` if it can't be reached in time.
-async fn dial<C: LinkClient>(addr: SocketAddr) -> Option<C> {
-    let connected = time::timeout(CONNECT_SPAN, TcpStream::connect(addr)).await;
-    Some(C::spawn(connected.ok()?.ok()?))
-}
