Leave a caller's request id to the caller; draw none for gotham

Cause: gotham takes the id for its own logs from the header x-request-id and panics where that is no text: the connection ended without an answer. Without the header it draws an id from the kernel, one system call in five of a request at each daemon (strace: 3,000 getrandom for 3,000 requests beside 6,006 writev, 6,086 recvfrom and 2,754 epoll_wait).

Change: the accept loop hides the header from gotham and gives it back.

Test: process serve, request_ids_of_callers_stay_as_they_are; the case no_text fails without the change.

--- a/crates/process/src/serve.rs
+++ b/crates/process/src/serve.rs
@@ -1,8 +1,12 @@
 //! The accept loop that runs a gotham handler over HTTP/1.1 and h2c, with a graceful stop.
 
 use crate::connection::{GuardedBody, PhaseClock, SharedLimits, TimedStream};
-use gotham::{handler::NewHandler, service::call_handler, state::State};
-use http::Request;
+use gotham::{
+    handler::NewHandler,
+    service::call_handler,
+    state::{FromState, State},
+};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, header::Entry};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -18,6 +22,8 @@
     task::JoinHandle,
 };
 
+/// Where gotham looks for the id of a request in its own logs.
+const GOTHAM_ID: HeaderName = HeaderName::from_static("x-request-id");
 /// Time between keep-alive pings on an HTTP/2 connection.
 const PING_INTERVAL: Duration = Duration::from_secs(5);
 /// Time after which an unanswered keep-alive ping closes an HTTP/2 connection.
@@ -224,10 +230,31 @@
 where
     H: NewHandler + 'static,
 {
-    let state = State::from_request(req, peer);
+    let state = request_state(req, peer);
     call_handler(AssertShared(handler), AssertUnwindSafe(state))
 }
 
+/// Returns gotham's state of a request.
+///
+/// Gotham takes an id for its own logs from a header of the caller's, which must be text, or else
+/// draws one, which costs a system call. Neither is wanted: the header is the caller's and the
+/// servers'.
+fn request_state(mut req: Request<Incoming>, peer: SocketAddr) -> State {
+    let headers = req.headers_mut();
+    let values: Vec<_> = match headers.entry(GOTHAM_ID) {
+        Entry::Occupied(entry) => entry.remove_entry_mult().1.collect(),
+        Entry::Vacant(_) => Vec::new(),
+    };
+    headers.insert(GOTHAM_ID, HeaderValue::from_static("-"));
+    let mut state = State::from_request(req, peer);
+    let headers = HeaderMap::borrow_mut_from(&mut state);
+    headers.remove(GOTHAM_ID);
+    for value in values {
+        headers.append(GOTHAM_ID, value);
+    }
+    state
+}
+
 /// A shared handler that a caught panic leaves usable.
 struct AssertShared<H>(Arc<H>);
 
--- a/crates/process/tests/serve.rs
+++ b/crates/process/tests/serve.rs
@@ -5,9 +5,13 @@
     serve::HttpServer,
 };
 use gotham::{
-    handler::HandlerFuture, helpers::http::response::create_empty_response, state::State,
+    handler::HandlerFuture,
+    helpers::http::response::{create_empty_response, create_response},
+    mime,
+    state::{FromState, State},
 };
-use http::StatusCode;
+use http::{HeaderMap, StatusCode};
+use rstest::rstest;
 use std::{pin::Pin, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -28,6 +32,16 @@
     (state, response)
 }
 
+/// Answers with the ids that the caller's header names.
+fn ids(mut state: State) -> (State, http::Response<gotham::helpers::http::Body>) {
+    let headers = HeaderMap::take_from(&mut state);
+    let ids = headers.get_all("x-request-id").iter();
+    let ids: Vec<_> = ids.map(|value| value.as_bytes()).collect();
+    let body = ids.join(&b'|');
+    let response = create_response(&state, StatusCode::OK, mime::TEXT_PLAIN, body);
+    (state, response)
+}
+
 async fn ask(stream: &mut TcpStream, limit: Duration) -> bool {
     stream
         .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
@@ -130,3 +144,32 @@
     stream.write_all(b"GET / HT").await.unwrap();
     assert!(read_all(&mut stream).await.starts_with("HTTP/1.1 408 "));
 }
+
+/// A header that gotham would take for its own logs is the caller's: any value, any number.
+#[rstest]
+#[case::none(b"", b"")]
+#[case::one(b"x-request-id: a\r\n", b"a")]
+#[case::two(b"x-request-id: a\r\nx-request-id: b\r\n", b"a|b")]
+#[case::no_text(b"x-request-id: \xff\xfe\r\n", b"\xff\xfe")]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_ids_of_callers_stay_as_they_are(#[case] header: &[u8], #[case] ids_: &[u8]) {
+    let addr = "127.0.0.1:0".parse().expect("an address");
+    let server = HttpServer::bind(addr, || Ok(ids)).await.expect("a port");
+    let mut stream = TcpStream::connect(server.local_addr())
+        .await
+        .expect("a connection");
+    let head = [
+        b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n",
+        header,
+        b"\r\n",
+    ];
+    stream.write_all(&head.concat()).await.unwrap();
+    let mut answer = Vec::new();
+    let read = tokio::time::timeout(GIVE_UP, stream.read_to_end(&mut answer));
+    read.await.expect("the connection ends").expect("no reset");
+    assert!(answer.starts_with(b"HTTP/1.1 200 "), "{answer:?}");
+    assert!(
+        answer.ends_with(&[b"\r\n\r\n", ids_].concat()),
+        "{answer:?}"
+    );
+}
