Name the home keeper in the log only where it changes

While no keeper was in touch the line was written with each round of questions, 73 times in five seconds after a loss of power of everything.

--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -157,6 +157,8 @@
     async fn follow(self) {
         let mut home = HomeKeeper::default();
         let mut position = SyncPosition::default();
+        // The home that the log names.
+        let mut told = None;
         loop {
             let nearest = self.nearest();
             let names: Vec<_> = nearest.iter().map(|k| k.name.clone()).collect();
@@ -171,8 +173,11 @@
                 }
                 KeeperQuestion::All => {
                     let current = self.ask_all(&nearest).await;
-                    let keeper = current.as_ref().map_or("none", KeeperName::as_str);
-                    spdlog::info!("home keeper changes", kv: { keeper });
+                    if current != told {
+                        let keeper = current.as_ref().map_or("none", KeeperName::as_str);
+                        spdlog::info!("home keeper changes", kv: { keeper });
+                        told.clone_from(&current);
+                    }
                     home.note_all(current);
                 }
                 KeeperQuestion::Pause => tokio::time::sleep(RETRY_PAUSE).await,
