Call the limit by fullness what it is; keep idle limits off HTTP/2

decide had two types named SlotLimit: the older one follows sheds in the product's own gate, the new one compares fullness. The new one is now FullnessLimit. An idle HTTP/2 connection would have ended after 60 s without a word to its caller, as it did not before the stream had the limits.

--- a/crates/decide/src/slot_limit.rs
+++ b/crates/decide/src/fullness.rs
@@ -68,7 +68,7 @@
 
 /// The limit of one backend server.
 #[derive(Clone, Debug)]
-pub struct SlotLimit {
+pub struct FullnessLimit {
     slots: u32,
     /// The level that the limit allows; 0 for all slots.
     top: usize,
@@ -77,10 +77,10 @@
     times: HashMap<RouteKey, MovingMean>,
 }
 
-impl SlotLimit {
+impl FullnessLimit {
     /// Returns the limit of a server with `slots` slots.
-    pub fn new(slots: u32) -> SlotLimit {
-        SlotLimit {
+    pub fn new(slots: u32) -> FullnessLimit {
+        FullnessLimit {
             slots: slots.max(1),
             top: 0,
             levels: [LevelEstimate::NONE; LEVELS],
--- a/crates/process/src/connection.rs
+++ b/crates/process/src/connection.rs
@@ -1,7 +1,7 @@
 //! Time limits of a caller's connection: for a request head on its way, and between two requests.
 //!
 //! The stream under hyper keeps them, as hyper has one limit for both. A connection that is at work
-//! on a request has no limit here; over HTTP/2 only an idle one has.
+//! on a request has no limit here, and one over HTTP/2 none at all: its pings tell who is there.
 
 use http_body::{Body, Frame, SizeHint};
 use std::{
@@ -23,10 +23,8 @@
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 /// How an HTTP/2 connection begins, as far as no HTTP/1 request does.
 const HTTP2_START: &[u8] = b"PRI * HTTP/2";
-
 /// Time after which a connection at work is looked at again; a limit may be noticed late by as much.
 const LOOK_AGAIN: Duration = Duration::from_secs(1);
-
 /// Shortest limit; a shorter one would end new connections before their first byte.
 const LIMIT_MIN: Duration = Duration::from_millis(100);
 
@@ -55,7 +53,7 @@
 }
 
 impl SharedLimits {
-    /// Puts `limits` in force; a wait that has begun ends by the limit that it began with.
+    /// Puts `limits` in force; a wait that has begun may end by the limit that it began with.
     pub fn set(&self, limits: ConnectionLimits) {
         let limits = ConnectionLimits {
             head: limits.head.max(LIMIT_MIN),
@@ -199,11 +197,13 @@
 
     /// Returns when the present phase must be over; `None` without a limit.
     fn deadline(&self) -> Option<Instant> {
+        if self.is_http2 == Some(true) {
+            return None;
+        }
         let phase = *self.clock.lock();
         let limits = self.limits.get();
         match phase {
             ConnectionPhase::Idle(since) => Some(since + limits.idle),
-            ConnectionPhase::Head(_) if self.is_http2 == Some(true) => None,
             ConnectionPhase::Head(since) => Some(since + limits.head),
             ConnectionPhase::Busy(_) => None,
         }
@@ -241,13 +241,10 @@
         }
     }
 
-    fn note_read(&mut self, start: &[u8]) {
-        let is_http2 = self
-            .is_http2
-            .get_or_insert_with(|| start.starts_with(HTTP2_START));
-        if !*is_http2 {
-            self.clock.note_read();
-        }
+    fn note_read(&mut self, bytes: &[u8]) {
+        self.is_http2
+            .get_or_insert_with(|| bytes.starts_with(HTTP2_START));
+        self.clock.note_read();
     }
 }
 
--- a/crates/relay/src/local.rs
+++ b/crates/relay/src/local.rs
@@ -3,10 +3,10 @@
 use agatehill_decide::{
     admission::{Admission, AdmissionAsk, AdmissionTurn, SlotAdmission, WaitKey},
     call_parent::{ParentKey, ParentRun, ParentRuns},
+    fullness::FullnessLimit,
     placement::RouteKey,
     route_limit::RouteLimit,
     server_track::{BeatEffect, ServerBeat, ServerTrack},
-    slot_limit::SlotLimit,
     time::MonoTime,
 };
 use agatehill_process::clock::MonoClock;
@@ -64,7 +64,7 @@
     waiting: SecondaryMap<WaitKey, oneshot::Sender<bool>>,
     slots: u32,
     /// How many of the slots are worth using.
-    slot_limit: SlotLimit,
+    fullness: FullnessLimit,
     /// The requests that it runs.
     parents: ParentRuns,
     /// Limits of the routes whose requests come here.
@@ -82,7 +82,7 @@
             admission: SlotAdmission::new(1),
             waiting: SecondaryMap::new(),
             slots: 1,
-            slot_limit: SlotLimit::new(1),
+            fullness: FullnessLimit::new(1),
             parents: ParentRuns::default(),
             limits: HashMap::new(),
             generation: 0,
@@ -107,12 +107,12 @@
             state.generation += 1;
             state.refuse_waiting();
             state.admission = SlotAdmission::new(slots);
-            state.slot_limit = SlotLimit::new(slots);
+            state.fullness = FullnessLimit::new(slots);
             state.limits.clear();
             state.slots = slots;
         } else if effect == BeatEffect::Changed {
             state.admission.set_slots(slots);
-            state.slot_limit = SlotLimit::new(slots);
+            state.fullness = FullnessLimit::new(slots);
             state.slots = slots;
         }
         drop(state);
@@ -265,9 +265,9 @@
         }
         if let Some(run) = run {
             state
-                .slot_limit
+                .fullness
                 .observe(run.route, run.running, run.held, now);
-            let limit = state.slot_limit.limit();
+            let limit = state.fullness.limit();
             state.admission.set_slots(limit);
         }
         let turn = state.admission.release(run.map(|run| run.held), now);
