Keep a server away that left before any heartbeat of it was heard

A daemon stops and starts (roll); 0.1 s after its start the server on its host leaves, without a body that tells its start; 2.8 s later a heartbeat from before comes, and the daemon takes the server for a new one.

Cause: the end of a server that isn't known was only kept if its start was told. Change: without it, heartbeats of that identity are ignored for 10 s. Ruled out: telling a late heartbeat by its number from one of a server that starts again under its identity: the first of those may be lost as well.

Left: a daemon that stops after it has acknowledged the leave knows nothing of it when it starts; a heartbeat as late as that would still be believed.

Test: decide server_track, a_server_that_left_before_it_was_known_stays_away; late_beat fails without the change.

--- a/crates/decide/src/server_track.rs
+++ b/crates/decide/src/server_track.rs
@@ -7,6 +7,10 @@
 use crate::{name::ServiceName, time::MonoTime};
 use std::{net::SocketAddr, time::Duration};
 
+/// Time by which heartbeats are late at most. A server that left before any was heard can't be told
+/// from one that starts again under its identity until then.
+const LATE_MAX: Duration = Duration::from_secs(10);
+
 /// One heartbeat.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServerBeat {
@@ -57,6 +61,8 @@
     present: Option<PresentServer>,
     /// Identity and start of the incarnation that was last told to have ended.
     ended: Option<(String, u64)>,
+    /// Identity of a server that ended when none was known, and when it was told.
+    left: Option<(String, MonoTime)>,
 }
 
 impl ServerTrack {
@@ -66,6 +72,7 @@
             silence_max,
             present: None,
             ended: None,
+            left: None,
         }
     }
 
@@ -74,7 +81,8 @@
         let is_ended = |(id, born): &(String, u64)| {
             beat.born < *born || (beat.born == *born && *id == beat.id)
         };
-        if self.ended.as_ref().is_some_and(is_ended) {
+        let has_left = |(id, at): &(String, MonoTime)| *id == beat.id && now.since(*at) < LATE_MAX;
+        if self.ended.as_ref().is_some_and(is_ended) || self.left.as_ref().is_some_and(has_left) {
             return BeatEffect::Ignored;
         }
         let Some(present) = &mut self.present else {
@@ -107,7 +115,7 @@
 
     /// Takes in that an incarnation ends; without `born` the present one of that identity is meant.
     /// Returns whether it was the present one.
-    pub fn end(&mut self, id: &str, born: Option<u64>) -> bool {
+    pub fn end(&mut self, id: &str, born: Option<u64>, now: MonoTime) -> bool {
         let is_meant = |beat: &ServerBeat| beat.id == id && born.is_none_or(|b| b == beat.born);
         match &self.present {
             Some(present) if is_meant(&present.beat) => {
@@ -116,9 +124,12 @@
                 true
             }
             Some(_) => false,
+            // Told before any heartbeat, after a restart of the daemon.
             None => {
-                // Told before any heartbeat, after a restart of the daemon.
-                self.ended = born.map(|born| (id.to_owned(), born)).or(self.ended.take());
+                match born {
+                    Some(born) => self.ended = Some((id.to_owned(), born)),
+                    None => self.left = Some((id.to_owned(), now)),
+                }
                 false
             }
         }
--- a/crates/decide/tests/server_track.rs
+++ b/crates/decide/tests/server_track.rs
@@ -69,7 +69,7 @@
 #[case::same_id_born_again(beat("a", 11, 1), BeatEffect::Started)]
 fn an_ended_incarnation_stays_ended(#[case] next: ServerBeat, #[case] effect: BeatEffect) {
     let mut track = track(&[beat("a", 10, 1)]);
-    assert!(track.end("a", None));
+    assert!(track.end("a", None, MonoTime::ZERO));
     assert!(track.serving(MonoTime::ZERO).is_none());
     assert_eq!(track.observe(next, MonoTime::ZERO), effect);
 }
@@ -77,15 +77,31 @@
 #[test]
 fn the_end_of_another_incarnation_changes_nothing() {
     let mut track = track(&[beat("a", 20, 1)]);
-    assert!(!track.end("a", Some(10)));
-    assert!(!track.end("b", None));
+    assert!(!track.end("a", Some(10), MonoTime::ZERO));
+    assert!(!track.end("b", None, MonoTime::ZERO));
     assert!(track.serving(MonoTime::ZERO).is_some());
 }
 
+/// A daemon that has just started is told that a server leaves; its heartbeats from before come late.
+#[rstest]
+#[case::late_beat("a", 2_800, BeatEffect::Ignored)]
+#[case::long_after("a", 10_000, BeatEffect::Started)]
+#[case::another("b", 2_800, BeatEffect::Started)]
+fn a_server_that_left_before_it_was_known_stays_away(
+    #[case] id: &str,
+    #[case] millis: u64,
+    #[case] effect: BeatEffect,
+) {
+    let mut track = ServerTrack::new(SILENCE_MAX);
+    assert!(!track.end("a", None, MonoTime::ZERO));
+    let now = MonoTime::from_millis(millis);
+    assert_eq!(track.observe(beat(id, 10, 23), now), effect);
+}
+
 #[test]
 fn an_end_told_before_any_heartbeat_holds() {
     let mut track = ServerTrack::new(SILENCE_MAX);
-    track.end("a", Some(10));
+    track.end("a", Some(10), MonoTime::ZERO);
     let effect = track.observe(beat("a", 10, 4), MonoTime::ZERO);
     assert_eq!(effect, BeatEffect::Ignored);
 }
--- a/crates/relay/src/local.rs
+++ b/crates/relay/src/local.rs
@@ -122,7 +122,8 @@
 
     /// Takes in that a server leaves.
     pub fn end(&self, id: &str, born: Option<u64>) -> bool {
-        let was_present = self.lock().track.end(id, born);
+        let now = self.shared.clock.now();
+        let was_present = self.lock().track.end(id, born, now);
         self.refresh();
         was_present
     }
