Log the content of a request at the gate, and a crashed server

The logs could not tell the hypotheses of the incident apart: gate lines have the id of one attempt, so a content that comes again under a new id could not be followed, and a crash left no line of its own.

Gate lines carry a hash of host, method, path and body; a server that is found to have crashed is logged and counted once.

--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -19,7 +19,7 @@
     time::MonoTime,
 };
 use serde::{Deserialize, Serialize};
-use std::{collections::BTreeMap, mem, time::Duration};
+use std::{collections::BTreeMap, fmt, mem, time::Duration};
 
 mod server_runs;
 
@@ -54,6 +54,19 @@
     }
 }
 
+/// The fingerprint of a request that belongs to no customer.
+impl From<RequestDigest> for RequestFingerprint {
+    fn from(digest: RequestDigest) -> RequestFingerprint {
+        RequestFingerprint(*digest.as_bytes())
+    }
+}
+
+impl fmt::Display for RequestFingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", u128::from_be_bytes(self.0))
+    }
+}
+
 /// Identifies one crash of a backend server, before it happens.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct CrashId(u64);
--- a/crates/decide/src/server_tracker.rs
+++ b/crates/decide/src/server_tracker.rs
@@ -150,11 +150,14 @@
         }
     }
 
-    /// Records that nothing listens at the address of server `id`.
-    pub fn mark_unreachable(&mut self, id: &str) {
-        if let Some(current) = &mut self.current {
-            current.is_down |= current.heartbeat.id == id;
-        }
+    /// Records that nothing listens at the address of server `id`; returns whether that is news.
+    pub fn mark_unreachable(&mut self, id: &str) -> bool {
+        let Some(current) = &mut self.current else {
+            return false;
+        };
+        let is_news = current.heartbeat.id == id && !current.is_down;
+        current.is_down |= is_news;
+        is_news
     }
 
     /// Returns the last heartbeat of the server if it accepts work.
--- a/crates/peer/src/body.rs
+++ b/crates/peer/src/body.rs
@@ -1,6 +1,7 @@
 //! The body of a call: buffered in memory when small, streamed otherwise.
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, Full};
 use std::{
@@ -49,6 +50,16 @@
         }
     }
 
+    /// Returns the bytes of a buffered body; `None` for a stream.
+    pub fn buffered_bytes(&self) -> Option<Bytes> {
+        let CallBody::Buffered(bytes) = self else {
+            return None;
+        };
+        let frame = bytes.clone().frame().now_or_never()?;
+        let data = frame.and_then(|Ok(frame)| frame.into_data().ok());
+        Some(data.unwrap_or_default())
+    }
+
     /// Buffers `body` if its length is known and at most [`BUFFERED_BODY_BYTES_MAX`], else wraps it
     /// as a stream.
     ///
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -7,6 +7,7 @@
 use agatehill_decide::{
     log_rate_limit::{LogDecision, LogRateLimiter},
     name::ServiceName,
+    quarantine::RequestFingerprint,
     time::MonoTime,
 };
 use http::{HeaderMap, HeaderName};
@@ -50,6 +51,8 @@
 pub struct GateDecision<'a> {
     /// The caller's id of the request.
     pub id: &'a str,
+    /// Identifies the content of the request.
+    pub content: RequestFingerprint,
     /// The context that the entry sent.
     pub hop: &'a HopContext,
     /// How the request ended.
@@ -128,6 +131,7 @@
         };
         spdlog::info!("gate", kv: {
             id = decision.id,
+            content = decision.content.to_string(),
             service = decision.hop.service.as_str(),
             caller = decision.hop.caller.as_str(),
             rank = decision.hop.rank,
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -1,6 +1,7 @@
 //! The gate of a daemon: every request for the backend server on this host passes through it.
 
 use crate::{
+    content::fingerprint_request,
     decision_log::{DecisionLog, GateDecision, request_id},
     headers::{HeaderNames, format_millis},
     hop::{HopContext, HopOutcome},
@@ -8,8 +9,8 @@
     pool::{ConnectionPool, PoolOptions, PooledResponse, SendError},
 };
 use agatehill_decide::{
-    admission::AdmissionRequest, call_parent::ParentRequest, server_tracker::ServerHeartbeat,
-    time::MonoTime,
+    admission::AdmissionRequest, call_parent::ParentRequest, quarantine::RequestFingerprint,
+    server_tracker::ServerHeartbeat, time::MonoTime,
 };
 use agatehill_peer::body::CallBody;
 use agatehill_process::clock::MonoClock;
@@ -55,6 +56,7 @@
     gate: &'a RequestGate,
     hop: &'a HopContext,
     id: String,
+    content: RequestFingerprint,
     started: MonoTime,
     server: Option<String>,
     /// Running and queued requests on arrival.
@@ -65,11 +67,17 @@
 }
 
 impl<'a> GateRecord<'a> {
-    fn begin(gate: &'a RequestGate, hop: &'a HopContext, id: &str) -> GateRecord<'a> {
+    fn begin(
+        gate: &'a RequestGate,
+        hop: &'a HopContext,
+        id: &str,
+        content: RequestFingerprint,
+    ) -> GateRecord<'a> {
         GateRecord {
             gate,
             hop,
             id: id.to_owned(),
+            content,
             started: gate.clock.now(),
             server: None,
             load: gate.server.load(),
@@ -86,6 +94,7 @@
         let now = self.gate.clock.now();
         let decision = GateDecision {
             id: &self.id,
+            content: self.content,
             hop: self.hop,
             outcome: self.outcome,
             reason: self.reason,
@@ -128,8 +137,11 @@
 
     /// Runs `req` on the server. Dropping the future cancels the request.
     pub async fn run(&self, hop: &HopContext, req: Request<CallBody>) -> GateResult {
+        let Ok((content, req)) = fingerprint_request(req).await else {
+            return GateResult::refused("body-cut", Duration::ZERO);
+        };
         let id = request_id(req.headers(), &self.names.request_id);
-        let mut record = GateRecord::begin(self, hop, id);
+        let mut record = GateRecord::begin(self, hop, id, content);
         let result = self.admit_and_send(hop, req, &mut record).await;
         record.outcome = result.outcome;
         record.reason = result.reason;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod body;
 mod call;
+mod content;
 pub mod decision_log;
 pub mod entry;
 pub mod error;
--- a/crates/relay/src/local_server.rs
+++ b/crates/relay/src/local_server.rs
@@ -134,7 +134,10 @@
 
     /// Records that nothing listens at the address of the server `id`.
     pub fn mark_unreachable(&self, id: &str) {
-        self.lock().tracker.mark_unreachable(id);
+        if self.lock().tracker.mark_unreachable(id) {
+            metrics::counter!("agatehill_relay_servers_unreachable").increment(1);
+            spdlog::warn!("server unreachable", kv: { server = id });
+        }
         self.refresh();
     }
 
