Let the quarantine state be handed on, and end its first quarantine early

The decisions of the product's own path are to serve both; this adds what a deployment without zone broadcasts needs of them, unused so far:

- numbered changes and a digest, so that keepers hand strikes on as they do host records;
- a short first quarantine, so that a request that was twice in flight beside a poison request is served again soon; retention no longer follows from it;
- requests that ended unanswered before the crash was noticed are struck;
- one gate for a suspect, the same at every daemon, where it runs alone.

--- a/crates/decide/src/gate_selection.rs
+++ b/crates/decide/src/gate_selection.rs
@@ -6,8 +6,13 @@
 //! others again. The time in the queue is part of the measured latency, so a gate loses requests
 //! before its queue is long.
 
-use crate::time::MonoTime;
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use crate::{quarantine::RequestFingerprint, time::MonoTime};
+use std::{
+    collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
+    time::Duration,
+};
 
 /// Latency surcharge for a gate in another zone of the region.
 const REGION_SURCHARGE: Duration = Duration::from_millis(60);
@@ -66,6 +71,24 @@
     avoid_until: MonoTime,
 }
 
+/// Returns the gate for a request that is suspected of crashing servers, except those in `tried`.
+///
+/// It depends on the request and the candidates alone, so that all daemons select the same gate,
+/// where suspects run one at a time.
+pub fn select_suspect_gate(
+    candidates: &[GateCandidate],
+    tried: &[SocketAddr],
+    fingerprint: RequestFingerprint,
+) -> Option<SocketAddr> {
+    let untried = candidates.iter().filter(|c| !tried.contains(&c.gate));
+    let weight = |candidate: &&GateCandidate| {
+        let mut hasher = DefaultHasher::new();
+        (fingerprint, candidate.gate).hash(&mut hasher);
+        hasher.finish()
+    };
+    Some(untried.max_by_key(weight)?.gate)
+}
+
 /// Selects gates by what a daemon has measured of them.
 #[derive(Debug, Default)]
 pub struct GateSelector {
--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -10,6 +10,9 @@
 //! strikes for their own runs of the request in the same way. It then runs the suspect only if the
 //! decision still allows it. If the run ends without a crash, the strike is withdrawn.
 //!
+//! Where every daemon sends a suspect to the same gate, the serial run there replaces the strike
+//! written ahead.
+//!
 //! Daemons exchange [`CrashReport`]s. Merging them is commutative, associative and idempotent, so
 //! their order and duplicates don't matter.
 
@@ -19,7 +22,13 @@
     time::MonoTime,
 };
 use serde::{Deserialize, Serialize};
-use std::{collections::BTreeMap, fmt, mem, time::Duration};
+use std::{
+    collections::BTreeMap,
+    fmt,
+    hash::{DefaultHasher, Hash, Hasher},
+    mem,
+    time::Duration,
+};
 
 mod server_runs;
 
@@ -114,17 +123,42 @@
 struct Strike {
     at: MonoTime,
     cleared: bool,
+    /// Number of the change that recorded or cleared it.
+    change: u64,
 }
 
 type Strikes = BTreeMap<CrashId, Strike>;
 
-/// The strikes that one daemon knows of.
-#[derive(Clone, Debug, Default)]
+/// The strikes that one daemon or keeper knows of.
+#[derive(Clone, Debug)]
 pub struct QuarantineState {
     suspects: BTreeMap<RequestFingerprint, Strikes>,
+    /// Duration of the quarantine after [`STRIKES_MAX`] strikes.
+    first_quarantine: Duration,
+    changes: u64,
+}
+
+/// A state in which the first quarantine takes [`QUARANTINE_DURATION`].
+impl Default for QuarantineState {
+    fn default() -> QuarantineState {
+        QuarantineState::new(QUARANTINE_DURATION)
+    }
 }
 
 impl QuarantineState {
+    /// Returns a state without strikes.
+    ///
+    /// `first_quarantine` is the duration of the quarantine after [`STRIKES_MAX`] strikes. A short one
+    /// lets a request that was twice in flight beside a poison request run again soon, at the price of
+    /// a third crash by the poison request.
+    pub fn new(first_quarantine: Duration) -> QuarantineState {
+        QuarantineState {
+            suspects: BTreeMap::new(),
+            first_quarantine,
+            changes: 0,
+        }
+    }
+
     /// Returns whether no request has strikes, cleared ones included.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
@@ -153,7 +187,7 @@
         let Some(last) = uncleared.map(|(_, strike)| strike.at).max() else {
             return RunDecision::Unrestricted;
         };
-        let remaining = (last + quarantine_duration(count)).since(now);
+        let remaining = (last + self.quarantine_duration(count)).since(now);
         if count < STRIKES_MAX || remaining.is_zero() {
             return RunDecision::Serial;
         }
@@ -201,33 +235,89 @@
 
     /// Merges a report; returns whether it changed anything.
     pub fn merge(&mut self, now: MonoTime, report: CrashReport) -> bool {
+        let change = self.changes + 1;
         let strikes = self.suspects.entry(report.fingerprint).or_default();
         if let Some(strike) = strikes.get_mut(&report.crash) {
-            return report.cleared && !mem::replace(&mut strike.cleared, true);
+            if !report.cleared || strike.cleared {
+                return false;
+            }
+            strike.cleared = true;
+            strike.change = change;
+            self.changes = change;
+            return true;
         }
-        let at = now - Duration::from_secs(u64::from(report.age_seconds));
-        let cleared = report.cleared;
-        strikes.insert(report.crash, Strike { at, cleared });
+        let strike = Strike {
+            at: now - Duration::from_secs(u64::from(report.age_seconds)),
+            cleared: report.cleared,
+            change,
+        };
+        strikes.insert(report.crash, strike);
+        self.changes = change;
         remove_excess(strikes);
         self.evict_oldest_if_full();
         true
     }
 
-    /// Removes requests whose last strike is older than twice their quarantine; to be called every few
-    /// seconds.
+    /// Removes requests whose last strike is older than twice their quarantine, or than twice
+    /// [`QUARANTINE_DURATION`] if that is longer; to be called every few seconds.
     pub fn remove_expired(&mut self, now: MonoTime) {
         self.suspects.retain(|_, strikes| !is_expired(now, strikes));
     }
 
+    /// Returns the duration of the quarantine of a request with `strikes` uncleared strikes.
+    fn quarantine_duration(&self, strikes: usize) -> Duration {
+        match strikes {
+            STRIKES_MAX => self.first_quarantine,
+            _ => doubled_duration(strikes),
+        }
+    }
+
     /// Returns reports of all strikes, for a peer that has just joined.
     pub fn reports(&self, now: MonoTime) -> impl Iterator<Item = CrashReport> {
-        self.suspects
-            .iter()
-            .flat_map(move |(fingerprint, strikes)| {
-                strikes
-                    .iter()
-                    .map(move |(crash, strike)| report_of(now, *fingerprint, *crash, *strike))
-            })
+        self.iter()
+            .map(move |(fingerprint, crash, strike)| report_of(now, fingerprint, crash, strike))
+    }
+
+    /// Returns reports of the strikes of one request.
+    pub fn reports_of(&self, now: MonoTime, fingerprint: RequestFingerprint) -> Vec<CrashReport> {
+        let strikes = self.suspects.get(&fingerprint).into_iter().flatten();
+        strikes
+            .map(|(crash, strike)| report_of(now, fingerprint, *crash, *strike))
+            .collect()
+    }
+
+    /// Returns the number of changes so far.
+    pub fn change_count(&self) -> u64 {
+        self.changes
+    }
+
+    /// Returns reports of the strikes that changed after change number `after`. Costs a look at each
+    /// strike, unless nothing has changed.
+    pub fn changed_after(&self, now: MonoTime, after: u64) -> Vec<CrashReport> {
+        if after >= self.changes {
+            return Vec::new();
+        }
+        self.iter()
+            .filter(|(_, _, strike)| strike.change > after)
+            .map(|(fingerprint, crash, strike)| report_of(now, fingerprint, crash, strike))
+            .collect()
+    }
+
+    /// Returns a hash that is equal for equal sets of strikes, whatever their ages.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        for (fingerprint, crash, strike) in self.iter() {
+            (fingerprint, crash, strike.cleared).hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
+    fn iter(&self) -> impl Iterator<Item = (RequestFingerprint, CrashId, Strike)> {
+        self.suspects.iter().flat_map(|(fingerprint, strikes)| {
+            strikes
+                .iter()
+                .map(|(crash, strike)| (*fingerprint, *crash, *strike))
+        })
     }
 
     fn clear_where(
@@ -242,6 +332,8 @@
         let mut reports = Vec::new();
         for (crash, strike) in strikes {
             if is_cleared(*crash) && !mem::replace(&mut strike.cleared, true) {
+                self.changes += 1;
+                strike.change = self.changes;
                 reports.push(report_of(now, fingerprint, *crash, *strike));
             }
         }
@@ -262,8 +354,8 @@
     }
 }
 
-/// Returns the duration of the quarantine of a request with `strikes` uncleared strikes.
-fn quarantine_duration(strikes: usize) -> Duration {
+/// Returns [`QUARANTINE_DURATION`], doubled with each of the `strikes` from the third.
+fn doubled_duration(strikes: usize) -> Duration {
     let doublings = strikes.saturating_sub(STRIKES_MAX) as u32;
     QUARANTINE_DURATION * 2_u32.pow(doublings.min(QUARANTINE_DOUBLINGS_MAX))
 }
@@ -271,7 +363,7 @@
 /// Returns whether the quarantine and an equally long time of serial runs after it have passed.
 fn is_expired(now: MonoTime, strikes: &Strikes) -> bool {
     let count = strikes.values().filter(|strike| !strike.cleared).count();
-    let keep = quarantine_duration(count) * 2;
+    let keep = doubled_duration(count) * 2;
     last_strike(strikes).is_none_or(|last| (last + keep).since(now).is_zero())
 }
 
--- a/crates/decide/src/quarantine/server_runs.rs
+++ b/crates/decide/src/quarantine/server_runs.rs
@@ -2,6 +2,10 @@
 
 use super::{CrashId, RequestFingerprint, RunDecision};
 use slotmap::{SlotMap, new_key_type};
+use std::collections::VecDeque;
+
+/// Most unanswered requests that are stored for one server; the oldest is dropped first.
+const UNANSWERED_MAX: usize = 256;
 
 new_key_type! {
     /// Identifies a request in flight at one server.
@@ -12,12 +16,19 @@
 struct ServerRun {
     fingerprint: RequestFingerprint,
     is_suspect: bool,
+    /// Whether its connection was lost.
+    is_lost: bool,
 }
 
 /// Requests in flight at one backend server, at most one of them a suspect.
 #[derive(Clone, Debug)]
 pub struct ServerRuns {
     runs: SlotMap<RunKey, ServerRun>,
+    /// Requests that ended without a response since the server last responded: it may have crashed
+    /// under them before that is noticed.
+    unanswered: VecDeque<RequestFingerprint>,
+    /// Number of responses so far.
+    response_count: u64,
     has_suspect: bool,
     next_crash: CrashId,
 }
@@ -27,6 +38,8 @@
     pub fn new(next_crash: CrashId) -> ServerRuns {
         ServerRuns {
             runs: SlotMap::with_key(),
+            unanswered: VecDeque::new(),
+            response_count: 0,
             has_suspect: false,
             next_crash,
         }
@@ -52,6 +65,7 @@
         Some(self.runs.insert(ServerRun {
             fingerprint,
             is_suspect,
+            is_lost: false,
         }))
     }
 
@@ -62,6 +76,48 @@
         }
     }
 
+    /// Ends a run without a response. If the server turns out to have crashed before it responds to
+    /// any request, the request is struck too.
+    pub fn end_unanswered(&mut self, run: RunKey) {
+        let Some(ended) = self.runs.get(run).copied() else {
+            return;
+        };
+        self.end(run);
+        if self.unanswered.len() == UNANSWERED_MAX {
+            self.unanswered.pop_front();
+        }
+        self.unanswered.push_back(ended.fingerprint);
+    }
+
+    /// Records that the server has responded to a request, or left as planned: it did not crash under
+    /// the requests that ended before.
+    pub fn record_response(&mut self) {
+        self.unanswered.clear();
+        self.response_count += 1;
+    }
+
+    /// Returns the number of responses so far.
+    pub fn response_count(&self) -> u64 {
+        self.response_count
+    }
+
+    /// Records that the connection of a run was lost.
+    pub fn record_lost(&mut self, run: RunKey) {
+        if let Some(run) = self.runs.get_mut(run) {
+            run.is_lost = true;
+        }
+    }
+
+    /// Returns whether any run has a connection that is not known to be lost.
+    pub fn has_connected_run(&self) -> bool {
+        self.runs.values().any(|run| !run.is_lost)
+    }
+
+    /// Returns whether a crash now would strike any request.
+    pub fn has_candidates(&self) -> bool {
+        !self.runs.is_empty() || !self.unanswered.is_empty()
+    }
+
     /// Ends all runs because the server crashed; returns the crash and the requests to strike for it.
     ///
     /// Requests that ran alongside a suspect are struck too: each of them then runs as the only
@@ -69,7 +125,8 @@
     /// crash after this one.
     pub fn record_crash(&mut self, next_crash: CrashId) -> (CrashId, Vec<RequestFingerprint>) {
         self.has_suspect = false;
-        let struck = self.runs.drain().map(|(_, run)| run.fingerprint).collect();
+        let running = self.runs.drain().map(|(_, run)| run.fingerprint);
+        let struck = running.chain(self.unanswered.drain(..)).collect();
         (std::mem::replace(&mut self.next_crash, next_crash), struck)
     }
 
--- a/crates/decide/tests/gate_selection.rs
+++ b/crates/decide/tests/gate_selection.rs
@@ -1,7 +1,9 @@
 //! Selection of gates with servers that differ in speed, change or fail.
 
 use agatehill_decide::{
-    gate_selection::{GateCandidate, GateDistance, GateSelector, RouteKey},
+    claim::RequestDigest,
+    gate_selection::{GateCandidate, GateDistance, GateSelector, RouteKey, select_suspect_gate},
+    quarantine::RequestFingerprint,
     time::MonoTime,
 };
 use std::{net::SocketAddr, time::Duration};
@@ -42,6 +44,32 @@
     counts
 }
 
+/// Daemons in different places send a suspect to the same gates in the same order, and different
+/// suspects to different gates.
+#[test]
+fn suspects_have_the_same_gates_at_every_daemon() {
+    let here = [1, 2, 3, 4].map(|host| gate(host, GateDistance::Zone));
+    let there = [4, 2, 1, 3].map(|host| gate(host, GateDistance::Remote));
+    let mut first_gates = Vec::new();
+    for request in 0..50 {
+        let digest = RequestDigest::of("GET", "a", &format!("/{request}"), b"");
+        let fingerprint = RequestFingerprint::from(digest);
+        let mut tried = Vec::new();
+        while let Some(selected) = select_suspect_gate(&here, &tried, fingerprint) {
+            assert_eq!(
+                select_suspect_gate(&there, &tried, fingerprint),
+                Some(selected)
+            );
+            tried.push(selected);
+        }
+        assert_eq!(tried.len(), here.len());
+        first_gates.push(tried[0]);
+    }
+    first_gates.sort();
+    first_gates.dedup();
+    assert_eq!(first_gates.len(), here.len());
+}
+
 #[test]
 fn prefers_own_zone_then_own_region() {
     let candidates = [
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -10,6 +10,8 @@
     time::MonoTime,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
+use rstest::rstest;
+use std::time::Duration;
 
 const GATES: usize = 5;
 const REQUESTS: usize = 6;
@@ -229,7 +231,7 @@
                 ZoneEvent::Send(request, choice) => zone.send(request, choice),
                 ZoneEvent::Step(idx, pick, is_answered) => zone.step(idx, pick, is_answered),
                 ZoneEvent::Deliver(idx, pick, again) => zone.deliver(idx, pick, again),
-                ZoneEvent::Wait(millis) => zone.now = zone.now + std::time::Duration::from_millis(millis),
+                ZoneEvent::Wait(millis) => zone.now = zone.now + Duration::from_millis(millis),
             }
             prop_assert!(zone.crashes() <= 2, "{} servers crashed", zone.crashes());
         }
@@ -270,6 +272,78 @@
     }
 }
 
+/// With a short first quarantine a request in flight at two crashes runs again soon, and one that
+/// crashes a third server does not.
+#[test]
+fn first_quarantine_may_be_short() {
+    let first = Duration::from_secs(5);
+    let mut state = QuarantineState::new(first);
+    let fingerprint = fingerprint(POISON);
+    let mut now = MonoTime::from_millis(1);
+    let own = crash_id(3, 0);
+    for gate in 0..2 {
+        state.record_strikes(now, crash_id(gate, 0), [fingerprint]);
+    }
+    assert_eq!(
+        state.decide(now, fingerprint, own),
+        RunDecision::Quarantined(first)
+    );
+    now = now + first * 3;
+    state.remove_expired(now);
+    assert_eq!(state.decide(now, fingerprint, own), RunDecision::Serial);
+    state.record_strikes(now, crash_id(2, 0), [fingerprint]);
+    assert_eq!(
+        state.decide(now, fingerprint, own),
+        RunDecision::Quarantined(QUARANTINE_DURATION * 2)
+    );
+}
+
+/// A state that gets the changes of another reaches the same digest.
+#[test]
+fn changes_bring_another_state_up_to_date() {
+    let now = MonoTime::from_millis(1);
+    let (mut state, mut copy) = (QuarantineState::default(), QuarantineState::default());
+    state.record_strikes(now, crash_id(0, 0), (0..REQUESTS).map(fingerprint));
+    for report in state.changed_after(now, 0) {
+        copy.merge(now, report);
+    }
+    assert_eq!(copy.digest(), state.digest());
+    let seen = state.change_count();
+    assert_eq!(state.changed_after(now, seen), []);
+    state.clear(now, fingerprint(1));
+    assert_ne!(copy.digest(), state.digest());
+    let changed = state.changed_after(now, seen);
+    assert_eq!(changed.len(), 1);
+    assert!(copy.merge(now, changed[0]));
+    assert_eq!(copy.digest(), state.digest());
+}
+
+/// A request that ended without a response before the crash was noticed is struck, unless the server
+/// has responded since.
+#[rstest]
+#[case::no_response_since(false, vec![fingerprint(2), fingerprint(1)])]
+#[case::response_since(true, vec![fingerprint(2)])]
+fn unanswered_request_is_struck_by_a_later_crash(
+    #[case] has_response: bool,
+    #[case] struck: Vec<RequestFingerprint>,
+) {
+    let mut runs = ServerRuns::new(crash_id(0, 0));
+    let given_up = runs
+        .start(fingerprint(1), RunDecision::Unrestricted)
+        .unwrap();
+    runs.start(fingerprint(2), RunDecision::Unrestricted)
+        .unwrap();
+    runs.end_unanswered(given_up);
+    if has_response {
+        runs.record_response();
+    }
+    assert_eq!(
+        runs.record_crash(crash_id(0, 1)),
+        (crash_id(0, 0), struck.clone())
+    );
+    assert!(!runs.has_candidates());
+}
+
 #[test]
 fn quarantine_ends_in_serial_runs_and_doubles_at_the_next_crash() {
     let mut state = QuarantineState::default();
