Make the quarantine monitor serve deployments without zone broadcasts

The relay is to share the product path's quarantine instead of getting a second one. The monitor now takes its transport as a type (zone broadcast, or a queue that another task sends) and options: with FLEET a suspect needs no broadcast before its run, and a lost connection is probed only if no other request is answered.

For both: a probe's result serves all calls that were lost before it; a request that was sent and never answered is struck if the crash is found later, or if the server starts anew without having left; calls refused by their claim were never sent and are not struck.

--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -10,7 +10,7 @@
     at_most_once::{ClaimRunner, KeeperClaims},
     attempt_tracker::AttemptTracker,
     gate::CallGate,
-    quarantine::QuarantineMonitor,
+    quarantine::{QuarantineMonitor, QuarantineOptions, ZoneQuarantine, ZoneTransport},
     registry::ServerRegistry,
 };
 use agatehill_caller::{
@@ -128,7 +128,13 @@
     let store = KeeperClaims::open(keepers.clone());
     let incarnation = incarnation();
     let claims = ClaimRunner::open(store, settings.name.clone(), incarnation);
-    let quarantine = QuarantineMonitor::spawn(settings.name.clone(), incarnation, clock);
+    let quarantine = QuarantineMonitor::spawn(
+        settings.name.clone(),
+        incarnation,
+        clock,
+        QuarantineOptions::ZONE,
+        ZoneTransport::open(),
+    );
     let registry = Arc::new(ServerRegistry::open(clock));
     let runner = AttemptRunner {
         daemon: settings.name.clone(),
@@ -180,7 +186,7 @@
 }
 
 /// Keeps the quarantine monitor's list of peers up to date.
-async fn follow_peers(mut view: watch::Receiver<Arc<PeerSnapshot>>, quarantine: QuarantineMonitor) {
+async fn follow_peers(mut view: watch::Receiver<Arc<PeerSnapshot>>, quarantine: ZoneQuarantine) {
     loop {
         let snapshot = view.borrow_and_update().clone();
         let members = snapshot.members.iter();
--- a/crates/backend/src/gate.rs
+++ b/crates/backend/src/gate.rs
@@ -8,7 +8,7 @@
     chain::{ChainHandle, RunningChain},
     client::{BackendClient, CallFailure},
     guarded_body::{BodyGuard, GuardedBody},
-    quarantine::{QuarantineGuard, QuarantineMonitor, QuarantineRefusal, is_down},
+    quarantine::{QuarantineGuard, QuarantineRefusal, ZoneQuarantine, ZoneTransport},
     registry::ServerRegistry,
 };
 use agatehill_decide::{
@@ -53,7 +53,7 @@
     client: BackendClient,
     chains: ChainIndex<ChainHandle>,
     claims: ClaimRunner<KeeperClaims>,
-    quarantine: QuarantineMonitor,
+    quarantine: ZoneQuarantine,
     clock: MonoClock,
 }
 
@@ -65,7 +65,7 @@
     pub fn open(
         registry: Arc<ServerRegistry>,
         claims: ClaimRunner<KeeperClaims>,
-        quarantine: QuarantineMonitor,
+        quarantine: ZoneQuarantine,
         clock: MonoClock,
     ) -> CallGate {
         CallGate {
@@ -89,7 +89,7 @@
     }
 
     /// Returns the monitor of requests that crash servers.
-    pub fn quarantine(&self) -> &QuarantineMonitor {
+    pub fn quarantine(&self) -> &ZoneQuarantine {
         &self.quarantine
     }
 
@@ -152,7 +152,7 @@
         head: &ForwardHead,
         call: GateCall,
         slot: SlotGuard,
-        quarantine: QuarantineGuard,
+        quarantine: QuarantineGuard<ZoneTransport>,
     ) -> RunGuard {
         let handle = ChainHandle::open(head.retries);
         let index_guard = self.chains.enter(ChainRecord {
@@ -184,6 +184,7 @@
     ) -> GateResponse {
         let remaining = call.deadline.since(self.clock.now());
         let req = with_deadline(req, remaining);
+        run.quarantine.record_sent();
         let is_buffered = matches!(req.body(), CallBody::Buffered(_));
         let sent = self
             .client
@@ -210,7 +211,7 @@
     registry: Arc<ServerRegistry>,
     chain: RunningChain,
     slot: SlotGuard,
-    quarantine: QuarantineGuard,
+    quarantine: QuarantineGuard<ZoneTransport>,
     retries: u32,
 }
 
@@ -220,6 +221,12 @@
         self.retries.saturating_sub(self.chain.handle.remaining())
     }
 
+    /// Records that the server refused the call without starting to process it.
+    fn record_shed(&mut self) {
+        self.slot.set_result(RunResult::Shed);
+        self.quarantine.record_rejection();
+    }
+
     /// Records that the call got no response and returns why.
     ///
     /// A server where nothing listens any more is removed from the registry at once. If the server
@@ -228,7 +235,7 @@
         self.slot.set_result(RunResult::Lost);
         let is_down = match failure {
             CallFailure::Lost => self.quarantine.record_lost().await,
-            CallFailure::NotSent => is_down(self.addr).await,
+            CallFailure::NotSent => self.quarantine.record_unsent().await,
         };
         if is_down {
             self.registry.remove(self.addr);
@@ -261,7 +268,7 @@
 /// Passes the response on; the run ends with its body.
 fn pass_response(response: Response<Incoming>, mut run: RunGuard) -> GateResponse {
     if is_shed(&response) {
-        run.slot.set_result(RunResult::Shed);
+        run.record_shed();
         return failed(FailureKind::Shed, CallOutcome::NotRun, Some(&run));
     }
     let report = report(CallOutcome::Answered, None, Some(&run));
--- a/crates/backend/src/gate/claimed.rs
+++ b/crates/backend/src/gate/claimed.rs
@@ -13,7 +13,7 @@
 };
 use agatehill_decide::{
     claim::{ClaimKey, RequestDigest},
-    gate::{GateCall, RunResult},
+    gate::GateCall,
     outcome::CallOutcome,
 };
 use agatehill_peer::{
@@ -74,6 +74,7 @@
         mut run: RunGuard,
     ) -> RunOutcome<GateResponse> {
         let req = with_deadline(req, call.deadline.since(self.clock.now()));
+        run.quarantine.record_sent();
         match self.client.send(addr, req, None).await {
             Ok(response) => pass_response(response, run).await,
             Err(failure) => {
@@ -98,7 +99,7 @@
     mut run: RunGuard,
 ) -> RunOutcome<GateResponse> {
     if is_shed(&response) {
-        run.slot.set_result(RunResult::Shed);
+        run.record_shed();
         return RunOutcome::NotRun(not_run(FailureKind::Shed, &run));
     }
     let report = report(CallOutcome::Answered, None, Some(&run));
--- a/crates/backend/src/quarantine.rs
+++ b/crates/backend/src/quarantine.rs
@@ -3,19 +3,21 @@
 //! Drives [`QuarantineState`] and [`ServerRuns`] for the calls at this daemon's gates. When a call
 //! loses its connection, the server is probed; if nothing listens any more, it has crashed.
 
+mod guard;
+mod probe;
+mod transport;
+
 use agatehill_decide::{
     name::{DaemonName, Incarnation},
     quarantine::{
-        CrashId, CrashReport, QuarantineState, RequestFingerprint, RunDecision, RunKey, ServerRuns,
+        CrashId, CrashReport, QUARANTINE_DURATION, QuarantineState, RequestFingerprint,
+        RunDecision, RunKey, ServerRuns,
     },
     time::MonoTime,
 };
-use agatehill_peer::crash_report::CrashReportClient;
 use agatehill_process::clock::MonoClock;
-use arc_swap::ArcSwap;
 use std::{
     collections::HashMap,
-    io,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
@@ -23,20 +25,20 @@
     },
     time::Duration,
 };
-use tokio::{
-    io::AsyncReadExt,
-    net::TcpStream,
-    time::{sleep, timeout},
-};
+use tokio::time::sleep;
+
+pub use guard::QuarantineGuard;
+pub use transport::{CrashReportQueue, CrashReportTransport, ZoneTransport};
 
-/// Time between two checks of whether another suspect's run at the server has ended.
-const SERIAL_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Time limit for the connection that probes a server.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time for which a probing connection must stay open for the server to count as running.
-const PROBE_OPEN_TIME: Duration = Duration::from_millis(300);
 /// Time between two removals of expired suspects.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
+/// Time between two checks for a response that shows that the server still runs.
+const RESPONSE_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// The quarantine of an availability zone, which its daemons keep among themselves.
+pub type ZoneQuarantine = QuarantineMonitor<ZoneTransport>;
+/// The quarantine of a deployment, which the keepers hand on.
+pub type FleetQuarantine = QuarantineMonitor<CrashReportQueue>;
 
 /// Why a suspect was not run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -47,21 +49,54 @@
     Deadline,
 }
 
-/// Monitors the requests in flight at this daemon's servers and the suspects of its zone.
+/// How strictly a monitor bounds the number of crashes.
+#[derive(Clone, Copy, Debug)]
+pub struct QuarantineOptions {
+    /// Duration of the quarantine after the second strike.
+    pub first_quarantine: Duration,
+    /// Whether a strike is recorded at all daemons before a suspect runs. Needed where several gates
+    /// may run the same suspect at once.
+    pub records_ahead: bool,
+    /// Longest time for which a lost call waits for a response to another one, which shows that the
+    /// server still runs, before the server is probed.
+    pub response_wait: Duration,
+    /// Time for which a probing connection must stay open for the server to count as running.
+    pub probe_open_time: Duration,
+}
+
+impl QuarantineOptions {
+    /// At most two crashes in the zone, for a broadcast before each run of a suspect.
+    pub const ZONE: QuarantineOptions = QuarantineOptions {
+        first_quarantine: QUARANTINE_DURATION,
+        records_ahead: true,
+        response_wait: Duration::ZERO,
+        probe_open_time: Duration::from_millis(300),
+    };
+    /// At most three crashes once all daemons know of them, without a message before a run and
+    /// mostly without a probe after a lost connection.
+    pub const FLEET: QuarantineOptions = QuarantineOptions {
+        // A caller that waits for a response is still there; crashed servers are mostly back.
+        first_quarantine: Duration::from_secs(5),
+        records_ahead: false,
+        response_wait: Duration::from_millis(40),
+        probe_open_time: Duration::from_millis(40),
+    };
+}
+
+/// Monitors the requests in flight at this daemon's servers and the suspects that are known.
 #[derive(Clone, Debug)]
-pub struct QuarantineMonitor {
-    shared: Arc<MonitorShared>,
+pub struct QuarantineMonitor<T: CrashReportTransport> {
+    shared: Arc<MonitorShared<T>>,
 }
 
 #[derive(Debug)]
-struct MonitorShared {
+struct MonitorShared<T> {
     clock: MonoClock,
+    options: QuarantineOptions,
     state: Mutex<MonitorState>,
     /// Whether `quarantine` holds any request; lets ordinary calls skip the lock.
     has_suspects: AtomicBool,
-    /// Forward addresses of the other daemons of the zone.
-    peers: ArcSwap<Vec<SocketAddr>>,
-    client: CrashReportClient,
+    transport: T,
     /// Held while a crash is recorded and broadcast.
     broadcast: tokio::sync::Mutex<()>,
 }
@@ -71,37 +106,64 @@
     daemon: DaemonName,
     incarnation: Incarnation,
     quarantine: QuarantineState,
-    servers: HashMap<SocketAddr, ServerRuns>,
+    servers: HashMap<SocketAddr, MonitoredServer>,
     /// Number of crash ids assigned so far.
     crash_ids: u64,
 }
 
-impl QuarantineMonitor {
+#[derive(Debug)]
+struct MonitoredServer {
+    runs: ServerRuns,
+    last_probe: Arc<tokio::sync::Mutex<Option<ServerProbe>>>,
+}
+
+/// The last probe of a server. Its result serves all calls that were lost before it began.
+#[derive(Clone, Copy, Debug)]
+struct ServerProbe {
+    began: MonoTime,
+    is_down: bool,
+}
+
+impl QuarantineMonitor<ZoneTransport> {
+    /// Sets the forward addresses of the zone's other daemons; new ones are sent all strikes.
+    pub async fn set_peers(&self, peers: Vec<SocketAddr>) {
+        let new = self.shared.transport.set_peers(peers);
+        self.shared.transport.send_to(&new, &self.reports()).await;
+    }
+}
+
+impl<T: CrashReportTransport> QuarantineMonitor<T> {
     /// Opens the monitor of one run of a daemon and spawns the removal of expired suspects.
     pub fn spawn(
         daemon: DaemonName,
         incarnation: Incarnation,
         clock: MonoClock,
-    ) -> QuarantineMonitor {
+        options: QuarantineOptions,
+        transport: T,
+    ) -> QuarantineMonitor<T> {
         let state = MonitorState {
             daemon,
             incarnation,
-            quarantine: QuarantineState::default(),
+            quarantine: QuarantineState::new(options.first_quarantine),
             servers: HashMap::new(),
             crash_ids: 0,
         };
         let shared = Arc::new(MonitorShared {
             clock,
+            options,
             state: Mutex::new(state),
             has_suspects: AtomicBool::new(false),
-            peers: ArcSwap::default(),
-            client: CrashReportClient::open(),
+            transport,
             broadcast: tokio::sync::Mutex::default(),
         });
         let weak = Arc::downgrade(&shared);
         tokio::spawn(async move {
             while let Some(shared) = weak.upgrade() {
-                shared.change(|state, now| state.quarantine.remove_expired(now));
+                let suspects = shared.change(|state, now| {
+                    state.quarantine.remove_expired(now);
+                    state.quarantine.len()
+                });
+                metrics::gauge!("agatehill_quarantine_suspects").set(suspects as f64);
                 drop(shared);
                 sleep(EXPIRY_INTERVAL).await;
             }
@@ -109,16 +171,9 @@
         QuarantineMonitor { shared }
     }
 
-    /// Sets the forward addresses of the zone's other daemons; new ones are sent all strikes.
-    pub async fn set_peers(&self, peers: Vec<SocketAddr>) {
-        let old = self.shared.peers.swap(Arc::new(peers.clone()));
-        let new: Vec<_> = peers
-            .into_iter()
-            .filter(|peer| !old.contains(peer))
-            .collect();
-        let now = self.shared.clock.now();
-        let reports: Vec<_> = self.shared.lock().quarantine.reports(now).collect();
-        self.shared.client.exchange(&new, &reports).await;
+    /// Returns what carries the reports of this daemon to the others.
+    pub fn transport(&self) -> &T {
+        &self.shared.transport
     }
 
     /// Merges the strikes that a peer has sent.
@@ -137,75 +192,185 @@
         })
     }
 
+    /// Merges strikes; returns those that were new.
+    pub fn merge(&self, reports: &[CrashReport]) -> Vec<CrashReport> {
+        if reports.is_empty() {
+            return Vec::new();
+        }
+        self.shared.change(|state, now| {
+            let is_new = |report: &CrashReport| state.quarantine.merge(now, *report);
+            reports.iter().copied().filter(is_new).collect()
+        })
+    }
+
+    /// Returns reports of all strikes.
+    pub fn reports(&self) -> Vec<CrashReport> {
+        let now = self.shared.clock.now();
+        self.shared.lock().quarantine.reports(now).collect()
+    }
+
+    /// Returns reports of the strikes of one request.
+    pub fn reports_of(&self, fingerprint: RequestFingerprint) -> Vec<CrashReport> {
+        let now = self.shared.clock.now();
+        self.shared.lock().quarantine.reports_of(now, fingerprint)
+    }
+
     /// Returns the number of suspects.
     pub fn suspect_count(&self) -> usize {
         self.shared.lock().quarantine.len()
     }
 
-    /// Returns the guard of a call to the server at `addr`.
-    pub fn guard(&self, addr: SocketAddr, fingerprint: RequestFingerprint) -> QuarantineGuard {
-        QuarantineGuard {
-            shared: self.shared.clone(),
-            addr,
-            fingerprint,
-            run: None,
-            has_started: false,
-            pending_strike: None,
-            is_answered: false,
+    /// Returns whether there are suspects. Costs no lock.
+    pub fn has_suspects(&self) -> bool {
+        self.shared.has_suspects.load(Ordering::Acquire)
+    }
+
+    /// Returns how a request may run, as far as its strikes decide.
+    pub fn decide(&self, fingerprint: RequestFingerprint) -> RunDecision {
+        if !self.has_suspects() {
+            return RunDecision::Unrestricted;
         }
+        let now = self.shared.clock.now();
+        self.shared.lock().quarantine.decide_away(now, fingerprint)
     }
-}
 
-impl MonitorShared {
-    fn lock(&self) -> MutexGuard<'_, MonitorState> {
-        self.state.lock().expect("no lock holder panics")
+    /// Returns the guard of a call to the server at `addr`.
+    pub fn guard(&self, addr: SocketAddr, fingerprint: RequestFingerprint) -> QuarantineGuard<T> {
+        QuarantineGuard::new(self.shared.clone(), addr, fingerprint)
     }
 
-    fn change<T>(&self, change: impl FnOnce(&mut MonitorState, MonoTime) -> T) -> T {
-        let mut state = self.lock();
-        let result = change(&mut state, self.clock.now());
-        self.has_suspects
-            .store(!state.quarantine.is_empty(), Ordering::Release);
-        result
+    /// Records that the server at `addr` has started anew without leaving first: it has crashed.
+    pub async fn record_restart(&self, addr: SocketAddr) {
+        self.shared.record_crash(addr).await;
     }
 
-    /// Sends `reports` to the zone's daemons and merges their replies.
-    async fn broadcast(&self, reports: Vec<CrashReport>) {
-        if reports.is_empty() {
-            return;
-        }
-        let replies = self.client.exchange(&self.peers.load(), &reports).await;
-        self.change(|state, now| {
-            replies.into_iter().for_each(|report| {
-                state.quarantine.merge(now, report);
-            });
-        });
+    /// Records that the server at `addr` leaves as planned.
+    pub fn record_leave(&self, addr: SocketAddr) {
+        self.shared
+            .change(|state, _| state.runs_at(addr).record_response());
     }
+}
 
+impl<T: CrashReportTransport> MonitorShared<T> {
     /// Ends `run`, whose connection was lost, and all other runs at the server if that has crashed.
     ///
-    /// Returns whether the server has crashed, after the zone has been notified.
+    /// Returns whether the server has crashed, after the others have been notified.
     async fn end_lost(&self, addr: SocketAddr, run: RunKey) -> bool {
-        let has_crashed = is_down(addr).await;
-        // All calls that a crash has ended return only after the zone has been notified of it.
+        let has_crashed = self.has_crashed(addr, run).await;
+        // All calls that a crash has ended return only after the others have been notified of it.
         let _broadcast = self.broadcast.lock().await;
         let reports = self.change(|state, now| {
+            if !state.runs_at(addr).contains_run(run) {
+                return Vec::new();
+            }
             if has_crashed {
-                return state.record_crash(addr, run, now);
+                return state.record_crash(addr, now);
             }
-            state.runs_at(addr).end(run);
+            state.runs_at(addr).end_unanswered(run);
             Vec::new()
         });
         self.broadcast(reports).await;
         has_crashed
     }
+
+    /// Returns whether the server at `addr`, which does not accept a connection, has crashed; strikes
+    /// the requests that it ended without a response.
+    async fn check_unreachable(&self, addr: SocketAddr) -> bool {
+        let lost_at = self.clock.now();
+        if !self.is_down(addr, lost_at).await {
+            return false;
+        }
+        self.record_crash(addr).await;
+        true
+    }
+
+    /// Strikes the requests that the server at `addr` has not responded to.
+    async fn record_crash(&self, addr: SocketAddr) {
+        let _broadcast = self.broadcast.lock().await;
+        let reports = self.change(|state, now| match state.runs_at(addr).has_candidates() {
+            true => state.record_crash(addr, now),
+            false => Vec::new(),
+        });
+        self.broadcast(reports).await;
+    }
+
+    /// Returns whether the server at `addr`, which ended the connection of `run`, has crashed.
+    async fn has_crashed(&self, addr: SocketAddr, run: RunKey) -> bool {
+        let lost_at = self.clock.now();
+        let responses = self.change(|state, _| {
+            let runs = state.runs_at(addr);
+            runs.record_lost(run);
+            runs.response_count()
+        });
+        // A crash ends all connections, and no response comes after it.
+        let end = lost_at + self.options.response_wait;
+        while self.clock.now() < end {
+            let (has_responded, has_connected_run) = self.change(|state, _| {
+                let runs = state.runs_at(addr);
+                (runs.response_count() != responses, runs.has_connected_run())
+            });
+            if has_responded {
+                return false;
+            }
+            if !has_connected_run {
+                break;
+            }
+            sleep(RESPONSE_POLL_INTERVAL).await;
+        }
+        self.is_down(addr, lost_at).await
+    }
+
+    /// Probes the server at `addr`, unless a probe that began after `lost_at` has ended meanwhile.
+    async fn is_down(&self, addr: SocketAddr, lost_at: MonoTime) -> bool {
+        let last_probe = self.change(|state, _| state.server(addr).last_probe.clone());
+        let mut last_probe = last_probe.lock().await;
+        if let Some(probe) = last_probe.filter(|probe| probe.began >= lost_at) {
+            return probe.is_down;
+        }
+        let began = self.clock.now();
+        let is_down = probe::is_down(addr, self.options.probe_open_time).await;
+        *last_probe = Some(ServerProbe { began, is_down });
+        is_down
+    }
+
+    /// Sends `reports` to the other daemons and merges their replies.
+    async fn broadcast(&self, reports: Vec<CrashReport>) {
+        if reports.is_empty() {
+            return;
+        }
+        let replies = self.transport.exchange(reports).await;
+        self.change(|state, now| {
+            replies.into_iter().for_each(|report| {
+                state.quarantine.merge(now, report);
+            });
+        });
+    }
+
+    fn change<R>(&self, change: impl FnOnce(&mut MonitorState, MonoTime) -> R) -> R {
+        let mut state = self.lock();
+        let result = change(&mut state, self.clock.now());
+        self.has_suspects
+            .store(!state.quarantine.is_empty(), Ordering::Release);
+        result
+    }
+
+    fn lock(&self) -> MutexGuard<'_, MonitorState> {
+        self.state.lock().expect("no lock holder panics")
+    }
 }
 
 impl MonitorState {
     fn runs_at(&mut self, addr: SocketAddr) -> &mut ServerRuns {
+        &mut self.server(addr).runs
+    }
+
+    fn server(&mut self, addr: SocketAddr) -> &mut MonitoredServer {
         if !self.servers.contains_key(&addr) {
-            let runs = ServerRuns::new(self.next_crash_id());
-            self.servers.insert(addr, runs);
+            let server = MonitoredServer {
+                runs: ServerRuns::new(self.next_crash_id()),
+                last_probe: Arc::default(),
+            };
+            self.servers.insert(addr, server);
         }
         self.servers.get_mut(&addr).expect("it was just inserted")
     }
@@ -225,12 +390,8 @@
         self.quarantine.decide(now, fingerprint, own)
     }
 
-    /// Records a strike against every request in flight at `addr`, unless `run` ended with an
-    /// earlier crash; returns the strikes to broadcast.
-    fn record_crash(&mut self, addr: SocketAddr, run: RunKey, now: MonoTime) -> Vec<CrashReport> {
-        if !self.runs_at(addr).contains_run(run) {
-            return Vec::new();
-        }
+    /// Records a strike against every request in flight at `addr`; returns the strikes to broadcast.
+    fn record_crash(&mut self, addr: SocketAddr, now: MonoTime) -> Vec<CrashReport> {
         metrics::counter!("agatehill_server_crashes_total").increment(1);
         let next = self.next_crash_id();
         let (crash, fingerprints) = self.runs_at(addr).record_crash(next);
@@ -244,193 +405,11 @@
         now: MonoTime,
         fingerprint: RequestFingerprint,
     ) -> Vec<CrashReport> {
-        let running = self
-            .servers
-            .values()
-            .filter(|runs| runs.contains_request(fingerprint));
+        let servers = self.servers.values().map(|server| &server.runs);
+        let running = servers.filter(|runs| runs.contains_request(fingerprint));
         let crash_ids: Vec<_> = running.map(ServerRuns::next_crash).collect();
         let quarantine = &mut self.quarantine;
         let strike = |crash| quarantine.record_strikes(now, crash, [fingerprint]);
         crash_ids.into_iter().flat_map(strike).collect()
     }
 }
-
-/// One monitored call; dropping it ends the run and updates the strikes of the request.
-#[derive(Debug)]
-pub struct QuarantineGuard {
-    shared: Arc<MonitorShared>,
-    addr: SocketAddr,
-    fingerprint: RequestFingerprint,
-    run: Option<RunKey>,
-    has_started: bool,
-    /// The crash for which a strike was recorded before the run.
-    pending_strike: Option<CrashId>,
-    is_answered: bool,
-}
-
-impl QuarantineGuard {
-    /// Waits until the call may be started; returns at once unless the request is a suspect.
-    ///
-    /// # Errors
-    ///
-    /// The request is quarantined, or `deadline` passes first.
-    pub async fn wait_ready(&mut self, deadline: MonoTime) -> Result<(), QuarantineRefusal> {
-        while self.shared.has_suspects.load(Ordering::Acquire) {
-            self.withdraw_stale_strike().await;
-            match self.decision() {
-                (RunDecision::Unrestricted, _) => return Ok(()),
-                (RunDecision::Quarantined(remaining), _) => {
-                    return Err(QuarantineRefusal::Quarantined(remaining));
-                }
-                (RunDecision::Serial, false) if self.pending_strike.is_some() => return Ok(()),
-                (RunDecision::Serial, false) => self.record_pending_strike().await,
-                (RunDecision::Serial, true) => sleep(SERIAL_POLL_INTERVAL).await,
-            }
-            if self.shared.clock.now() >= deadline {
-                return Err(QuarantineRefusal::Deadline);
-            }
-        }
-        Ok(())
-    }
-
-    /// Starts the run; if false, [`QuarantineGuard::wait_ready`] must be called again.
-    pub fn try_start(&mut self) -> bool {
-        let (addr, fingerprint, pending_strike) =
-            (self.addr, self.fingerprint, self.pending_strike);
-        self.run = self.shared.change(|state, now| {
-            let decision = state.decision(now, addr, fingerprint);
-            let runs = state.runs_at(addr);
-            if decision == RunDecision::Serial && pending_strike != Some(runs.next_crash()) {
-                return None;
-            }
-            runs.start(fingerprint, decision)
-        });
-        self.has_started = self.run.is_some();
-        self.has_started
-    }
-
-    /// Records that the complete response has arrived.
-    pub fn record_answer(&mut self) {
-        self.is_answered = true;
-    }
-
-    /// Records that the connection was lost; returns whether the server has crashed, after the zone
-    /// has been notified.
-    pub async fn record_lost(&mut self) -> bool {
-        match self.run.take() {
-            Some(run) => self.shared.end_lost(self.addr, run).await,
-            None => false,
-        }
-    }
-
-    /// Records that the connection was lost in the middle of the response.
-    pub fn record_aborted(&mut self) {
-        if let Some(run) = self.run.take() {
-            let (shared, addr) = (self.shared.clone(), self.addr);
-            tokio::spawn(async move {
-                shared.end_lost(addr, run).await;
-            });
-        }
-    }
-
-    /// Returns the decision and whether a suspect is running at the server.
-    fn decision(&self) -> (RunDecision, bool) {
-        let (addr, fingerprint) = (self.addr, self.fingerprint);
-        self.shared.change(|state, now| {
-            let decision = state.decision(now, addr, fingerprint);
-            (decision, state.runs_at(addr).has_suspect())
-        })
-    }
-
-    /// Records a strike for the crash that the suspect's run may cause, and notifies the zone.
-    async fn record_pending_strike(&mut self) {
-        let (addr, fingerprint) = (self.addr, self.fingerprint);
-        let (crash, reports) = self.shared.change(|state, now| {
-            let crash = state.runs_at(addr).next_crash();
-            (
-                crash,
-                state.quarantine.record_strikes(now, crash, [fingerprint]),
-            )
-        });
-        self.pending_strike = Some(crash);
-        self.shared.broadcast(reports).await;
-    }
-
-    /// Withdraws the strike for a crash that happened before the run has started.
-    async fn withdraw_stale_strike(&mut self) {
-        let (addr, fingerprint, pending_strike) =
-            (self.addr, self.fingerprint, self.pending_strike);
-        let reports = self.shared.change(|state, now| {
-            let next = state.runs_at(addr).next_crash();
-            let stale = pending_strike.filter(|crash| *crash != next);
-            stale.map(|crash| state.quarantine.withdraw_strike(now, fingerprint, crash))
-        });
-        if let Some(reports) = reports {
-            self.pending_strike = None;
-            self.shared.broadcast(reports).await;
-        }
-    }
-}
-
-impl Drop for QuarantineGuard {
-    fn drop(&mut self) {
-        let (addr, fingerprint) = (self.addr, self.fingerprint);
-        let reports = self.shared.change(|state, now| {
-            self.run
-                .into_iter()
-                .for_each(|run| state.runs_at(addr).end(run));
-            if self.is_answered {
-                return state.quarantine.clear(now, fingerprint);
-            }
-            let runs = state.runs_at(addr);
-            let next = runs.next_crash();
-            // After a crash `next` is the one that follows, so a run that has crashed its server
-            // keeps its strike.
-            let own_crash = if self.has_started {
-                Some(next)
-            } else {
-                self.pending_strike
-            };
-            match own_crash {
-                Some(crash) if crash != next || !runs.contains_request(fingerprint) => {
-                    state.quarantine.withdraw_strike(now, fingerprint, crash)
-                }
-                _ => Vec::new(),
-            }
-        });
-        let shared = self.shared.clone();
-        if !reports.is_empty()
-            && let Ok(handle) = tokio::runtime::Handle::try_current()
-        {
-            handle.spawn(async move { shared.broadcast(reports).await });
-        }
-    }
-}
-
-/// Returns whether nothing listens at `addr` any more.
-///
-/// The kernel closes the sockets of a dying process one by one, so its listener may still accept a
-/// connection after that of the call was closed. A connection therefore counts only if it stays
-/// open.
-pub(crate) async fn is_down(addr: SocketAddr) -> bool {
-    loop {
-        let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(addr)).await;
-        match connected {
-            Ok(Ok(stream)) => {
-                if !closes_soon(stream).await {
-                    return false;
-                }
-            }
-            Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionReset => {}
-            Ok(Err(e)) => return e.kind() == io::ErrorKind::ConnectionRefused,
-            Err(_) => return false,
-        }
-    }
-}
-
-/// Returns whether the server closes `stream`, on which nothing was sent, in a short time.
-async fn closes_soon(mut stream: TcpStream) -> bool {
-    timeout(PROBE_OPEN_TIME, stream.read(&mut [0]))
-        .await
-        .is_ok()
-}
--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -176,13 +176,27 @@
         now: MonoTime,
         fingerprint: RequestFingerprint,
         own: CrashId,
+    ) -> RunDecision {
+        self.decide_without(now, fingerprint, Some(own))
+    }
+
+    /// Returns how the request may run at servers of other hosts.
+    pub fn decide_away(&self, now: MonoTime, fingerprint: RequestFingerprint) -> RunDecision {
+        self.decide_without(now, fingerprint, None)
+    }
+
+    fn decide_without(
+        &self,
+        now: MonoTime,
+        fingerprint: RequestFingerprint,
+        own: Option<CrashId>,
     ) -> RunDecision {
         let Some(strikes) = self.suspects.get(&fingerprint) else {
             return RunDecision::Unrestricted;
         };
         let uncleared = strikes
             .iter()
-            .filter(|(crash, strike)| !strike.cleared && **crash != own);
+            .filter(|(crash, strike)| !strike.cleared && Some(**crash) != own);
         let count = uncleared.clone().count();
         let Some(last) = uncleared.map(|(_, strike)| strike.at).max() else {
             return RunDecision::Unrestricted;
