End the probe of a server that closes each new connection

Callers saw: a call whose connection was lost got no answer until its deadline. Cause: the probe for a crash connected again for as long as the server closed each connection, which a server at its limit of connections does all the time. Change: five connections at most, after which the server counts as running.

--- a/crates/backend/src/quarantine/probe.rs
+++ b/crates/backend/src/quarantine/probe.rs
@@ -9,6 +9,8 @@
 
 /// Time limit for the connection that probes a server.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Most connections of one probe. A server at its limit of connections resets each of them.
+const PROBE_CONNECTIONS_MAX: u32 = 5;
 /// Pause between two connections of one probe.
 const PROBE_PAUSE: Duration = Duration::from_millis(10);
 
@@ -18,7 +20,7 @@
 /// connection after that of the call was closed. A connection therefore counts only if it stays
 /// open for `open_time`.
 pub(crate) async fn is_down(addr: SocketAddr, open_time: Duration) -> bool {
-    loop {
+    for _ in 0..PROBE_CONNECTIONS_MAX {
         let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(addr)).await;
         match connected {
             Ok(Ok(stream)) => {
@@ -32,6 +34,7 @@
         }
         sleep(PROBE_PAUSE).await;
     }
+    false
 }
 
 /// Returns whether the server closes `stream`, on which nothing was sent, within `open_time`.
--- a/crates/backend/tests/quarantine.rs
+++ b/crates/backend/tests/quarantine.rs
@@ -12,10 +12,10 @@
 use agatehill_process::clock::MonoClock;
 use rstest::rstest;
 use std::{net::SocketAddr, time::Duration};
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, time::timeout};
 
-/// Longest wait for a suspect's turn.
-const WAIT_MAX: Duration = Duration::from_secs(5);
+/// Longest time that a lost call may wait for the result of a probe.
+const PROBE_TIME_MAX: Duration = Duration::from_secs(5);
 
 fn monitor() -> FleetQuarantine {
     QuarantineMonitor::spawn(
@@ -87,6 +87,17 @@
     assert!(!monitor.has_suspects());
 }
 
+/// A server at its limit of connections resets each new one, also that of a probe.
+#[tokio::test]
+async fn probe_ends_at_a_server_that_closes_each_connection() {
+    let monitor = monitor();
+    let (addr, listener) = listening_server().await;
+    tokio::spawn(async move { while listener.accept().await.is_ok() {} });
+    let mut lost = send(&monitor, addr, "/1");
+    let has_crashed = timeout(PROBE_TIME_MAX, lost.record_lost()).await;
+    assert_eq!(has_crashed, Ok(false));
+}
+
 /// A server that starts anew without leaving first has crashed under the requests that it did not
 /// answer, however late that becomes known.
 #[rstest]
@@ -140,7 +151,7 @@
         "two suspects at once"
     );
     assert!(suspect.record_lost().await);
-    let deadline = MonoClock::open().now() + WAIT_MAX;
+    let deadline = MonoClock::open().now() + PROBE_TIME_MAX;
     let mut guard = monitor.guard(addr, fingerprint("/1"));
     let refusal = guard.wait_ready(deadline).await.unwrap_err();
     assert!(matches!(refusal, QuarantineRefusal::Quarantined(remaining)
