Keep requests that crash servers from the servers of the whole deployment

Cause: the relay had no memory of contents. Each send, under a new id and at any host, started from nothing, while the product's own path has a quarantine. Class: a belief that one path has and the other lacks.

Change: the relay uses the same monitor. A gate strikes what was in flight at a crash, or unanswered when the server starts anew without leaving; it sends strikes to all keepers, which hand them to every daemon with the directory and compare digests among themselves; a daemon sends all it has to a keeper that lacks some. They also go with a suspect to its gate and come back with a lost attempt, so that the entry's own retry knows them. A suspect runs alone, at one gate that all daemons select; after two uncleared strikes its content is refused with 503 for 5 s, after three for two hours, before it reaches a server. A response clears it.

Ruled out: a broadcast before each run of a suspect, as the product path has it: all daemons for each of the dozens of requests in flight at a crash.

--- a/crates/backend/src/quarantine.rs
+++ b/crates/backend/src/quarantine.rs
@@ -132,6 +132,17 @@
     }
 }
 
+impl QuarantineMonitor<CrashReportQueue> {
+    /// Merges strikes that came with a request or its response; queues those that were new, because
+    /// their sender may be cut off from the keepers.
+    pub fn learn(&self, reports: &[CrashReport]) {
+        let new = self.merge(reports);
+        if !new.is_empty() {
+            self.transport().push(new);
+        }
+    }
+}
+
 impl<T: CrashReportTransport> QuarantineMonitor<T> {
     /// Opens the monitor of one run of a daemon and spawns the removal of expired suspects.
     pub fn spawn(
@@ -215,6 +226,11 @@
         self.shared.lock().quarantine.reports_of(now, fingerprint)
     }
 
+    /// Returns a digest of all strikes.
+    pub fn digest(&self) -> u64 {
+        self.shared.lock().quarantine.digest()
+    }
+
     /// Returns the number of suspects.
     pub fn suspect_count(&self) -> usize {
         self.shared.lock().quarantine.len()
--- a/crates/decide/src/server_tracker.rs
+++ b/crates/decide/src/server_tracker.rs
@@ -160,6 +160,11 @@
         is_news
     }
 
+    /// Returns the last heartbeat of the current incarnation, whether it accepts work or not.
+    pub fn current(&self) -> Option<&ServerHeartbeat> {
+        Some(&self.current.as_ref()?.heartbeat)
+    }
+
     /// Returns the last heartbeat of the server if it accepts work.
     pub fn serving(&self, now: MonoTime) -> Option<&ServerHeartbeat> {
         let current = self.current.as_ref()?;
--- a/crates/fleet/src/anti_entropy.rs
+++ b/crates/fleet/src/anti_entropy.rs
@@ -1,6 +1,6 @@
-//! Anti-entropy between keepers: each keeper exchanges its known keepers and the digest of its
-//! directory with every other at intervals. So keepers discover each other and recover lost host
-//! records.
+//! Anti-entropy between keepers: each keeper exchanges its known keepers and the digests of its
+//! directory and its strikes with every other at intervals. So keepers discover each other and
+//! recover lost host records and crash reports.
 
 use crate::{keeper::FleetKeeper, keeper_map::KnownKeeper};
 use agatehill_peer::fleet::KeeperExchange;
@@ -17,6 +17,7 @@
 pub(crate) async fn run_anti_entropy(keeper: FleetKeeper) {
     loop {
         keeper.add_voters();
+        keeper.shared.crash_log.remove_expired();
         for other in keeper.shared.keepers.list() {
             if other.name != keeper.shared.own_record.name {
                 tokio::spawn(exchange_with(keeper.clone(), other));
@@ -34,6 +35,7 @@
     let exchange = KeeperExchange {
         keepers: keeper.shared.keepers.records(),
         hosts_digest: keeper.directory().digest(),
+        reports_digest: keeper.shared.crash_log.digest(),
     };
     let sent = other.link.call(EXCHANGE_TIMEOUT, |client, ctx| async move {
         client.exchange_keepers(ctx, exchange).await
@@ -42,5 +44,6 @@
     if let Ok(reply) = sent.await {
         keeper.update_records(&reply.keepers);
         keeper.merge(reply.hosts);
+        keeper.shared.crash_log.merge(&reply.crash_reports);
     }
 }
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -2,12 +2,14 @@
 
 use crate::{
     anti_entropy,
+    crash_log::CrashLog,
     keeper_map::{KeeperMap, keeper_name},
 };
 use agatehill_decide::{
     config_history::{ConfigCommand, ConfigHistory, ConfigReply},
     host_directory::{HostDirectory, HostRecord},
     name::{Incarnation, KeeperName, RegionName, ZoneName},
+    quarantine::CrashReport,
     replica::{ReplicaEnvelope, ReplicaId, ReplicaSettings, ReplicaStatus, VoterPolicy},
 };
 use agatehill_peer::{
@@ -119,6 +121,7 @@
     directory: Mutex<HostDirectory>,
     /// Number of directory changes.
     directory_changes: watch::Sender<u64>,
+    pub(crate) crash_log: CrashLog,
     _folder: DataFolder,
 }
 
@@ -143,10 +146,11 @@
         let name = keeper_name(options.host);
         let folder = DataFolder::open(&options.data_dir, &name, 1)?;
         let outbox = PeerOutbox::open();
+        let clock = MonoClock::open();
         let group = GroupHandle::open(
             replica_settings(options, &name),
             &folder.group_path(CONFIG_GROUP),
-            MonoClock::open(),
+            clock,
             outbox.for_group(CONFIG_GROUP),
         )?;
         let keeper = FleetKeeper {
@@ -163,6 +167,7 @@
                 outbox,
                 directory: Mutex::default(),
                 directory_changes: watch::channel(0).0,
+                crash_log: CrashLog::open(clock),
                 _folder: folder,
             }),
         };
@@ -214,6 +219,7 @@
             "config_version": self.shared.group.read(ConfigHistory::version),
             "keepers": keepers.iter().map(|k| k.name.as_str()).collect::<Vec<_>>(),
             "hosts": hosts,
+            "suspects": self.shared.crash_log.suspect_count(),
         })
     }
 
@@ -308,6 +314,7 @@
         self.shared.group.read(ConfigHistory::version) > request.config_after
             || !is_same_run
             || self.directory().change_count() > request.hosts_after
+            || self.shared.crash_log.change_count() > request.reports_after
     }
 
     fn sync_reply(&self, request: &SyncRequest) -> SyncReply {
@@ -319,14 +326,21 @@
         };
         let config = self.shared.group.read(newer);
         let is_same_run = request.keeper_run == self.shared.run;
-        let after = if is_same_run { request.hosts_after } else { 0 };
+        let (hosts_after, reports_after) = match is_same_run {
+            true => (request.hosts_after, request.reports_after),
+            false => (0, 0),
+        };
+        let strikes = self.shared.crash_log.changed_after(reports_after);
         let directory = self.directory();
         SyncReply {
             is_current,
             config,
             keeper_run: self.shared.run,
             hosts_at: directory.change_count(),
-            hosts: directory.changed_after(after),
+            hosts: directory.changed_after(hosts_after),
+            reports_at: strikes.at,
+            crash_reports: strikes.reports,
+            reports_digest: strikes.digest,
             keepers: self.shared.keepers.records(),
         }
     }
@@ -344,11 +358,13 @@
         let end = Instant::now() + wait;
         let mut applied = self.shared.group.subscribe_applied();
         let mut changed = self.shared.directory_changes.subscribe();
+        let mut reported = self.shared.crash_log.subscribe();
         while Instant::now() < end && self.status().current && !self.has_changes(&request) {
             let remaining = end.saturating_duration_since(Instant::now());
             tokio::select! {
                 _ = applied.changed() => {}
                 _ = changed.changed() => {}
+                _ = reported.changed() => {}
                 () = tokio::time::sleep(remaining.min(SYNC_CHECK_INTERVAL)) => {}
             }
         }
@@ -359,8 +375,13 @@
         self.merge(records);
     }
 
+    async fn share_crash_reports(&self, reports: Vec<CrashReport>) {
+        self.shared.crash_log.merge(&reports);
+    }
+
     async fn exchange_keepers(&self, exchange: KeeperExchange) -> KeeperExchangeReply {
         self.update_records(&exchange.keepers);
+        let strikes = self.shared.crash_log.changed_after(0);
         let directory = self.directory();
         let is_same = directory.digest() == exchange.hosts_digest;
         KeeperExchangeReply {
@@ -369,6 +390,10 @@
                 true => Vec::new(),
                 false => directory.iter().cloned().collect(),
             },
+            crash_reports: match strikes.digest == exchange.reports_digest {
+                true => Vec::new(),
+                false => strikes.reports,
+            },
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,8 @@
 //! and the directory of hosts to the daemons.
 
 mod anti_entropy;
+mod crash_log;
 pub mod keeper;
 pub mod keeper_map;
+mod report_sender;
 pub mod sync;
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -1,7 +1,11 @@
-//! The daemon's side: copies the configuration and the directory of hosts from the keepers, and
-//! publishes the daemon's own host record to them.
+//! The daemon's side: copies the configuration, the directory of hosts and the strikes against
+//! requests from the keepers, and publishes the daemon's own host record to them.
 
-use crate::keeper_map::{KeeperMap, KnownKeeper, keeper_name};
+use crate::{
+    keeper_map::{KeeperMap, KnownKeeper, keeper_name},
+    report_sender::{self, StrikeMismatch},
+};
+use agatehill_backend::quarantine::FleetQuarantine;
 use agatehill_decide::{
     config_history::AcceptedConfig,
     host_directory::{HostDirectory, HostRecord, ServerRecord},
@@ -39,30 +43,34 @@
     pub region: RegionName,
     /// Availability zone of the host.
     pub zone: ZoneName,
+    /// The strikes against requests that crash servers.
+    pub quarantine: FleetQuarantine,
 }
 
 /// The daemon's copy of the configuration and of the directory; clones share it.
 #[derive(Clone)]
 pub struct FleetSync {
-    shared: Arc<SyncShared>,
+    pub(crate) shared: Arc<SyncShared>,
 }
 
-struct SyncShared {
-    options: SyncOptions,
-    keepers: KeeperMap,
+pub(crate) struct SyncShared {
+    pub(crate) options: SyncOptions,
+    pub(crate) keepers: KeeperMap,
     record: Mutex<HostRecord>,
     directory: Mutex<HostDirectory>,
     config: watch::Sender<Option<AcceptedConfig>>,
     directory_changes: watch::Sender<u64>,
     /// Whether a keeper in contact with the leader has replied since the start.
     has_synced: watch::Sender<bool>,
+    pub(crate) strike_mismatch: StrikeMismatch,
 }
 
-/// Position in the directory changes of one keeper.
+/// Position in the changes of one keeper.
 #[derive(Clone, Copy, Debug, Default)]
 struct SyncPosition {
     keeper_run: u64,
     hosts_at: u64,
+    reports_at: u64,
 }
 
 impl From<&SyncReply> for SyncPosition {
@@ -70,6 +78,7 @@
         SyncPosition {
             keeper_run: reply.keeper_run,
             hosts_at: reply.hosts_at,
+            reports_at: reply.reports_at,
         }
     }
 }
@@ -94,9 +103,11 @@
                 config: watch::channel(None).0,
                 directory_changes: watch::channel(0).0,
                 has_synced: watch::channel(false).0,
+                strike_mismatch: StrikeMismatch::default(),
             }),
         };
         tokio::spawn(sync.clone().run());
+        tokio::spawn(report_sender::send_reports(sync.clone()));
         sync
     }
 
@@ -225,6 +236,7 @@
             config_after: version,
             keeper_run: position.keeper_run,
             hosts_after: position.hosts_at,
+            reports_after: position.reports_at,
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
         };
         let limit = wait + LONG_POLL_GRACE;
@@ -233,6 +245,7 @@
         });
         let reply = timeout(limit, sent).await.ok()?.ok()?;
         self.apply(&reply);
+        report_sender::send_missing(self, keeper, &reply);
         if reply.is_current {
             self.shared.has_synced.send_replace(true);
         }
@@ -241,6 +254,8 @@
 
     fn apply(&self, reply: &SyncReply) {
         self.shared.keepers.update_records(&reply.keepers);
+        // First the strikes: a daemon that has just started serves nothing without a configuration.
+        self.shared.options.quarantine.merge(&reply.crash_reports);
         if let Some(config) = &reply.config {
             self.apply_config(config);
         }
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -6,6 +6,7 @@
     config_history::{AcceptedConfig, ConfigCommand, ConfigReply},
     host_directory::HostRecord,
     name::{KeeperName, RegionName, ZoneName},
+    quarantine::CrashReport,
     replica::ReplicaEnvelope,
 };
 use futures_util::StreamExt;
@@ -51,6 +52,8 @@
     pub keeper_run: u64,
     /// Number of the last change to the directory that the daemon has.
     pub hosts_after: u64,
+    /// Number of the last change to the strikes that the daemon has, in the same run.
+    pub reports_after: u64,
     /// Longest time that the keeper waits for a change, in milliseconds.
     pub wait_ms: u32,
 }
@@ -68,6 +71,12 @@
     pub hosts_at: u64,
     /// Host records that changed after `hosts_after`.
     pub hosts: Vec<HostRecord>,
+    /// Number of the last change to the strikes that `crash_reports` includes.
+    pub reports_at: u64,
+    /// Strikes against requests that crash servers, as far as they changed after `reports_after`.
+    pub crash_reports: Vec<CrashReport>,
+    /// Digest of all strikes that the keeper knows.
+    pub reports_digest: u64,
     /// All keepers that the sender knows.
     pub keepers: Vec<KeeperRecord>,
 }
@@ -79,6 +88,8 @@
     pub keepers: Vec<KeeperRecord>,
     /// Digest of the sender's directory of hosts.
     pub hosts_digest: u64,
+    /// Digest of all strikes that the sender knows.
+    pub reports_digest: u64,
 }
 
 /// The reply to a [`KeeperExchange`].
@@ -88,6 +99,8 @@
     pub keepers: Vec<KeeperRecord>,
     /// The receiver's directory of hosts, if its digest differs; empty otherwise.
     pub hosts: Vec<HostRecord>,
+    /// All strikes that the receiver knows, if their digest differs; empty otherwise.
+    pub crash_reports: Vec<CrashReport>,
 }
 
 /// Why a command has no reply.
@@ -107,6 +120,9 @@
     /// Merges host records from another keeper.
     fn share_hosts(&self, records: Vec<HostRecord>) -> impl Future<Output = ()> + Send;
 
+    /// Merges strikes against requests that crash servers.
+    fn share_crash_reports(&self, reports: Vec<CrashReport>) -> impl Future<Output = ()> + Send;
+
     /// Merges the keepers that another keeper knows and returns those known here.
     fn exchange_keepers(
         &self,
@@ -136,6 +152,10 @@
         self.0.share_hosts(records).await;
     }
 
+    async fn share_crash_reports(self, _: Context, reports: Vec<CrashReport>) {
+        self.0.share_crash_reports(reports).await;
+    }
+
     async fn exchange_keepers(self, _: Context, exchange: KeeperExchange) -> KeeperExchangeReply {
         self.0.exchange_keepers(exchange).await
     }
@@ -157,8 +177,8 @@
     #![allow(missing_docs)] // tarpc generates items without documentation.
 
     use super::{
-        CommandError, ConfigCommand, ConfigReply, HostRecord, KeeperExchange, KeeperExchangeReply,
-        ReplicaEnvelope, SyncReply, SyncRequest,
+        CommandError, ConfigCommand, ConfigReply, CrashReport, HostRecord, KeeperExchange,
+        KeeperExchangeReply, ReplicaEnvelope, SyncReply, SyncRequest,
     };
 
     /// The wire form of [`super::FleetService`].
@@ -174,6 +194,8 @@
         async fn run_command(command: ConfigCommand) -> Result<ConfigReply, CommandError>;
         /// Accepts messages from another keeper's replica.
         async fn deliver(envelopes: Vec<ReplicaEnvelope>);
+        /// Merges strikes against requests that crash servers.
+        async fn share_crash_reports(reports: Vec<CrashReport>);
     }
 }
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     body::{BodyError, BodyLimits, read_body},
+    content::fingerprint,
     decision_log::{EntryDecision, request_id},
     entry::RequestEntry,
     error::RelayError,
@@ -14,12 +15,13 @@
 };
 use agatehill_decide::{
     call_parent::ParentRequest,
-    gate_selection::RouteKey,
+    gate_selection::{RouteKey, select_suspect_gate},
     name::ServiceName,
+    quarantine::{CrashReport, RequestFingerprint, RunDecision},
     service_config::{RouteRule, RouteTable},
     time::MonoTime,
 };
-use agatehill_peer::body::CallBody;
+use agatehill_peer::{body::CallBody, crash_report::CRASH_REPORT_HEADER};
 use gotham::helpers::http::Body;
 use http::{Request, Response, Uri, Version, header::HOST, request::Parts};
 use std::{
@@ -67,6 +69,8 @@
     parent: Option<ParentRequest>,
     /// Route and service, once a route has matched.
     target: Option<RequestTarget>,
+    /// Identifies its content; known only once there are suspects.
+    content: Option<RequestFingerprint>,
     gates_tried: Vec<SocketAddr>,
     /// Number of backend servers that it reached and got no response from.
     servers_reached: u32,
@@ -106,6 +110,7 @@
             parent: deadline.and_then(|deadline| server.find_parent(started + deadline)),
             table: entry.table.load_full(),
             target: None,
+            content: None,
             gates_tried: Vec::new(),
             servers_reached: 0,
             may_have_run: false,
@@ -144,6 +149,8 @@
         let response_limit = self.time_limit.saturating_sub(RESPONSE_RESERVE);
         self.time_limit = response_limit.min(rule.timeout + TIMEOUT_GRACE);
         strip_hop_by_hop(&mut self.head.headers);
+        // Only daemons report crashes.
+        self.head.headers.remove(CRASH_REPORT_HEADER);
         let limits = BodyLimits {
             buffered_max: BUFFERED_REQUEST_MAX,
             size_max: table.config().limits.body_bytes_max,
@@ -175,7 +182,8 @@
             .retry_budget
             .record_request(&target.service, is_retry);
         while let Some(body) = next.take() {
-            let Some(gate) = self.select_gate(target) else {
+            let (suspect, body) = self.check_quarantine(body).await?;
+            let Some(gate) = self.select_gate(target, suspect) else {
                 break;
             };
             let copy = body.try_clone();
@@ -211,6 +219,36 @@
         }
     }
 
+    /// Returns the content of the request if it is suspected of crashing servers.
+    ///
+    /// # Errors
+    ///
+    /// The request is quarantined, or its body is interrupted.
+    async fn check_quarantine(
+        &mut self,
+        body: CallBody,
+    ) -> Result<(Option<RequestFingerprint>, CallBody), RelayError> {
+        let quarantine = self.entry.gate().quarantine();
+        if !quarantine.has_suspects() {
+            return Ok((None, body));
+        }
+        let (content, body) = match self.content {
+            Some(content) => (content, body),
+            None => fingerprint(&self.head, body)
+                .await
+                .map_err(|_| RelayError::BadRequest)?,
+        };
+        self.content = Some(content);
+        match quarantine.decide(content) {
+            RunDecision::Unrestricted => Ok((None, body)),
+            RunDecision::Serial => Ok((Some(content), body)),
+            RunDecision::Quarantined(_) if self.may_have_run => Err(RelayError::Lost),
+            RunDecision::Quarantined(remaining) => Err(RelayError::Quarantined {
+                retry_after: add_jitter(remaining),
+            }),
+        }
+    }
+
     fn remaining(&self) -> Duration {
         let end = self.started + self.time_limit;
         end.since(self.entry.options.clock.now())
@@ -221,11 +259,18 @@
         is_allowed && self.entry.lock().retry_budget.try_spend(&target.service)
     }
 
-    fn select_gate(&self, target: &RequestTarget) -> Option<SocketAddr> {
+    fn select_gate(
+        &self,
+        target: &RequestTarget,
+        suspect: Option<RequestFingerprint>,
+    ) -> Option<SocketAddr> {
         if self.gates_tried.len() >= GATES_MAX || self.servers_reached >= target.rule.servers_max {
             return None;
         }
         let candidates = self.entry.options.gates.get(&target.service);
+        if let Some(content) = suspect {
+            return select_suspect_gate(&candidates, &self.gates_tried, content);
+        }
         let now = self.entry.options.clock.now();
         let state = self.entry.lock();
         state
@@ -268,7 +313,7 @@
         let result = if gate == options.gate_addr {
             options.gate.run(&hop, req).await
         } else {
-            entry.send(gate, &hop, req).await
+            entry.send(gate, &hop, &self.strikes(), req).await
         };
         self.is_in_flight = false;
         pending.has_result = true;
@@ -277,6 +322,13 @@
         result
     }
 
+    /// Returns the strikes against the request that are known here.
+    fn strikes(&self) -> Vec<CrashReport> {
+        let quarantine = self.entry.gate().quarantine();
+        let content = self.content.filter(|_| quarantine.has_suspects());
+        content.map_or_else(Vec::new, |content| quarantine.reports_of(content))
+    }
+
     fn build_request(&self, body: CallBody) -> Request<CallBody> {
         let mut req = Request::new(body);
         *req.method_mut() = self.head.method.clone();
@@ -322,6 +374,7 @@
             route: target.map(|target| target.rule.name.as_str()),
             version: self.table.as_ref().map_or(0, |t| t.config().version),
             service: target.map(|target| &target.service),
+            content: self.content,
             gates_tried: &self.gates_tried,
             servers_reached: self.servers_reached + u32::from(outcome == "answered"),
             outcome,
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -32,6 +32,8 @@
     pub version: u64,
     /// The service that was selected, if a route matched.
     pub service: Option<&'a ServiceName>,
+    /// Identifies the content of the request, if any request is suspected of crashing servers.
+    pub content: Option<RequestFingerprint>,
     /// Gates that the request was sent to, in order.
     pub gates_tried: &'a [SocketAddr],
     /// Number of backend servers that the request reached.
@@ -107,6 +109,7 @@
             route = decision.route.unwrap_or(""),
             version = decision.version,
             service = decision.service.map_or("", ServiceName::as_str),
+            content = decision.content.map(|content| content.to_string()).unwrap_or_default(),
             gates = gates.join(" "),
             reached = decision.servers_reached,
             outcome = decision.outcome,
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -15,16 +15,20 @@
 use agatehill_decide::{
     gate_selection::{GateSelector, RouteKey},
     name::ServiceName,
+    quarantine::CrashReport,
     service_config::{RouteRule, RouteTable},
     service_retry_budget::ServiceRetryBudget,
     weighted_round_robin::WeightedRoundRobin,
 };
-use agatehill_peer::body::CallBody;
+use agatehill_peer::{
+    body::CallBody,
+    crash_report::{CRASH_REPORT_HEADER, crash_report_value, crash_reports},
+};
 use agatehill_process::clock::MonoClock;
 use arc_swap::ArcSwapOption;
 use gotham::helpers::http::Body;
 use http::{
-    HeaderValue, Request, Response,
+    HeaderMap, HeaderValue, Request, Response,
     header::{CONNECTION, RETRY_AFTER},
 };
 use std::{
@@ -146,6 +150,7 @@
         let Ok(body) = read_body(body, limits, ()).await else {
             return RelayError::BadRequest.response();
         };
+        self.learn_strikes(&mut head.headers);
         let req = Request::from_parts(head, body);
         let result = self.options.gate.run(&hop, req).await;
         let mut response = result.response.unwrap_or_else(|| match result.outcome {
@@ -155,18 +160,41 @@
                 RelayError::Unavailable { retry_after }.response()
             }
         });
-        result.outcome.write(response.headers_mut());
+        let headers = response.headers_mut();
+        result.outcome.write(headers);
+        if !result.strikes.is_empty() {
+            headers.insert(CRASH_REPORT_HEADER, crash_report_value(&result.strikes));
+        }
         response
     }
 
+    /// Removes the strikes from `headers` and merges them.
+    fn learn_strikes(&self, headers: &mut HeaderMap) {
+        if !headers.contains_key(CRASH_REPORT_HEADER) {
+            return;
+        }
+        match crash_reports(headers) {
+            Ok(reports) => self.gate().quarantine().learn(&reports),
+            Err(error) => spdlog::warn!("cannot decode crash reports", kv: {
+                error = error.to_string()
+            }),
+        }
+        headers.remove(CRASH_REPORT_HEADER);
+    }
+
     /// Sends a request to the gate of another daemon.
     pub(crate) async fn send(
         &self,
         gate: SocketAddr,
         hop: &HopContext,
+        strikes: &[CrashReport],
         mut req: Request<CallBody>,
     ) -> GateResult {
         hop.write(req.headers_mut());
+        if !strikes.is_empty() {
+            let value = crash_report_value(strikes);
+            req.headers_mut().insert(CRASH_REPORT_HEADER, value);
+        }
         let response = match self.pool.send(gate, req).await {
             Ok(response) => response,
             Err(SendError::NotSent) => {
@@ -182,6 +210,7 @@
         };
         let outcome = HopOutcome::take(&mut head.headers).unwrap_or(HopOutcome::Lost);
         if outcome != HopOutcome::Answered {
+            self.learn_strikes(&mut head.headers);
             let retry_after = head.headers.get(RETRY_AFTER);
             let seconds = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
             return GateResult {
@@ -190,6 +219,7 @@
                 response: None,
                 retry_after: Duration::try_from_secs_f64(seconds.unwrap_or(0.0))
                     .unwrap_or_default(),
+                strikes: Vec::new(),
             };
         }
         GateResult {
@@ -197,6 +227,7 @@
             reason: outcome.as_str(),
             response: Some(Response::from_parts(head, body)),
             retry_after: Duration::ZERO,
+            strikes: Vec::new(),
         }
     }
 
--- a/crates/relay/src/error.rs
+++ b/crates/relay/src/error.rs
@@ -30,6 +30,11 @@
         /// Time after which a retry is likely to be accepted.
         retry_after: Duration,
     },
+    /// The request has crashed backend servers; this attempt of it has not run.
+    Quarantined {
+        /// Remaining time of its quarantine.
+        retry_after: Duration,
+    },
     /// The request was sent and no complete response arrived: it may have run.
     Lost,
     /// No response arrived before the deadline: the request may have run.
@@ -40,9 +45,9 @@
     /// Returns the HTTP status.
     pub fn status(self) -> StatusCode {
         match self {
-            RelayError::NoConfig | RelayError::Unavailable { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            RelayError::NoConfig
+            | RelayError::Unavailable { .. }
+            | RelayError::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             RelayError::NoRoute => StatusCode::NOT_FOUND,
             RelayError::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             RelayError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -63,6 +68,7 @@
             RelayError::BodyTimeout => "slow-body",
             RelayError::BadRequest => "bad-request",
             RelayError::Unavailable { .. } => "busy",
+            RelayError::Quarantined { .. } => "quarantined",
             RelayError::Lost => "lost",
             RelayError::DeadlineExceeded => "late",
         }
@@ -77,7 +83,9 @@
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         let retry_after = match self {
             RelayError::NoConfig => Some(NO_CONFIG_RETRY_AFTER),
-            RelayError::Unavailable { retry_after } => Some(retry_after),
+            RelayError::Unavailable { retry_after } | RelayError::Quarantined { retry_after } => {
+                Some(retry_after)
+            }
             _ => None,
         };
         if let Some(delay) = retry_after {
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -8,9 +8,15 @@
     local_server::{LocalServer, RunOutcome, SlotGuard, SlotRequest},
     pool::{ConnectionPool, PoolOptions, PooledResponse, SendError},
 };
+use agatehill_backend::quarantine::{
+    CrashReportQueue, FleetQuarantine, QuarantineGuard, QuarantineRefusal,
+};
 use agatehill_decide::{
-    admission::AdmissionRequest, call_parent::ParentRequest, quarantine::RequestFingerprint,
-    server_tracker::ServerHeartbeat, time::MonoTime,
+    admission::AdmissionRequest,
+    call_parent::ParentRequest,
+    quarantine::{CrashReport, RequestFingerprint},
+    server_tracker::{HeartbeatEffect, ServerHeartbeat},
+    time::MonoTime,
 };
 use agatehill_peer::body::CallBody;
 use agatehill_process::clock::MonoClock;
@@ -25,6 +31,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Retry-after while the server accepts no requests.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Retry-after of a suspect whose turn to run alone does not come in time.
+const SUSPECT_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time between two removals of expired connections and refreshes of the server's state.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -39,6 +47,8 @@
     pub reason: &'static str,
     /// Time after which a retry is likely to be accepted, if the request was refused or shed.
     pub retry_after: Duration,
+    /// The strikes against the request that the gate knows, if it got no response.
+    pub strikes: Vec<CrashReport>,
 }
 
 /// The gate of this host; clones share it.
@@ -46,11 +56,18 @@
 pub struct RequestGate {
     names: Arc<HeaderNames>,
     server: LocalServer,
+    quarantine: FleetQuarantine,
     pool: ConnectionPool,
     log: Arc<DecisionLog>,
     clock: MonoClock,
 }
 
+/// A request that the server runs.
+struct GateRun {
+    slot: SlotGuard,
+    quarantine: QuarantineGuard<CrashReportQueue>,
+}
+
 /// What is logged about a request at the gate; written on drop.
 struct GateRecord<'a> {
     gate: &'a RequestGate,
@@ -112,6 +129,7 @@
     pub fn spawn(
         names: Arc<HeaderNames>,
         server: LocalServer,
+        quarantine: FleetQuarantine,
         log: Arc<DecisionLog>,
         clock: MonoClock,
     ) -> RequestGate {
@@ -122,6 +140,7 @@
         let gate = RequestGate {
             names,
             server,
+            quarantine,
             pool,
             log,
             clock,
@@ -135,6 +154,38 @@
         &self.server
     }
 
+    /// Returns the monitor of requests that crash servers.
+    pub fn quarantine(&self) -> &FleetQuarantine {
+        &self.quarantine
+    }
+
+    /// Records a heartbeat of the server. A server that starts anew without having announced that it
+    /// leaves has crashed.
+    pub fn record_heartbeat(&self, heartbeat: ServerHeartbeat) -> HeartbeatEffect {
+        let before = self.server.current().filter(|before| !before.is_leaving);
+        let effect = self.server.record_heartbeat(heartbeat);
+        if let Some(before) = before
+            && effect == HeartbeatEffect::Started
+        {
+            let quarantine = self.quarantine.clone();
+            tokio::spawn(async move { quarantine.record_restart(before.address).await });
+        }
+        effect
+    }
+
+    /// Records that the server `id`, of the incarnation `started_ms` if given, leaves; returns
+    /// whether it was the present one.
+    pub fn record_leave(&self, id: &str, started_ms: Option<u64>) -> bool {
+        let before = self.server.current();
+        let was_present = self.server.record_leave(id, started_ms);
+        if let Some(before) = before
+            && was_present
+        {
+            self.quarantine.record_leave(before.address);
+        }
+        was_present
+    }
+
     /// Runs `req` on the server. Dropping the future cancels the request.
     pub async fn run(&self, hop: &HopContext, req: Request<CallBody>) -> GateResult {
         let Ok((content, req)) = fingerprint_request(req).await else {
@@ -142,7 +193,10 @@
         };
         let id = request_id(req.headers(), &self.names.request_id);
         let mut record = GateRecord::begin(self, hop, id, content);
-        let result = self.admit_and_send(hop, req, &mut record).await;
+        let mut result = self.admit_and_send(hop, req, &mut record).await;
+        if result.response.is_none() && self.quarantine.has_suspects() {
+            result.strikes = self.quarantine.reports_of(content);
+        }
         record.outcome = result.outcome;
         record.reason = result.reason;
         result
@@ -155,6 +209,7 @@
         record: &mut GateRecord<'_>,
     ) -> GateResult {
         let started = record.started;
+        let start_by = started + hop.wait_max.min(hop.remaining);
         let Some(heartbeat) = self.serving(hop) else {
             return GateResult::refused("no-server", NO_SERVER_RETRY_AFTER);
         };
@@ -165,26 +220,41 @@
             late_after: hop.late_after,
             admission: AdmissionRequest {
                 rank: slot_rank(hop),
-                start_by: started + hop.wait_max.min(hop.remaining),
+                start_by,
             },
         };
-        let admitted = self.server.admit(slot_request).await;
-        record.waited = self.clock.now().since(started);
-        let slot = match admitted {
-            Ok(slot) => slot,
-            Err(refusal) => return GateResult::refused(refusal.reason, refusal.retry_after),
+        let mut quarantine = self.quarantine.guard(heartbeat.address, record.content);
+        let slot = loop {
+            if let Err(refusal) = quarantine.wait_ready(start_by).await {
+                return GateResult::quarantined(refusal);
+            }
+            let admitted = self.server.admit(slot_request).await;
+            record.waited = self.clock.now().since(started);
+            let slot = match admitted {
+                Ok(slot) => slot,
+                Err(refusal) => return GateResult::refused(refusal.reason, refusal.retry_after),
+            };
+            // During the wait the server may have begun to leave or been replaced.
+            if !self.is_serving(hop, &heartbeat) {
+                return GateResult::refused("server-left", NO_SERVER_RETRY_AFTER);
+            }
+            if quarantine.try_start() {
+                break slot;
+            }
         };
-        // During the wait the server may have begun to leave or been replaced.
-        match self.serving(hop) {
-            Some(current)
-                if current.id == heartbeat.id && current.started_ms == heartbeat.started_ms => {}
-            _ => return GateResult::refused("server-left", NO_SERVER_RETRY_AFTER),
-        }
         let remaining = hop.remaining.saturating_sub(record.waited);
         if remaining.is_zero() {
             return GateResult::refused("no-time", NO_SERVER_RETRY_AFTER);
         }
-        self.send(hop, &heartbeat, req, slot, remaining).await
+        let run = GateRun { slot, quarantine };
+        self.send(hop, &heartbeat, req, run, remaining).await
+    }
+
+    /// Returns whether the incarnation of `heartbeat` still accepts requests.
+    fn is_serving(&self, hop: &HopContext, heartbeat: &ServerHeartbeat) -> bool {
+        self.serving(hop).is_some_and(|current| {
+            current.id == heartbeat.id && current.started_ms == heartbeat.started_ms
+        })
     }
 
     fn serving(&self, hop: &HopContext) -> Option<ServerHeartbeat> {
@@ -197,7 +267,7 @@
         hop: &HopContext,
         heartbeat: &ServerHeartbeat,
         mut req: Request<CallBody>,
-        mut slot: SlotGuard,
+        mut run: GateRun,
         remaining: Duration,
     ) -> GateResult {
         let id = req.headers().get(&self.names.request_id).cloned();
@@ -207,18 +277,23 @@
             rank: hop.rank,
             is_retry: hop.is_retry,
         };
-        slot.begin_run(end, parent);
+        run.slot.begin_run(end, parent);
+        run.quarantine.record_sent();
         let sent = timeout(remaining, self.pool.send(heartbeat.address, req));
         let response = match sent.await {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::NotSent)) => {
-                slot.set_outcome(RunOutcome::Failed);
+                run.slot.set_outcome(RunOutcome::Failed);
                 self.server.mark_unreachable(&heartbeat.id);
+                // The crash, if it was one, concerns the requests that ran before.
+                tokio::spawn(async move { run.quarantine.record_unsent().await });
                 return GateResult::refused("server-down", NO_SERVER_RETRY_AFTER);
             }
             Ok(Err(SendError::Lost)) => {
-                slot.set_outcome(RunOutcome::Failed);
-                return GateResult::lost("connection-lost");
+                run.slot.set_outcome(RunOutcome::Failed);
+                return self
+                    .end_lost(heartbeat, run.quarantine, "connection-lost")
+                    .await;
             }
             Err(_) => return GateResult::lost("no-answer-in-time"),
         };
@@ -226,9 +301,17 @@
             HopOutcome::Answered => {}
             // The response may belong to another request. Dropping it closes the connection, so
             // that no later bytes are taken for another response.
-            HopOutcome::Lost => return GateResult::lost("answer-foreign"),
+            HopOutcome::Lost => {
+                run.quarantine.record_inconclusive();
+                return GateResult::lost("answer-foreign");
+            }
             HopOutcome::Shed | HopOutcome::Refused => {
-                slot.set_outcome(RunOutcome::Failed);
+                run.slot.set_outcome(RunOutcome::Failed);
+                match response.head.status {
+                    // Another server, or another incarnation of this one, has responded.
+                    StatusCode::MISDIRECTED_REQUEST => run.quarantine.record_inconclusive(),
+                    _ => run.quarantine.record_rejection(),
+                }
                 // Reads the body, so that the connection can be reused.
                 let _ = timeout(remaining, response.read(())).await;
                 return GateResult {
@@ -236,32 +319,59 @@
                     reason: "server-shed",
                     response: None,
                     retry_after: NO_SERVER_RETRY_AFTER,
+                    strikes: Vec::new(),
                 };
             }
         }
-        slot.set_outcome(match response.head.status.is_server_error() {
-            true => RunOutcome::Failed,
-            false => RunOutcome::Succeeded,
-        });
-        self.read_response(response, slot, end).await
+        run.slot
+            .set_outcome(match response.head.status.is_server_error() {
+                true => RunOutcome::Failed,
+                false => RunOutcome::Succeeded,
+            });
+        self.read_response(heartbeat, response, run, end).await
     }
 
     async fn read_response(
         &self,
+        heartbeat: &ServerHeartbeat,
         response: PooledResponse,
-        slot: SlotGuard,
+        run: GateRun,
         end: MonoTime,
     ) -> GateResult {
+        let GateRun {
+            slot,
+            mut quarantine,
+        } = run;
         let remaining = end.since(self.clock.now());
-        let Ok(Ok((head, body))) = timeout(remaining, response.read(slot)).await else {
-            return GateResult::lost("answer-broken");
+        let (head, body) = match timeout(remaining, response.read(slot)).await {
+            Ok(Ok(read)) => read,
+            Ok(Err(_)) => return self.end_lost(heartbeat, quarantine, "answer-broken").await,
+            Err(_) => return GateResult::lost("answer-broken"),
         };
+        // Of a streamed body the first part has arrived: the request has not crashed the server.
+        quarantine.record_answer();
         GateResult {
             reason: "answered",
             outcome: HopOutcome::Answered,
             response: Some(Response::from_parts(head, body)),
             retry_after: Duration::ZERO,
+            strikes: Vec::new(),
+        }
+    }
+
+    /// Returns the result of a run whose connection was lost, once it is known whether the server has
+    /// crashed.
+    async fn end_lost(
+        &self,
+        heartbeat: &ServerHeartbeat,
+        mut quarantine: QuarantineGuard<CrashReportQueue>,
+        reason: &'static str,
+    ) -> GateResult {
+        if !quarantine.record_lost().await {
+            return GateResult::lost(reason);
         }
+        self.server.mark_unreachable(&heartbeat.id);
+        GateResult::lost("server-crashed")
     }
 
     fn set_headers(
@@ -322,6 +432,19 @@
             reason,
             response: None,
             retry_after,
+            strikes: Vec::new(),
+        }
+    }
+
+    /// Returns the result of a request that its strikes keep from running.
+    fn quarantined(refusal: QuarantineRefusal) -> GateResult {
+        match refusal {
+            QuarantineRefusal::Quarantined(remaining) => {
+                GateResult::refused("quarantined", remaining)
+            }
+            QuarantineRefusal::Deadline => {
+                GateResult::refused("suspect-waited", SUSPECT_RETRY_AFTER)
+            }
         }
     }
 
@@ -332,6 +455,7 @@
             reason,
             response: None,
             retry_after: Duration::ZERO,
+            strikes: Vec::new(),
         }
     }
 }
--- a/crates/relay/src/local_server.rs
+++ b/crates/relay/src/local_server.rs
@@ -155,6 +155,11 @@
         serving.cloned()
     }
 
+    /// Returns the last heartbeat of the server, whether it accepts requests or not.
+    pub fn current(&self) -> Option<ServerHeartbeat> {
+        self.lock().tracker.current().cloned()
+    }
+
     /// Subscribes to the server that accepts requests.
     pub fn watch(&self) -> watch::Receiver<Option<ServerHeartbeat>> {
         self.shared.serving.subscribe()
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -1,8 +1,9 @@
 //! Daemons in this process, and backend servers whose faults the test selects.
 
+use agatehill_backend::quarantine::{CrashReportQueue, QuarantineMonitor, QuarantineOptions};
 use agatehill_decide::{
     host_directory::{HostRecord, ServerRecord},
-    name::{Incarnation, RegionName, ServiceName, ZoneName},
+    name::{DaemonName, Incarnation, RegionName, ServiceName, ZoneName},
     server_tracker::ServerHeartbeat,
     service_config::{
         CallerLimits, HostRoutes, RouteKind, RouteRule, ServiceConfig, ServiceSpec, WeightedService,
@@ -310,8 +311,16 @@
         );
         let daemons = daemons.await.unwrap();
         let gates = GateView::open(region(), zone());
+        let quarantine = QuarantineMonitor::spawn(
+            DaemonName::try_from(id).unwrap(),
+            Incarnation(1),
+            clock,
+            QuarantineOptions::FLEET,
+            CrashReportQueue::default(),
+        );
+        let gate = RequestGate::spawn(names.clone(), local.clone(), quarantine, log.clone(), clock);
         let entry = RequestEntry::spawn(EntryOptions {
-            gate: RequestGate::spawn(names.clone(), local.clone(), log.clone(), clock),
+            gate,
             log,
             names,
             service: ServiceName::try_from("front").unwrap(),
