Let the caller of the killed-server test resend while claims are refused

Cause: keepers that stall lose their leader, the claim is refused with 503 and not-run, as it must be, and the test's caller sent the payment once and waited for a run that nobody had asked for again. Change: the caller sends again, with the next attempt number, while the outcome is not-run, as real callers do. All checks stay: the payment runs, the outcome after the kill is unknown, a later attempt gets the same and does not run.

--- a/tests/tests/at_most_once.rs
+++ b/tests/tests/at_most_once.rs
@@ -3,11 +3,12 @@
 
 use agatehill_tests::{
     bed::{DaemonSpec, SETTLE_TIMEOUT, TestBed, ZONE},
-    client::{TestResponse, eventually},
+    client::{TestClient, TestResponse, eventually},
     process::ProcessGuard,
 };
 use nix::sys::signal::Signal;
-use std::time::Duration;
+use rstest::rstest;
+use std::{net::SocketAddr, time::Duration};
 use tokio::{task::JoinSet, time::sleep};
 
 const CONTRACT: &str = r#"
@@ -35,6 +36,8 @@
 deadline_ms = 8000
 "#;
 
+/// Pause of a caller between two attempts.
+const RESEND_PAUSE: Duration = Duration::from_millis(100);
 const SLOW: &[&str] = &["--service-ms", "1500"];
 
 /// Keepers, and daemons with one backend server of `till` each.
@@ -86,19 +89,13 @@
         }
     }
 
+    fn signal_keepers(&self, signal: Signal) {
+        self.keepers.iter().for_each(|keeper| keeper.signal(signal));
+    }
+
     async fn pay(&self, idx: usize, key: &str, attempt: u32, kind: &str) -> Option<TestResponse> {
-        let attempt = attempt.to_string();
-        let headers = [
-            ("agatehill-customer", "sutravan"),
-            ("idempotency-key", key),
-            ("agatehill-attempt", &attempt),
-        ];
-        let path = format!("/call/till/payments/{kind}");
         let addr = self.daemons[idx].addr("caller");
-        self.bed
-            .client
-            .send("POST", addr, &path, &headers, "20 rupees")
-            .await
+        pay(&self.bed.client, addr, key, attempt, kind).await
     }
 
     /// Returns how often backend server `idx` started the request `key`.
@@ -128,6 +125,44 @@
         .map_or("none", |response| response.header("agatehill-outcome"))
 }
 
+/// Sends a payment to the daemon at `addr`.
+async fn pay(
+    client: &TestClient,
+    addr: SocketAddr,
+    key: &str,
+    attempt: u32,
+    kind: &str,
+) -> Option<TestResponse> {
+    let attempt = attempt.to_string();
+    let headers = [
+        ("agatehill-customer", "sutravan"),
+        ("idempotency-key", key),
+        ("agatehill-attempt", &attempt),
+    ];
+    let path = format!("/call/till/payments/{kind}");
+    client
+        .send("POST", addr, &path, &headers, "20 rupees")
+        .await
+}
+
+/// Sends a payment again for as long as it has not run, as callers do; returns the last attempt and
+/// its response.
+async fn send_until_run(
+    client: &TestClient,
+    addr: SocketAddr,
+    key: &str,
+) -> (u32, Option<TestResponse>) {
+    let mut attempt = 0;
+    loop {
+        let response = pay(client, addr, key, attempt, "card").await;
+        if outcome(&response) != "not-run" {
+            return (attempt, response);
+        }
+        attempt += 1;
+        sleep(RESEND_PAUSE).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn resends_to_any_daemon_get_the_first_response() {
     let till = TillBed::open(1, &[SLOW, SLOW]).await;
@@ -190,29 +225,31 @@
     assert_eq!(till.total_runs("p-2").await, 1);
 }
 
+/// Keepers that stall refuse claims, so that the payment runs only once its caller sends it again.
+#[rstest]
+#[case::keepers_run(Duration::ZERO)]
+#[case::keepers_stall(Duration::from_secs(3))]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_server_killed_during_a_run_leaves_the_outcome_unknown() {
+async fn a_server_killed_during_a_run_leaves_the_outcome_unknown(#[case] stall: Duration) {
     let mut till = TillBed::open(1, &[SLOW]).await;
     let addr = till.daemons[0].addr("caller");
     let client = till.bed.client.clone();
-    let sent = tokio::spawn(async move {
-        let headers = [
-            ("agatehill-customer", "sutravan"),
-            ("idempotency-key", "p-3"),
-        ];
-        let path = "/call/till/payments/card";
-        client.send("POST", addr, path, &headers, "20 rupees").await
-    });
+    if !stall.is_zero() {
+        till.signal_keepers(Signal::SIGSTOP);
+    }
+    let sent = tokio::spawn(async move { send_until_run(&client, addr, "p-3").await });
+    sleep(stall).await;
+    till.signal_keepers(Signal::SIGCONT);
     eventually("the payment runs", SETTLE_TIMEOUT, || async {
         till.runs_at(0, "p-3").await == 1
     })
     .await;
     till.backends[0].kill();
-    let response = sent.await.expect("the sender does not panic");
+    let (attempt, response) = sent.await.expect("the sender does not panic");
     assert_eq!(outcome(&response), "unknown", "{response:?}");
     till.backends[0] = till.bed.start_backend(&till.daemons[0], "till", SLOW);
     till.wait_payable(0).await;
-    let again = till.pay(0, "p-3", 1, "card").await;
+    let again = till.pay(0, "p-3", attempt + 1, "card").await;
     assert_eq!(outcome(&again), "unknown", "{again:?}");
     assert_eq!(till.runs_at(0, "p-3").await, 0);
 }
@@ -220,9 +257,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_zone_without_keepers_refuses_only_non_idempotent_requests() {
     let till = TillBed::open(3, &[&[]]).await;
-    till.keepers
-        .iter()
-        .for_each(|keeper| keeper.signal(Signal::SIGSTOP));
+    till.signal_keepers(Signal::SIGSTOP);
     let refused = till.pay(0, "p-4", 0, "card").await.expect("a response");
     assert_eq!(refused.status, 503);
     assert_eq!(refused.header("agatehill-outcome"), "not-run");
@@ -235,9 +270,7 @@
         .await;
     assert_eq!(till.runs_at(0, "p-4").await, 0);
 
-    till.keepers
-        .iter()
-        .for_each(|keeper| keeper.signal(Signal::SIGCONT));
+    till.signal_keepers(Signal::SIGCONT);
     let attempts = std::sync::atomic::AtomicU32::new(2);
     eventually(
         "the payment runs once the keepers are back",
