Hold the port of a test's refusing keeper bound

The test an_unanswered_command_is_unknown… freed the port of the keeper that must refuse and sent to it for 8 s; a listener that was given this port meanwhile turned Unreachable into Unknown. The port is now held by a socket that does not listen: as strict, and nobody else can get it.

--- a/crates/peer/tests/keeper_client.rs
+++ b/crates/peer/tests/keeper_client.rs
@@ -12,7 +12,7 @@
 };
 use rstest::rstest;
 use std::{future::pending, net::SocketAddr, time::Duration};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 /// Behaviour of a fake keeper.
 #[derive(Clone, Copy, Debug)]
@@ -74,18 +74,22 @@
 enum RunningKeeper {
     Served(#[allow(dead_code)] KeeperServer),
     NeverReads(#[allow(dead_code)] TcpListener),
-    Refusing,
+    /// A socket that is bound and does not listen, so that no other process gets its port.
+    Refusing(#[allow(dead_code)] TcpSocket),
 }
 
 async fn start(keeper: FakeKeeper) -> (SocketAddr, RunningKeeper) {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    if let FakeKeeper::NeverReads | FakeKeeper::Refusing = keeper {
+    if let FakeKeeper::NeverReads = keeper {
         let listener = TcpListener::bind(any).await.unwrap();
         let addr = listener.local_addr().unwrap();
-        return match keeper {
-            FakeKeeper::NeverReads => (addr, RunningKeeper::NeverReads(listener)),
-            _ => (addr, RunningKeeper::Refusing),
-        };
+        return (addr, RunningKeeper::NeverReads(listener));
+    }
+    if let FakeKeeper::Refusing = keeper {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind(any).unwrap();
+        let addr = socket.local_addr().unwrap();
+        return (addr, RunningKeeper::Refusing(socket));
     }
     let server = KeeperServer::bind(any, keeper).await.unwrap();
     (server.local_addr(), RunningKeeper::Served(server))
