Find the routes of a host that is an IPv6 address without a port

Callers saw: 404 for each request to such a host. Cause: what follows the last colon was taken for a port, so that [::1] became [:.

--- a/crates/decide/src/service_config/table.rs
+++ b/crates/decide/src/service_config/table.rs
@@ -36,7 +36,12 @@
     ///
     /// Costs up to one comparison per route of the host.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let name = match host.rsplit_once(':') {
+            // The colon belongs to an IPv6 address in brackets, without a port.
+            Some((_, rest)) if rest.ends_with(']') => host,
+            Some((name, _)) => name,
+            None => host,
+        };
         let routes = match self.hosts.get(name) {
             Some(routes) => routes,
             None => self.hosts.get(&name.to_ascii_lowercase())?,
--- a/crates/decide/tests/service_config.rs
+++ b/crates/decide/tests/service_config.rs
@@ -97,6 +97,8 @@
 #[case::prefix_itself("a.example", "/a/b/", Some("/a/b/"))]
 #[case::partial_segment("a.example", "/a/bc", Some("/a/"))]
 #[case::with_port("a.example:80", "/a/x", Some("/a/"))]
+#[case::ipv6_address("[::1]", "/a/x", Some("/a/"))]
+#[case::ipv6_address_with_port("[::1]:80", "/a/x", Some("/a/"))]
 #[case::other_case("A.Example", "/a/x", Some("/a/"))]
 #[case::other_host("b.example", "/a/x", None)]
 #[case::other_path("a.example", "/b/x", None)]
@@ -105,7 +107,11 @@
     #[case] path: &str,
     #[case] prefix: Option<&str>,
 ) {
-    let table = RouteTable::from(config(vec![rule("/a/"), rule("/a/b/")]));
+    let mut config = config(vec![rule("/a/"), rule("/a/b/")]);
+    let mut ipv6 = config.hosts[0].clone();
+    ipv6.host = "[::1]".to_owned();
+    config.hosts.push(ipv6);
+    let table = RouteTable::from(config);
     let found = table.find(host, path).map(|rule| rule.path_prefix.as_str());
     assert_eq!(found, prefix);
 }
