Name keepers on hosts with an IPv6 address

keeper_name panicked on such a host, as names contain no colons: neither keepers nor daemons with such a seed started. Hyphens stand for the colons now, and the address is read back from the name; names of IPv4 hosts are as before.

--- a/crates/fleet/src/keeper_map.rs
+++ b/crates/fleet/src/keeper_map.rs
@@ -11,7 +11,7 @@
 /// A known keeper.
 #[derive(Clone, Debug)]
 pub struct KnownKeeper {
-    /// The IP address of its host, which is its name.
+    /// Its name: see [`keeper_name`].
     pub name: KeeperName,
     /// Its region and zone, once known.
     pub record: Option<KeeperRecord>,
@@ -45,7 +45,7 @@
         if keepers.contains_key(name) {
             return false;
         }
-        let Ok(host) = name.as_str().parse::<IpAddr>() else {
+        let Ok(host) = name.as_str().replace('-', ":").parse::<IpAddr>() else {
             spdlog::warn!("keeper name is not an IP address", kv: { keeper = name.as_str() });
             return false;
         };
@@ -103,8 +103,12 @@
     }
 }
 
-/// Returns the name of the keeper on `host`.
+/// Returns the name of the keeper on `host`: the address, with hyphens for the colons of IPv6.
 pub fn keeper_name(host: IpAddr) -> KeeperName {
-    let text = host.to_string();
-    KeeperName::try_from(text.as_str()).expect("an IPv4 address is a valid keeper name")
+    KeeperName::try_from(host_label(host)).expect("addresses without colons are valid names")
+}
+
+/// Returns the address with hyphens for the colons of IPv6, which no name may contain.
+pub fn host_label(host: IpAddr) -> String {
+    host.to_string().replace(':', "-")
 }
