Name the relay's server, slot and slot outcome apart from the backend crate's

LocalServer, SlotGuard and RunOutcome stood in both crates for different things, and the relay now uses the backend crate. In the relay they are HostServer, ServerSlot and SlotOutcome. Names alone; relay tests pass.

--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -5,7 +5,7 @@
     decision_log::{DecisionLog, GateDecision, request_id},
     headers::{HeaderNames, format_millis},
     hop::{HopContext, HopOutcome},
-    local_server::{LocalServer, RunOutcome, SlotGuard, SlotRequest},
+    host_server::{HostServer, ServerSlot, SlotOutcome, SlotRequest},
     pool::{ConnectionPool, PoolOptions, PooledResponse, SendError},
 };
 use agatehill_backend::quarantine::{
@@ -55,7 +55,7 @@
 #[derive(Clone)]
 pub struct RequestGate {
     names: Arc<HeaderNames>,
-    server: LocalServer,
+    server: HostServer,
     quarantine: FleetQuarantine,
     pool: ConnectionPool,
     log: Arc<DecisionLog>,
@@ -64,7 +64,7 @@
 
 /// A request that the server runs.
 struct GateRun {
-    slot: SlotGuard,
+    slot: ServerSlot,
     quarantine: QuarantineGuard<CrashReportQueue>,
 }
 
@@ -128,7 +128,7 @@
     /// Starts the gate of `server`.
     pub fn spawn(
         names: Arc<HeaderNames>,
-        server: LocalServer,
+        server: HostServer,
         quarantine: FleetQuarantine,
         log: Arc<DecisionLog>,
         clock: MonoClock,
@@ -150,7 +150,7 @@
     }
 
     /// Returns the server on this host.
-    pub fn server(&self) -> &LocalServer {
+    pub fn server(&self) -> &HostServer {
         &self.server
     }
 
@@ -283,14 +283,14 @@
         let response = match sent.await {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::NotSent)) => {
-                run.slot.set_outcome(RunOutcome::Failed);
+                run.slot.set_outcome(SlotOutcome::Failed);
                 self.server.mark_unreachable(&heartbeat.id);
                 // The crash, if it was one, concerns the requests that ran before.
                 tokio::spawn(async move { run.quarantine.record_unsent().await });
                 return GateResult::refused("server-down", NO_SERVER_RETRY_AFTER);
             }
             Ok(Err(SendError::Lost)) => {
-                run.slot.set_outcome(RunOutcome::Failed);
+                run.slot.set_outcome(SlotOutcome::Failed);
                 return self
                     .end_lost(heartbeat, run.quarantine, "connection-lost")
                     .await;
@@ -306,7 +306,7 @@
                 return GateResult::lost("answer-foreign");
             }
             HopOutcome::Shed | HopOutcome::Refused => {
-                run.slot.set_outcome(RunOutcome::Failed);
+                run.slot.set_outcome(SlotOutcome::Failed);
                 match response.head.status {
                     // Another server, or another incarnation of this one, has responded.
                     StatusCode::MISDIRECTED_REQUEST => run.quarantine.record_inconclusive(),
@@ -325,8 +325,8 @@
         }
         run.slot
             .set_outcome(match response.head.status.is_server_error() {
-                true => RunOutcome::Failed,
-                false => RunOutcome::Succeeded,
+                true => SlotOutcome::Failed,
+                false => SlotOutcome::Succeeded,
             });
         self.read_response(heartbeat, response, run, end).await
     }
--- a/crates/relay/src/local_server.rs
+++ b/crates/relay/src/host_server.rs
@@ -49,17 +49,17 @@
 
 /// The backend server on this host; clones share it.
 #[derive(Clone)]
-pub struct LocalServer {
-    shared: Arc<LocalShared>,
+pub struct HostServer {
+    shared: Arc<HostShared>,
 }
 
-struct LocalShared {
+struct HostShared {
     clock: MonoClock,
-    state: Mutex<LocalState>,
+    state: Mutex<HostState>,
     serving: watch::Sender<Option<ServerHeartbeat>>,
 }
 
-struct LocalState {
+struct HostState {
     tracker: ServerTracker,
     admission: SlotAdmission,
     waiting: SecondaryMap<WaitKey, oneshot::Sender<bool>>,
@@ -76,11 +76,11 @@
     is_closed: bool,
 }
 
-impl LocalServer {
+impl HostServer {
     /// Returns the state of a host without a server. A server counts as gone after
     /// `heartbeat_timeout` without a heartbeat.
-    pub fn open(heartbeat_timeout: Duration, clock: MonoClock) -> LocalServer {
-        let state = LocalState {
+    pub fn open(heartbeat_timeout: Duration, clock: MonoClock) -> HostServer {
+        let state = HostState {
             tracker: ServerTracker::new(heartbeat_timeout),
             admission: SlotAdmission::new(1),
             waiting: SecondaryMap::new(),
@@ -91,8 +91,8 @@
             generation: 0,
             is_closed: false,
         };
-        LocalServer {
-            shared: Arc::new(LocalShared {
+        HostServer {
+            shared: Arc::new(HostShared {
                 clock,
                 state: Mutex::new(state),
                 serving: watch::channel(None).0,
@@ -206,7 +206,7 @@
     ///
     /// The route's limit is reached, no slot is expected or becomes free in time, or the server no
     /// longer accepts requests.
-    pub async fn admit(&self, request: SlotRequest) -> Result<SlotGuard, SlotRefusal> {
+    pub async fn admit(&self, request: SlotRequest) -> Result<ServerSlot, SlotRefusal> {
         let route_guard = self.enter_route(request)?;
         let ticket = match self.request_slot(request.admission) {
             SlotDecision::Run => return Ok(self.slot_guard(route_guard)),
@@ -244,7 +244,7 @@
             server: self.clone(),
             generation: state.generation,
             request,
-            outcome: RunOutcome::Unfinished,
+            outcome: SlotOutcome::Unfinished,
         })
     }
 
@@ -265,8 +265,8 @@
         }
     }
 
-    fn slot_guard(&self, route_guard: RouteGuard) -> SlotGuard {
-        SlotGuard {
+    fn slot_guard(&self, route_guard: RouteGuard) -> ServerSlot {
+        ServerSlot {
             route_guard,
             running: self.lock().admission.running(),
             parent: None,
@@ -298,13 +298,13 @@
         state.notify(dequeued, now);
     }
 
-    fn lock(&self) -> MutexGuard<'_, LocalState> {
+    fn lock(&self) -> MutexGuard<'_, HostState> {
         let state = self.shared.state.lock();
         state.expect("no thread panics while it holds the state")
     }
 }
 
-impl LocalState {
+impl HostState {
     /// Notifies requests that got a slot or can't start in time. The slot of a request that is no
     /// longer waiting is released again.
     fn notify(&mut self, dequeued: DequeuedRequests, now: MonoTime) {
@@ -346,7 +346,7 @@
 
 /// A queued request; removed from the queue on drop.
 struct WaitGuard<'a> {
-    server: &'a LocalServer,
+    server: &'a HostServer,
     ticket: WaitTicket,
     generation: u64,
 }
@@ -368,7 +368,7 @@
 
 /// How a run ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RunOutcome {
+pub enum SlotOutcome {
     /// It was cancelled, its time ran out or its response was not valid.
     Unfinished,
     /// The server responded without a server error.
@@ -380,10 +380,10 @@
 
 /// A request counted against its route's limit; dropping it ends the count.
 struct RouteGuard {
-    server: LocalServer,
+    server: HostServer,
     generation: u64,
     request: SlotRequest,
-    outcome: RunOutcome,
+    outcome: SlotOutcome,
 }
 
 impl RouteGuard {
@@ -391,9 +391,9 @@
     fn is_late(&self, now: MonoTime) -> Option<bool> {
         let is_late = now.since(self.request.arrived) >= self.request.late_after;
         match self.outcome {
-            RunOutcome::Succeeded => Some(is_late),
-            RunOutcome::Unfinished => is_late.then_some(true),
-            RunOutcome::Failed => None,
+            SlotOutcome::Succeeded => Some(is_late),
+            SlotOutcome::Unfinished => is_late.then_some(true),
+            SlotOutcome::Failed => None,
         }
     }
 }
@@ -423,14 +423,14 @@
 }
 
 /// A slot of the server; released on drop.
-pub struct SlotGuard {
+pub struct ServerSlot {
     route_guard: RouteGuard,
     running: u32,
     parent: Option<ParentKey>,
     started: MonoTime,
 }
 
-impl SlotGuard {
+impl ServerSlot {
     /// Records that the server runs the request, until `end` at the latest. Nested requests inherit
     /// from `parent`.
     pub fn begin_run(&mut self, end: MonoTime, parent: ParentRequest) {
@@ -441,12 +441,12 @@
     }
 
     /// Sets the outcome of the run.
-    pub fn set_outcome(&mut self, outcome: RunOutcome) {
+    pub fn set_outcome(&mut self, outcome: SlotOutcome) {
         self.route_guard.outcome = outcome;
     }
 }
 
-impl Drop for SlotGuard {
+impl Drop for ServerSlot {
     fn drop(&mut self) {
         let server = &self.route_guard.server;
         let sample = RunSample {
@@ -454,7 +454,7 @@
             running: self.running,
             duration: server.shared.clock.now().since(self.started),
         };
-        let has_succeeded = self.route_guard.outcome == RunOutcome::Succeeded;
+        let has_succeeded = self.route_guard.outcome == SlotOutcome::Succeeded;
         server.release(
             self.route_guard.generation,
             has_succeeded.then_some(sample),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,5 +12,5 @@
 pub mod gate_view;
 pub mod headers;
 pub mod hop;
-pub mod local_server;
+pub mod host_server;
 pub mod pool;
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -17,7 +17,7 @@
     gate::RequestGate,
     gate_view::GateView,
     headers::HeaderNames,
-    local_server::LocalServer,
+    host_server::HostServer,
 };
 use http::HeaderName;
 use socket2::SockRef;
@@ -280,7 +280,7 @@
 /// A daemon and the backend server on its host.
 pub(crate) struct TestDaemon {
     pub(crate) server: TestServer,
-    pub(crate) local: LocalServer,
+    pub(crate) local: HostServer,
     pub(crate) entry: Arc<RequestEntry>,
     gates: GateView,
     callers: HttpServer,
@@ -291,7 +291,7 @@
     async fn spawn(id: &str) -> TestDaemon {
         let clock = MonoClock::open();
         let server = TestServer::spawn(id).await;
-        let local = LocalServer::open(Duration::from_secs(60), clock);
+        let local = HostServer::open(Duration::from_secs(60), clock);
         local.record_heartbeat(server.heartbeat(1));
         let log = Arc::new(DecisionLog::open());
         let names = Arc::new(names());
