Serve control, keeper and fleet connections from one accept loop

The loop and the service of a connection stood three times in the peer crate, with small differences. PeerListener and run_calls serve all three; all use postcard_transport, which also sends keepalive probes, and the connections of a fleet listener now end with it, as the others' did.

--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -4,12 +4,13 @@
     codec::{PostcardCodec, message_framing},
     dial::dial,
     keeper::FeedPage,
+    link::postcard_transport,
+    listener::{PeerListener, run_calls},
 };
 use agatehill_decide::{
     digest::{DigestReply, DigestRequest},
     member::MemberExchange,
 };
-use futures_util::StreamExt;
 use std::{
     collections::HashMap,
     future::Future,
@@ -25,15 +26,12 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
     time,
 };
 use tokio_util::codec::Framed;
 
 /// Time without a request after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-/// Pause after a failed accept.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Time limit of a request, apart from opening the connection.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -88,13 +86,12 @@
     }
 }
 
-use wire::{PeerControl, PeerControlClient};
+use wire::{PeerControl, PeerControlClient, PeerControlRequest, PeerControlResponse};
 
 /// A running listener for a [`ControlService`]; stops when dropped.
 #[derive(Debug)]
 pub struct ControlServer {
-    addr: SocketAddr,
-    _stop: watch::Sender<()>,
+    listener: PeerListener,
 }
 
 impl ControlServer {
@@ -107,52 +104,27 @@
         listener: TcpListener,
         service: S,
     ) -> io::Result<ControlServer> {
-        let addr = listener.local_addr()?;
-        let (stop, stopped) = watch::channel(());
-        tokio::spawn(accept(listener, service, stopped));
-        Ok(ControlServer { addr, _stop: stop })
+        let listener = PeerListener::spawn(listener, move |stream| serve(stream, service.clone()))?;
+        Ok(ControlServer { listener })
     }
 
     /// Returns the bound address.
     pub fn local_addr(&self) -> SocketAddr {
-        self.addr
+        self.listener.local_addr()
     }
 }
 
-async fn accept<S: ControlService>(
-    listener: TcpListener,
-    service: S,
-    mut stopped: watch::Receiver<()>,
-) {
-    loop {
-        let accepted = tokio::select! {
-            _ = stopped.changed() => return,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(serve(stream, service.clone(), stopped.clone()));
-            }
-            Err(_) => time::sleep(ACCEPT_RETRY_PAUSE).await,
-        }
-    }
-}
-
-async fn serve<S: ControlService>(stream: TcpStream, service: S, mut stopped: watch::Receiver<()>) {
-    // Otherwise small replies wait for the peer's delayed acknowledgement.
-    let _ = stream.set_nodelay(true);
-    let frames = Framed::new(stream, message_framing());
-    let transport = tarpc::serde_transport::new(frames, PostcardCodec);
+async fn serve<S: ControlService>(stream: TcpStream, service: S) {
+    let transport = postcard_transport::<
+        tarpc::ClientMessage<PeerControlRequest>,
+        tarpc::Response<PeerControlResponse>,
+    >(stream);
     let channel = BaseChannel::with_defaults(transport);
-    let mut calls = Box::pin(channel.execute(ControlAdapter(service).serve()));
-    loop {
-        let call = tokio::select! {
-            _ = stopped.changed() => return,
-            call = time::timeout(IDLE_TIMEOUT, calls.next()) => call,
-        };
-        let Ok(Some(call)) = call else { return };
-        tokio::spawn(call);
-    }
+    run_calls(
+        channel.execute(ControlAdapter(service).serve()),
+        IDLE_TIMEOUT,
+    )
+    .await;
 }
 
 /// Sends requests to other daemons; clones share pooled connections.
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -1,7 +1,10 @@
 //! The service of a keeper in a deployment that discovers its hosts: directory of hosts, service
 //! configuration and replication messages.
 
-use crate::link::{LinkClient, PeerLink, postcard_transport};
+use crate::{
+    link::{LinkClient, PeerLink, postcard_transport},
+    listener::{PeerListener, run_calls},
+};
 use agatehill_decide::{
     config_history::{AcceptedConfig, ConfigCommand, ConfigReply},
     host_directory::HostRecord,
@@ -9,7 +12,6 @@
     quarantine::CrashReport,
     replica::ReplicaEnvelope,
 };
-use futures_util::StreamExt;
 use serde::{Deserialize, Serialize};
 use std::{future::Future, io, net::SocketAddr, time::Duration};
 use tarpc::{
@@ -24,8 +26,6 @@
 
 /// Time without a request after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Pause after a failed accept.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// A connection to a keeper.
 pub type FleetLink = PeerLink<FleetControlClient>;
@@ -208,8 +208,7 @@
 /// A running listener for a [`FleetService`]; stops when dropped.
 #[derive(Debug)]
 pub struct FleetServer {
-    addr: SocketAddr,
-    accept_task: tokio::task::JoinHandle<()>,
+    listener: PeerListener,
 }
 
 impl FleetServer {
@@ -220,31 +219,13 @@
     /// Fails if the address can't be bound.
     pub async fn bind<S: FleetService>(addr: SocketAddr, service: S) -> io::Result<FleetServer> {
         let listener = TcpListener::bind(addr).await?;
-        let addr = listener.local_addr()?;
-        let accept_task = tokio::spawn(accept(listener, service));
-        Ok(FleetServer { addr, accept_task })
+        let listener = PeerListener::spawn(listener, move |stream| serve(stream, service.clone()))?;
+        Ok(FleetServer { listener })
     }
 
     /// Returns the bound address.
     pub fn local_addr(&self) -> SocketAddr {
-        self.addr
-    }
-}
-
-impl Drop for FleetServer {
-    fn drop(&mut self) {
-        self.accept_task.abort();
-    }
-}
-
-async fn accept<S: FleetService>(listener: TcpListener, service: S) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve(stream, service.clone()));
-            }
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_PAUSE).await,
-        }
+        self.listener.local_addr()
     }
 }
 
@@ -254,8 +235,9 @@
         tarpc::Response<FleetControlResponse>,
     >(stream);
     let channel = BaseChannel::with_defaults(transport);
-    let mut calls = Box::pin(channel.execute(ControlAdapter(service).serve()));
-    while let Ok(Some(call)) = tokio::time::timeout(IDLE_TIMEOUT, calls.next()).await {
-        tokio::spawn(call);
-    }
+    run_calls(
+        channel.execute(ControlAdapter(service).serve()),
+        IDLE_TIMEOUT,
+    )
+    .await;
 }
--- a/crates/peer/src/keeper.rs
+++ b/crates/peer/src/keeper.rs
@@ -1,29 +1,25 @@
 //! The service of keepers for daemons and other keepers: contracts, claims and replication.
 
-use crate::codec::{PostcardCodec, message_framing};
+use crate::{
+    link::postcard_transport,
+    listener::{PeerListener, run_calls},
+};
 use agatehill_decide::{
     claim::{ClaimCommand, ClaimReply},
     contract_history::ContractReply,
     name::CustomerName,
     replica::ReplicaEnvelope,
 };
-use futures_util::StreamExt;
 use serde::{Deserialize, Serialize};
 use std::{fmt, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
 use tarpc::{
     context::Context,
     server::{BaseChannel, Channel},
 };
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::watch,
-};
-use tokio_util::codec::Framed;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Time without a request after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
-/// Pause after a failed accept.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// An accepted revision of a customer's contract.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -77,8 +73,8 @@
 
 impl std::error::Error for KeeperError {}
 
-use control::KeeperControl;
 pub use control::KeeperControlClient;
+use control::{KeeperControl, KeeperControlRequest, KeeperControlResponse};
 
 /// Handles requests of daemons and other keepers.
 pub trait KeeperService: Clone + Send + Sync + 'static {
@@ -181,8 +177,7 @@
 /// A running listener for a [`KeeperService`]; stops when dropped.
 #[derive(Debug)]
 pub struct KeeperServer {
-    addr: SocketAddr,
-    _stop: watch::Sender<()>,
+    listener: PeerListener,
 }
 
 impl KeeperServer {
@@ -191,58 +186,27 @@
     /// # Errors
     ///
     /// Fails if the address can't be bound.
-    pub async fn bind<S>(addr: SocketAddr, service: S) -> io::Result<KeeperServer>
-    where
-        S: KeeperService,
-    {
+    pub async fn bind<S: KeeperService>(addr: SocketAddr, service: S) -> io::Result<KeeperServer> {
         let listener = TcpListener::bind(addr).await?;
-        let addr = listener.local_addr()?;
-        let (stop, stopped) = watch::channel(());
-        tokio::spawn(accept(listener, service, stopped));
-        Ok(KeeperServer { addr, _stop: stop })
+        let listener = PeerListener::spawn(listener, move |stream| serve(stream, service.clone()))?;
+        Ok(KeeperServer { listener })
     }
 
     /// Returns the bound address.
     pub fn local_addr(&self) -> SocketAddr {
-        self.addr
+        self.listener.local_addr()
     }
 }
 
-async fn accept<S>(listener: TcpListener, service: S, mut stopped: watch::Receiver<()>)
-where
-    S: KeeperService,
-{
-    loop {
-        let accepted = tokio::select! {
-            _ = stopped.changed() => return,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let serving = serve(stream, service.clone(), stopped.clone());
-                tokio::spawn(serving);
-            }
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_PAUSE).await,
-        }
-    }
-}
-
-async fn serve<S>(stream: TcpStream, service: S, mut stopped: watch::Receiver<()>)
-where
-    S: KeeperService,
-{
-    // Otherwise small replies wait for the peer's delayed acknowledgement.
-    let _ = stream.set_nodelay(true);
-    let frames = Framed::new(stream, message_framing());
-    let transport = tarpc::serde_transport::new(frames, PostcardCodec);
+async fn serve<S: KeeperService>(stream: TcpStream, service: S) {
+    let transport = postcard_transport::<
+        tarpc::ClientMessage<KeeperControlRequest>,
+        tarpc::Response<KeeperControlResponse>,
+    >(stream);
     let channel = BaseChannel::with_defaults(transport);
-    let mut calls = Box::pin(channel.execute(ControlAdapter(service).serve()));
-    loop {
-        let call = tokio::select! {
-            _ = stopped.changed() => return,
-            call = tokio::time::timeout(IDLE_TIMEOUT, calls.next()) => call,
-        };
-        let Ok(Some(call)) = call else { return };
-        tokio::spawn(call);
-    }
+    run_calls(
+        channel.execute(ControlAdapter(service).serve()),
+        IDLE_TIMEOUT,
+    )
+    .await;
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod keeper;
 pub mod keeper_client;
 pub mod link;
+mod listener;
