--- a/crates/backend/src/admission.rs
+++ b/crates/backend/src/admission.rs
@@ -80,12 +80,6 @@
         self.change(|gate| gate.apply_announcement(stage, announcement.slots, now));
     }
 
-    /// Puts the server into the leaving state, so that no new calls are admitted.
-    pub fn close(&self) {
-        let now = self.clock.now();
-        self.change(|gate| gate.apply_announcement(ServerState::Leaving, 1, now));
-    }
-
     /// Admits `call`, after a wait in the queue if necessary.
     ///
     /// Dropping the future removes the call from the queue.
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -1,29 +1,32 @@
 //! The gate of a daemon: every request for the backend server on this host passes through it.
 
+mod record;
+mod result;
+
 use crate::{
     content::fingerprint_request,
-    decision_log::{DecisionLog, GateDecision, request_id},
+    decision_log::{DecisionLog, request_id},
     headers::{HeaderNames, format_millis},
     hop::{HopContext, HopOutcome},
     host_server::{HostServer, ServerSlot, SlotOutcome, SlotRequest},
     pool::{ConnectionPool, PoolOptions, PooledResponse, SendError},
 };
-use agatehill_backend::quarantine::{
-    CrashReportQueue, FleetQuarantine, QuarantineGuard, QuarantineRefusal,
-};
+use agatehill_backend::quarantine::{CrashReportQueue, FleetQuarantine, QuarantineGuard};
 use agatehill_decide::{
     admission::AdmissionRequest,
     call_parent::ParentRequest,
-    quarantine::{CrashReport, RequestFingerprint},
     server_tracker::{HeartbeatEffect, ServerHeartbeat},
     time::MonoTime,
 };
 use agatehill_peer::body::CallBody;
 use agatehill_process::clock::MonoClock;
 use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_ENCODING, response::Parts};
+use record::GateRecord;
 use std::{sync::Arc, time::Duration};
 use tokio::time::timeout;
 
+pub use result::GateResult;
+
 /// Timeout for connecting to the server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which an idle connection to the server is closed; shorter than the time after which
@@ -31,26 +34,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Retry-after while the server accepts no requests.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Retry-after of a suspect whose turn to run alone does not come in time.
-const SUSPECT_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time between two removals of expired connections and refreshes of the server's state.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How a request ended at a gate.
-#[derive(Debug)]
-pub struct GateResult {
-    /// The outcome for the entry.
-    pub outcome: HopOutcome,
-    /// The server's response, if `outcome` is [`HopOutcome::Answered`].
-    pub response: Option<Response<CallBody>>,
-    /// Reason for the outcome, for logs and metrics.
-    pub reason: &'static str,
-    /// Time after which a retry is likely to be accepted, if the request was refused or shed.
-    pub retry_after: Duration,
-    /// The strikes against the request that the gate knows, if it got no response.
-    pub strikes: Vec<CrashReport>,
-}
-
 /// The gate of this host; clones share it.
 #[derive(Clone)]
 pub struct RequestGate {
@@ -68,62 +54,6 @@
     quarantine: QuarantineGuard<CrashReportQueue>,
 }
 
-/// What is logged about a request at the gate; written on drop.
-struct GateRecord<'a> {
-    gate: &'a RequestGate,
-    hop: &'a HopContext,
-    id: String,
-    content: RequestFingerprint,
-    started: MonoTime,
-    server: Option<String>,
-    /// Running and queued requests on arrival.
-    load: (u32, usize),
-    waited: Duration,
-    outcome: HopOutcome,
-    reason: &'static str,
-}
-
-impl<'a> GateRecord<'a> {
-    fn begin(
-        gate: &'a RequestGate,
-        hop: &'a HopContext,
-        id: &str,
-        content: RequestFingerprint,
-    ) -> GateRecord<'a> {
-        GateRecord {
-            gate,
-            hop,
-            id: id.to_owned(),
-            content,
-            started: gate.clock.now(),
-            server: None,
-            load: gate.server.load(),
-            waited: Duration::ZERO,
-            // Logged if the entry cancels the request.
-            outcome: HopOutcome::Lost,
-            reason: "given-up",
-        }
-    }
-}
-
-impl Drop for GateRecord<'_> {
-    fn drop(&mut self) {
-        let now = self.gate.clock.now();
-        let decision = GateDecision {
-            id: &self.id,
-            content: self.content,
-            hop: self.hop,
-            outcome: self.outcome,
-            reason: self.reason,
-            server: self.server.as_deref(),
-            load: self.load,
-            waited: self.waited,
-            elapsed: now.since(self.started),
-        };
-        self.gate.log.record_gate(&decision, now);
-    }
-}
-
 impl RequestGate {
     /// Starts the gate of `server`.
     pub fn spawn(
@@ -424,42 +354,6 @@
     }
 }
 
-impl GateResult {
-    /// Returns the result of a request that has not reached the server.
-    pub fn refused(reason: &'static str, retry_after: Duration) -> GateResult {
-        GateResult {
-            outcome: HopOutcome::Refused,
-            reason,
-            response: None,
-            retry_after,
-            strikes: Vec::new(),
-        }
-    }
-
-    /// Returns the result of a request that its strikes keep from running.
-    fn quarantined(refusal: QuarantineRefusal) -> GateResult {
-        match refusal {
-            QuarantineRefusal::Quarantined(remaining) => {
-                GateResult::refused("quarantined", remaining)
-            }
-            QuarantineRefusal::Deadline => {
-                GateResult::refused("suspect-waited", SUSPECT_RETRY_AFTER)
-            }
-        }
-    }
-
-    /// Returns the result of a request that may have run and got no complete response.
-    pub fn lost(reason: &'static str) -> GateResult {
-        GateResult {
-            outcome: HopOutcome::Lost,
-            reason,
-            response: None,
-            retry_after: Duration::ZERO,
-            strikes: Vec::new(),
-        }
-    }
-}
-
 /// Returns the rank at which a request waits for a slot. Of equal rank, nested requests go first,
 /// because work has already been done for them.
 fn slot_rank(hop: &HopContext) -> u32 {
