--- a/crates/decide/src/digest/node.rs
+++ b/crates/decide/src/digest/node.rs
@@ -1,5 +1,7 @@
 //! State machine of one daemon in the digest exchange.
 
+mod request;
+
 use super::{
     select_relays,
     wire::{DigestReply, DigestRequest, DigestRow, DigestScope, ZoneDelta, ZoneEntry, ZoneRelay},
@@ -11,19 +13,16 @@
     route::ServerState,
     time::MonoTime,
 };
-use rand::{Rng, RngExt};
+use rand::Rng;
+use request::{REQUEST_INTERVAL, RequestState};
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::Duration,
 };
 
-/// Time between two requests to the same zone, and between two requests of a non-relay.
-const REQUEST_INTERVAL: Duration = Duration::from_secs(5);
 /// Time between two requests of a relay for zones that other relays discovered.
 const DISCOVERY_INTERVAL: Duration = Duration::from_secs(10);
-/// Time without a reply after which a request is retried at another relay.
-const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which a reported load is used.
 const LOAD_RETENTION: Duration = Duration::from_secs(15);
 /// Maximum number of entry daemons per service, and of relays, that a digest names.
@@ -82,14 +81,6 @@
     Changed,
 }
 
-/// State of the requests to one zone, or to a relay of the daemon's own zone.
-#[derive(Default)]
-struct RequestState {
-    /// Control address, run and version of the daemon that replied last.
-    source: Option<(SocketAddr, u64, u64)>,
-    next: MonoTime,
-}
-
 /// One daemon in the digest exchange.
 pub struct DigestNode {
     settings: DigestSettings,
@@ -465,46 +456,3 @@
         }
     }
 }
-
-impl RequestState {
-    /// Returns `request`, if one is due, addressed to the daemon that replied last or to a random
-    /// one of `relays`.
-    fn request_if_due(
-        &mut self,
-        relays: &[SocketAddr],
-        mut request: DigestRequest,
-        now: MonoTime,
-        random: &mut impl Rng,
-    ) -> Option<DigestOutput> {
-        if now < self.next || relays.is_empty() {
-            return None;
-        }
-        let source = self.source.filter(|(addr, ..)| relays.contains(addr));
-        let to = match source {
-            Some((addr, run, version)) => {
-                (request.run, request.version) = (run, version);
-                addr
-            }
-            None => relays[random.random_range(0..relays.len())],
-        };
-        self.next = now
-            + if source.is_some() {
-                REQUEST_INTERVAL
-            } else {
-                REPLY_TIMEOUT
-            };
-        Some(DigestOutput::Request { to, request })
-    }
-}
-
-impl DigestRequest {
-    fn initial(from: ZoneRelay, scope: DigestScope) -> DigestRequest {
-        DigestRequest {
-            from,
-            scope,
-            run: 0,
-            version: 0,
-            loads: Vec::new(),
-        }
-    }
-}
