Measure what the quarantine costs, and compute its digest once a change

agatehill-bench quarantine measures the digest of a request, a monitored run and the memory of a suspect.

--- a/bin/bench/src/cmd/mod.rs
+++ b/bin/bench/src/cmd/mod.rs
@@ -6,4 +6,5 @@
 pub(crate) mod keepers;
 pub(crate) mod members;
 pub(crate) mod overload;
+pub(crate) mod quarantine;
 pub(crate) mod routes;
--- a/bin/bench/src/main.rs
+++ b/bin/bench/src/main.rs
@@ -22,6 +22,7 @@
     Members(cmd::members::Args),
     Keepers(cmd::keepers::Args),
     Overload(cmd::overload::Args),
+    Quarantine(cmd::quarantine::Args),
     Routes(cmd::routes::Args),
 }
 
@@ -33,6 +34,7 @@
         Command::Members(args) => cmd::members::run(&args),
         Command::Keepers(args) => cmd::keepers::run(&args),
         Command::Overload(args) => cmd::overload::run(&args),
+        Command::Quarantine(args) => cmd::quarantine::run(&args),
         Command::Routes(args) => cmd::routes::run(&args),
     }
 }
--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -136,6 +136,8 @@
     /// Duration of the quarantine after [`STRIKES_MAX`] strikes.
     first_quarantine: Duration,
     changes: u64,
+    /// Digest of the strikes, unless they have changed since it was computed.
+    digest: Option<u64>,
 }
 
 /// A state in which the first quarantine takes [`QUARANTINE_DURATION`].
@@ -156,6 +158,7 @@
             suspects: BTreeMap::new(),
             first_quarantine,
             changes: 0,
+            digest: None,
         }
     }
 
@@ -257,7 +260,7 @@
             }
             strike.cleared = true;
             strike.change = change;
-            self.changes = change;
+            self.set_changed(change);
             return true;
         }
         let strike = Strike {
@@ -266,8 +269,8 @@
             change,
         };
         strikes.insert(report.crash, strike);
-        self.changes = change;
         remove_excess(strikes);
+        self.set_changed(change);
         self.evict_oldest_if_full();
         true
     }
@@ -275,7 +278,16 @@
     /// Removes requests whose last strike is older than twice their quarantine, or than twice
     /// [`QUARANTINE_DURATION`] if that is longer; to be called every few seconds.
     pub fn remove_expired(&mut self, now: MonoTime) {
+        let count = self.suspects.len();
         self.suspects.retain(|_, strikes| !is_expired(now, strikes));
+        if self.suspects.len() != count {
+            self.digest = None;
+        }
+    }
+
+    fn set_changed(&mut self, change: u64) {
+        self.changes = change;
+        self.digest = None;
     }
 
     /// Returns the duration of the quarantine of a request with `strikes` uncleared strikes.
@@ -317,13 +329,17 @@
             .collect()
     }
 
-    /// Returns a hash that is equal for equal sets of strikes, whatever their ages.
-    pub fn digest(&self) -> u64 {
+    /// Returns a hash that is equal for equal sets of strikes, whatever their ages. Costs a look at
+    /// each strike after a change.
+    pub fn digest(&mut self) -> u64 {
+        if let Some(digest) = self.digest {
+            return digest;
+        }
         let mut hasher = DefaultHasher::new();
         for (fingerprint, crash, strike) in self.iter() {
             (fingerprint, crash, strike.cleared).hash(&mut hasher);
         }
-        hasher.finish()
+        *self.digest.insert(hasher.finish())
     }
 
     fn iter(&self) -> impl Iterator<Item = (RequestFingerprint, CrashId, Strike)> {
@@ -347,6 +363,7 @@
         for (crash, strike) in strikes {
             if is_cleared(*crash) && !mem::replace(&mut strike.cleared, true) {
                 self.changes += 1;
+                self.digest = None;
                 strike.change = self.changes;
                 reports.push(report_of(now, fingerprint, *crash, *strike));
             }
--- a/crates/fleet/src/crash_log.rs
+++ b/crates/fleet/src/crash_log.rs
@@ -120,7 +120,7 @@
 
     /// Returns the changes after change number `after`.
     pub(crate) fn changed_after(&self, after: u64) -> CrashLogChanges {
-        let state = self.lock();
+        let mut state = self.lock();
         CrashLogChanges {
             at: state.change_count(),
             reports: state.changed_after(self.clock.now(), after),
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -383,7 +383,7 @@
 
     async fn exchange_keepers(&self, exchange: KeeperExchange) -> KeeperExchangeReply {
         self.update_records(&exchange.keepers);
-        let strikes = self.shared.crash_log.changed_after(0);
+        let crash_log = &self.shared.crash_log;
         let directory = self.directory();
         let is_same = directory.digest() == exchange.hosts_digest;
         KeeperExchangeReply {
@@ -392,9 +392,9 @@
                 true => Vec::new(),
                 false => directory.iter().cloned().collect(),
             },
-            crash_reports: match strikes.digest == exchange.reports_digest {
+            crash_reports: match crash_log.digest() == exchange.reports_digest {
                 true => Vec::new(),
-                false => strikes.reports,
+                false => crash_log.changed_after(0).reports,
             },
         }
     }
