--- a/crates/backend/src/quarantine.rs
+++ b/crates/backend/src/quarantine.rs
@@ -130,6 +130,22 @@
         let new = self.shared.transport.set_peers(peers);
         self.shared.transport.send_to(&new, &self.reports()).await;
     }
+
+    /// Merges the strikes that a peer has sent.
+    ///
+    /// Returns the strikes to reply with: those for the crashes that the same requests, if in
+    /// flight here, may cause.
+    pub fn merge_strikes(&self, reports: &[CrashReport]) -> Vec<CrashReport> {
+        self.shared.change(|state, now| {
+            let mut own = Vec::new();
+            for report in reports {
+                if state.quarantine.merge(now, *report) && !report.cleared {
+                    own.extend(state.strike_running(now, report.fingerprint));
+                }
+            }
+            own
+        })
+    }
 }
 
 impl QuarantineMonitor<CrashReportQueue> {
@@ -187,22 +203,6 @@
         &self.shared.transport
     }
 
-    /// Merges the strikes that a peer has sent.
-    ///
-    /// Returns the strikes to reply with: those for the crashes that the same requests, if in
-    /// flight here, may cause.
-    pub fn merge_strikes(&self, reports: &[CrashReport]) -> Vec<CrashReport> {
-        self.shared.change(|state, now| {
-            let mut own = Vec::new();
-            for report in reports {
-                if state.quarantine.merge(now, *report) && !report.cleared {
-                    own.extend(state.strike_running(now, report.fingerprint));
-                }
-            }
-            own
-        })
-    }
-
     /// Merges strikes; returns those that were new.
     pub fn merge(&self, reports: &[CrashReport]) -> Vec<CrashReport> {
         if reports.is_empty() {
--- a/crates/relay/src/content.rs
+++ b/crates/relay/src/content.rs
@@ -32,13 +32,6 @@
     Ok((digest.into(), body))
 }
 
-/// Returns the host that the request names, in lower case; empty without one.
-fn host(head: &Parts) -> String {
-    let named = head.headers.get(HOST).map(HeaderValue::as_bytes);
-    let host = named.or_else(|| head.uri.host().map(str::as_bytes));
-    String::from_utf8_lossy(host.unwrap_or_default()).to_lowercase()
-}
-
 /// Returns the fingerprint of `req` and the request unchanged.
 ///
 /// # Errors
@@ -51,3 +44,10 @@
     let (fingerprint, body) = fingerprint(&head, body).await?;
     Ok((fingerprint, Request::from_parts(head, body)))
 }
+
+/// Returns the host that the request names, in lower case; empty without one.
+fn host(head: &Parts) -> String {
+    let named = head.headers.get(HOST).map(HeaderValue::as_bytes);
+    let host = named.or_else(|| head.uri.host().map(str::as_bytes));
+    String::from_utf8_lossy(host.unwrap_or_default()).to_lowercase()
+}
--- a/crates/relay/src/host_server.rs
+++ b/crates/relay/src/host_server.rs
@@ -1,5 +1,7 @@
 //! The backend server on this host: its state by heartbeats, and the slots that requests wait for.
 
+mod slot;
+
 use agatehill_decide::{
     admission::{Admission, AdmissionRequest, DequeuedRequests, SlotAdmission, WaitKey},
     call_parent::{ParentIndex, ParentKey, ParentRequest},
@@ -10,6 +12,7 @@
     time::MonoTime,
 };
 use agatehill_process::clock::MonoClock;
+use slot::{RouteGuard, RunSample};
 use slotmap::SecondaryMap;
 use std::{
     collections::HashMap,
@@ -18,6 +21,8 @@
 };
 use tokio::sync::{oneshot, watch};
 
+pub use slot::{ServerSlot, SlotOutcome};
+
 /// Retry-after of requests whose wait for a slot fails; callers get it if no other gate accepts
 /// them.
 const NO_SLOT_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -365,100 +370,3 @@
         }
     }
 }
-
-/// How a run ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum SlotOutcome {
-    /// It was cancelled, its time ran out or its response was not valid.
-    Unfinished,
-    /// The server responded without a server error.
-    Succeeded,
-    /// The request was not sent, the connection was lost, the server shed the request or it responded
-    /// with a server error. The duration is no valid sample.
-    Failed,
-}
-
-/// A request counted against its route's limit; dropping it ends the count.
-struct RouteGuard {
-    server: HostServer,
-    generation: u64,
-    request: SlotRequest,
-    outcome: SlotOutcome,
-}
-
-impl RouteGuard {
-    /// Returns whether the request was late, or `None` if its outcome gives no evidence.
-    fn is_late(&self, now: MonoTime) -> Option<bool> {
-        let is_late = now.since(self.request.arrived) >= self.request.late_after;
-        match self.outcome {
-            SlotOutcome::Succeeded => Some(is_late),
-            SlotOutcome::Unfinished => is_late.then_some(true),
-            SlotOutcome::Failed => None,
-        }
-    }
-}
-
-impl Drop for RouteGuard {
-    fn drop(&mut self) {
-        let now = self.server.shared.clock.now();
-        let is_late = self.is_late(now);
-        let mut state = self.server.lock();
-        if state.generation != self.generation {
-            return;
-        }
-        let slots = state.slots;
-        if let Some(limit) = state.limits.get_mut(&self.request.route) {
-            limit.leave(is_late, slots, now);
-        }
-    }
-}
-
-/// How long a request ran, as a sample for admission.
-#[derive(Clone, Copy, Debug)]
-struct RunSample {
-    route: RouteKey,
-    /// Requests that ran when it started, itself included.
-    running: u32,
-    duration: Duration,
-}
-
-/// A slot of the server; released on drop.
-pub struct ServerSlot {
-    route_guard: RouteGuard,
-    running: u32,
-    parent: Option<ParentKey>,
-    started: MonoTime,
-}
-
-impl ServerSlot {
-    /// Records that the server runs the request, until `end` at the latest. Nested requests inherit
-    /// from `parent`.
-    pub fn begin_run(&mut self, end: MonoTime, parent: ParentRequest) {
-        let mut state = self.route_guard.server.lock();
-        if state.generation == self.route_guard.generation {
-            self.parent = Some(state.parent_index.insert(end, parent));
-        }
-    }
-
-    /// Sets the outcome of the run.
-    pub fn set_outcome(&mut self, outcome: SlotOutcome) {
-        self.route_guard.outcome = outcome;
-    }
-}
-
-impl Drop for ServerSlot {
-    fn drop(&mut self) {
-        let server = &self.route_guard.server;
-        let sample = RunSample {
-            route: self.route_guard.request.route,
-            running: self.running,
-            duration: server.shared.clock.now().since(self.started),
-        };
-        let has_succeeded = self.route_guard.outcome == SlotOutcome::Succeeded;
-        server.release(
-            self.route_guard.generation,
-            has_succeeded.then_some(sample),
-            self.parent,
-        );
-    }
-}
