Send no suspect to a gate that fails

Callers whose request was in flight at a crash would wait in vain where the one gate for their content is cut off or frozen: it was selected whatever its state. A gate that the entry avoids after a failure is now passed over while there is another; the choice is the same at all daemons otherwise. Found by reading. Ran: decide gate_selection with a new test, relay, platform crashing_request.

--- a/crates/decide/src/gate_selection.rs
+++ b/crates/decide/src/gate_selection.rs
@@ -71,24 +71,6 @@
     avoid_until: MonoTime,
 }
 
-/// Returns the gate for a request that is suspected of crashing servers, except those in `tried`.
-///
-/// It depends on the request and the candidates alone, so that all daemons select the same gate,
-/// where suspects run one at a time.
-pub fn select_suspect_gate(
-    candidates: &[GateCandidate],
-    tried: &[SocketAddr],
-    fingerprint: RequestFingerprint,
-) -> Option<SocketAddr> {
-    let untried = candidates.iter().filter(|c| !tried.contains(&c.gate));
-    let weight = |candidate: &&GateCandidate| {
-        let mut hasher = DefaultHasher::new();
-        (fingerprint, candidate.gate).hash(&mut hasher);
-        hasher.finish()
-    };
-    Some(untried.max_by_key(weight)?.gate)
-}
-
 /// Selects gates by what a daemon has measured of them.
 #[derive(Debug, Default)]
 pub struct GateSelector {
@@ -110,6 +92,32 @@
         Some(best.gate)
     }
 
+    /// Returns the gate for a request that is suspected of crashing servers, except those in `tried`.
+    ///
+    /// It depends on the request and the candidates alone, so that all daemons select the same gate,
+    /// where suspects run one at a time. Only a gate that is avoided here is passed over while there
+    /// is another.
+    pub fn select_for_suspect(
+        &self,
+        candidates: &[GateCandidate],
+        tried: &[SocketAddr],
+        fingerprint: RequestFingerprint,
+        now: MonoTime,
+    ) -> Option<SocketAddr> {
+        let untried = candidates.iter().filter(|c| !tried.contains(&c.gate));
+        let preference = |candidate: &&GateCandidate| {
+            let mut hasher = DefaultHasher::new();
+            (fingerprint, candidate.gate).hash(&mut hasher);
+            (!self.is_avoided(candidate.gate, now), hasher.finish())
+        };
+        Some(untried.max_by_key(preference)?.gate)
+    }
+
+    fn is_avoided(&self, gate: SocketAddr, now: MonoTime) -> bool {
+        let history = self.gates.get(&gate);
+        history.is_some_and(|history| now < history.avoid_until)
+    }
+
     /// Records that a request is sent to `gate`.
     pub fn record_start(&mut self, gate: SocketAddr) {
         self.gates.entry(gate).or_default().in_flight += 1;
--- a/crates/decide/tests/gate_selection.rs
+++ b/crates/decide/tests/gate_selection.rs
@@ -2,7 +2,7 @@
 
 use agatehill_decide::{
     claim::RequestDigest,
-    gate_selection::{GateCandidate, GateDistance, GateSelector, RouteKey, select_suspect_gate},
+    gate_selection::{GateCandidate, GateDistance, GateSelector, RouteKey},
     quarantine::RequestFingerprint,
     time::MonoTime,
 };
@@ -18,6 +18,10 @@
     }
 }
 
+fn fingerprint(request: u32) -> RequestFingerprint {
+    RequestDigest::of("GET", "a", &format!("/{request}"), b"").into()
+}
+
 fn millis(count: u64) -> Duration {
     Duration::from_millis(count)
 }
@@ -50,16 +54,16 @@
 fn suspects_have_the_same_gates_at_every_daemon() {
     let here = [1, 2, 3, 4].map(|host| gate(host, GateDistance::Zone));
     let there = [4, 2, 1, 3].map(|host| gate(host, GateDistance::Remote));
+    let selector = GateSelector::default();
     let mut first_gates = Vec::new();
     for request in 0..50 {
-        let digest = RequestDigest::of("GET", "a", &format!("/{request}"), b"");
-        let fingerprint = RequestFingerprint::from(digest);
+        let fingerprint = fingerprint(request);
+        let select = |candidates, tried: &[SocketAddr]| {
+            selector.select_for_suspect(candidates, tried, fingerprint, MonoTime::ZERO)
+        };
         let mut tried = Vec::new();
-        while let Some(selected) = select_suspect_gate(&here, &tried, fingerprint) {
-            assert_eq!(
-                select_suspect_gate(&there, &tried, fingerprint),
-                Some(selected)
-            );
+        while let Some(selected) = select(&here, &tried) {
+            assert_eq!(select(&there, &tried), Some(selected));
             tried.push(selected);
         }
         assert_eq!(tried.len(), here.len());
@@ -70,6 +74,26 @@
     assert_eq!(first_gates.len(), here.len());
 }
 
+/// A suspect goes to another gate than the common one while that fails, and back when it recovers.
+#[test]
+fn failing_gate_gets_no_suspects() {
+    let candidates = [1, 2, 3].map(|host| gate(host, GateDistance::Zone));
+    let mut selector = GateSelector::default();
+    let select = |selector: &GateSelector, now| {
+        selector.select_for_suspect(&candidates, &[], fingerprint(1), now)
+    };
+    let now = MonoTime::ZERO;
+    let common = select(&selector, now).unwrap();
+    selector.record_failure(common, now);
+    let other = select(&selector, now).unwrap();
+    assert_ne!(other, common);
+    for candidate in candidates {
+        selector.record_failure(candidate.gate, now);
+    }
+    assert_eq!(select(&selector, now), Some(common), "all of them fail");
+    assert_eq!(select(&selector, now + millis(10_000)), Some(common));
+}
+
 #[test]
 fn prefers_own_zone_then_own_region() {
     let candidates = [
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -15,7 +15,7 @@
 };
 use agatehill_decide::{
     call_parent::ParentRequest,
-    gate_selection::{RouteKey, select_suspect_gate},
+    gate_selection::RouteKey,
     name::ServiceName,
     quarantine::{CrashReport, RequestFingerprint, RunDecision},
     service_config::{RouteRule, RouteTable},
@@ -268,14 +268,14 @@
             return None;
         }
         let candidates = self.entry.options.gates.get(&target.service);
-        if let Some(content) = suspect {
-            return select_suspect_gate(&candidates, &self.gates_tried, content);
-        }
         let now = self.entry.options.clock.now();
-        let state = self.entry.lock();
-        state
-            .selector
-            .select(&candidates, &self.gates_tried, target.route, now)
+        let selector = &self.entry.lock().selector;
+        match suspect {
+            Some(content) => {
+                selector.select_for_suspect(&candidates, &self.gates_tried, content, now)
+            }
+            None => selector.select(&candidates, &self.gates_tried, target.route, now),
+        }
     }
 
     /// Sends the request to `gate` and records the result.
