--- a/crates/backend/src/quarantine.rs
+++ b/crates/backend/src/quarantine.rs
@@ -111,9 +111,11 @@
     crash_ids: u64,
 }
 
+/// A server whose requests in flight are monitored.
 #[derive(Debug)]
 struct MonitoredServer {
     runs: ServerRuns,
+    /// Locked during a probe, so that calls lost meanwhile wait for its result.
     last_probe: Arc<tokio::sync::Mutex<Option<ServerProbe>>>,
 }
 
@@ -131,11 +133,11 @@
         self.shared.transport.send_to(&new, &self.reports()).await;
     }
 
-    /// Merges the strikes that a peer has sent.
+    /// Merges the strikes that a peer of the zone has sent.
     ///
     /// Returns the strikes to reply with: those for the crashes that the same requests, if in
     /// flight here, may cause.
-    pub fn merge_strikes(&self, reports: &[CrashReport]) -> Vec<CrashReport> {
+    pub fn exchange_strikes(&self, reports: &[CrashReport]) -> Vec<CrashReport> {
         self.shared.change(|state, now| {
             let mut own = Vec::new();
             for report in reports {
@@ -203,7 +205,7 @@
         &self.shared.transport
     }
 
-    /// Merges strikes; returns those that were new.
+    /// Merges strikes without a reply; returns those that were new.
     pub fn merge(&self, reports: &[CrashReport]) -> Vec<CrashReport> {
         if reports.is_empty() {
             return Vec::new();
@@ -231,23 +233,26 @@
         self.shared.lock().quarantine.digest()
     }
 
-    /// Returns the number of suspects.
+    /// Returns the number of requests with strikes, cleared ones included.
     pub fn suspect_count(&self) -> usize {
         self.shared.lock().quarantine.len()
     }
 
-    /// Returns whether there are suspects. Costs no lock.
+    /// Returns whether any request has strikes, cleared ones included. Costs no lock.
     pub fn has_suspects(&self) -> bool {
         self.shared.has_suspects.load(Ordering::Acquire)
     }
 
-    /// Returns how a request may run, as far as its strikes decide.
+    /// Returns how a request may run, before its server is selected.
     pub fn decide(&self, fingerprint: RequestFingerprint) -> RunDecision {
         if !self.has_suspects() {
             return RunDecision::Unrestricted;
         }
         let now = self.shared.clock.now();
-        self.shared.lock().quarantine.decide_away(now, fingerprint)
+        self.shared
+            .lock()
+            .quarantine
+            .decide_at_entry(now, fingerprint)
     }
 
     /// Returns the guard of a call to the server at `addr`.
--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -78,7 +78,7 @@
         let result = if req.headers().contains_key(ATTEMPT_STATUS_HEADER) {
             self.answer_query(req.headers())
         } else if req.headers().contains_key(CRASH_REPORT_HEADER) {
-            self.merge_strikes(req.headers())
+            self.exchange_strikes(req.headers())
         } else {
             self.try_forwarded(req).await
         };
@@ -94,9 +94,9 @@
     }
 
     /// Merges strikes against requests that crash servers; the response holds this daemon's own.
-    fn merge_strikes(&self, headers: &HeaderMap) -> Result<Response<CallBody>, CallProblem> {
+    fn exchange_strikes(&self, headers: &HeaderMap) -> Result<Response<CallBody>, CallProblem> {
         let reports = crash_reports(headers).map_err(malformed)?;
-        let own = self.runner.gate.quarantine().merge_strikes(&reports);
+        let own = self.runner.gate.quarantine().exchange_strikes(&reports);
         let mut response = Response::new(CallBody::empty());
         response
             .headers_mut()
--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -183,8 +183,8 @@
         self.decide_without(now, fingerprint, Some(own))
     }
 
-    /// Returns how the request may run at servers of other hosts.
-    pub fn decide_away(&self, now: MonoTime, fingerprint: RequestFingerprint) -> RunDecision {
+    /// Returns how the request may run, before its server is selected: all its strikes count.
+    pub fn decide_at_entry(&self, now: MonoTime, fingerprint: RequestFingerprint) -> RunDecision {
         self.decide_without(now, fingerprint, None)
     }
 
--- a/crates/fleet/src/crash_log.rs
+++ b/crates/fleet/src/crash_log.rs
@@ -22,6 +22,7 @@
 struct SavedStrikes {
     /// When it was saved, in seconds since the Unix epoch; ages refer to it.
     saved_at: u64,
+    /// The strikes, cleared ones included.
     reports: Vec<CrashReport>,
 }
 
--- a/crates/fleet/src/report_sender.rs
+++ b/crates/fleet/src/report_sender.rs
@@ -36,7 +36,7 @@
         let mut since = self
             .since
             .lock()
-            .expect("no thread panics while it holds it");
+            .expect("no thread panics while it holds the time");
         if !differs {
             *since = None;
             return false;
