Strike requests at a server that has fallen silent before it is back

Cause: a silent server showed its crash only by its new start. Until then no strike existed, and the connections that it closed as it came back looked like lost ones, so that entries sent the request on.

Now a gate whose server misses its heartbeat (2 s) strikes what it sent 1 s ago or earlier and has no response to, for the crash that probably happened, and the reports go the usual way. A later response, heartbeat or leave of the same incarnation withdraws the strikes; a new start confirms them, as they carry the id of that crash. While a request is struck so, it counts at its own gate as well. A gate that was suspended itself waits for what it has yet to read. MISSED_HEARTBEATS_MAX moves to the relay, which now knows the heartbeat interval.

Ruled out: asking the server's health path (it waits for a slot like any request, and costs); a connection as proof of life (the kernel accepts for a process that hangs).

--- a/crates/backend/src/quarantine.rs
+++ b/crates/backend/src/quarantine.rs
@@ -32,6 +32,9 @@
 
 /// Time between two removals of expired suspects.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
+/// Time without a response after which a request may have crashed a server that misses its heartbeats;
+/// longer than most requests run.
+const SILENCE_TIME: Duration = Duration::from_secs(1);
 /// Time between two checks for a response that shows that the server still runs.
 const RESPONSE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -266,9 +269,34 @@
     }
 
     /// Records that the server at `addr` leaves as planned.
-    pub fn record_leave(&self, addr: SocketAddr) {
-        self.shared
-            .change(|state, _| state.runs_at(addr).record_response());
+    pub async fn record_leave(&self, addr: SocketAddr) {
+        let reports = self.shared.change(|state, now| {
+            state.runs_at(addr).record_response(now);
+            state.end_silence(addr, now)
+        });
+        self.shared.broadcast(reports).await;
+    }
+
+    /// Records that the server at `addr` has shown that it runs, without a response to a request.
+    pub async fn record_alive(&self, addr: SocketAddr) {
+        let reports = self.shared.change(|state, now| {
+            state.runs_at(addr).record_alive(now);
+            state.end_silence(addr, now)
+        });
+        self.shared.broadcast(reports).await;
+    }
+
+    /// Records that the server at `addr` has missed its heartbeats: it may have crashed without
+    /// closing its connections. Strikes the requests that were sent [`SILENCE_TIME`] ago or earlier
+    /// if it has responded to none since; the strikes are withdrawn when it shows that it runs.
+    pub async fn record_silence(&self, addr: SocketAddr) {
+        let reports = self.shared.change(|state, now| {
+            let runs = state.runs_at(addr);
+            let struck = runs.strike_ahead(now, SILENCE_TIME);
+            let crash = runs.next_crash();
+            state.quarantine.record_strikes(now, crash, struck)
+        });
+        self.shared.broadcast(reports).await;
     }
 }
 
@@ -407,10 +435,27 @@
         addr: SocketAddr,
         fingerprint: RequestFingerprint,
     ) -> RunDecision {
-        let own = self.runs_at(addr).next_crash();
+        let runs = self.runs_at(addr);
+        if runs.is_struck_ahead(fingerprint) {
+            return self.quarantine.decide_at_entry(now, fingerprint);
+        }
+        let own = runs.next_crash();
         self.quarantine.decide(now, fingerprint, own)
     }
 
+    /// Withdraws the strikes for a crash of the server at `addr` that did not happen; returns the
+    /// reports to send.
+    fn end_silence(&mut self, addr: SocketAddr, now: MonoTime) -> Vec<CrashReport> {
+        if !self.runs_at(addr).has_struck_ahead() {
+            return Vec::new();
+        }
+        let next = self.next_crash_id();
+        let (crash, struck) = self.runs_at(addr).end_silence(next);
+        let quarantine = &mut self.quarantine;
+        let withdraw = |fingerprint| quarantine.withdraw_strike(now, fingerprint, crash);
+        struck.into_iter().flat_map(withdraw).collect()
+    }
+
     /// Records a strike against every request in flight at `addr`; returns the strikes to broadcast.
     fn record_crash(&mut self, addr: SocketAddr, now: MonoTime) -> Vec<CrashReport> {
         metrics::counter!("agatehill_server_crashes_total").increment(1);
--- a/crates/backend/src/quarantine/guard.rs
+++ b/crates/backend/src/quarantine/guard.rs
@@ -104,6 +104,11 @@
     /// Records that the request is being sent.
     pub fn record_sent(&mut self) {
         self.end = RunEnd::Unanswered;
+        if let Some(run) = self.run {
+            let addr = self.addr;
+            self.shared
+                .change(|state, now| state.runs_at(addr).record_sent(run, now));
+        }
     }
 
     /// Records that the complete response has arrived.
@@ -202,10 +207,15 @@
                 (None, _) => {}
             }
             if matches!(end, RunEnd::Answered | RunEnd::Rejected) {
-                runs.record_response();
+                runs.record_response(now);
+                let mut reports = state.end_silence(addr, now);
+                if end == RunEnd::Answered {
+                    reports.extend(state.quarantine.clear(now, fingerprint));
+                }
+                return reports;
             }
-            if end == RunEnd::Answered {
-                return state.quarantine.clear(now, fingerprint);
+            if runs.is_struck_ahead(fingerprint) {
+                return Vec::new();
             }
             let next = runs.next_crash();
             // After a crash `next` is the one that follows, so a run that has crashed its server
--- a/crates/backend/tests/quarantine.rs
+++ b/crates/backend/tests/quarantine.rs
@@ -115,7 +115,7 @@
     drop(answered);
     drop(send(&monitor, addr, "/2"));
     if has_left {
-        monitor.record_leave(addr);
+        monitor.record_leave(addr).await;
     }
     monitor.record_restart(addr).await;
     assert_eq!(monitor.decide(fingerprint("/1")), RunDecision::Unrestricted);
--- a/crates/decide/src/quarantine/server_runs.rs
+++ b/crates/decide/src/quarantine/server_runs.rs
@@ -1,8 +1,9 @@
 //! Requests in flight at one backend server.
 
 use super::{CrashId, RequestFingerprint, RunDecision};
+use crate::time::MonoTime;
 use slotmap::{SlotMap, new_key_type};
-use std::collections::VecDeque;
+use std::{collections::VecDeque, mem, time::Duration};
 
 /// Most unanswered requests that are stored for one server; the oldest is dropped first.
 const UNANSWERED_MAX: usize = 256;
@@ -16,19 +17,34 @@
 struct ServerRun {
     fingerprint: RequestFingerprint,
     is_suspect: bool,
+    /// When it was sent to the server.
+    sent_at: Option<MonoTime>,
     /// Whether its connection was lost.
     is_lost: bool,
 }
 
+/// A request that ended without a response.
+#[derive(Clone, Copy, Debug)]
+struct UnansweredRun {
+    fingerprint: RequestFingerprint,
+    /// When it was sent to the server.
+    sent_at: Option<MonoTime>,
+}
+
 /// Requests in flight at one backend server, at most one of them a suspect.
 #[derive(Clone, Debug)]
 pub struct ServerRuns {
     runs: SlotMap<RunKey, ServerRun>,
     /// Requests that ended without a response since the server last responded: it may have crashed
     /// under them before that is noticed.
-    unanswered: VecDeque<RequestFingerprint>,
+    unanswered: VecDeque<UnansweredRun>,
+    /// Requests that are struck for the next crash although it is not known yet, because the server
+    /// has been silent since they were sent.
+    struck_ahead: Vec<RequestFingerprint>,
     /// Number of responses so far.
     response_count: u64,
+    /// When the server last showed that it runs.
+    alive_at: MonoTime,
     has_suspect: bool,
     next_crash: CrashId,
 }
@@ -39,7 +55,9 @@
         ServerRuns {
             runs: SlotMap::with_key(),
             unanswered: VecDeque::new(),
+            struck_ahead: Vec::new(),
             response_count: 0,
+            alive_at: MonoTime::ZERO,
             has_suspect: false,
             next_crash,
         }
@@ -65,10 +83,18 @@
         Some(self.runs.insert(ServerRun {
             fingerprint,
             is_suspect,
+            sent_at: None,
             is_lost: false,
         }))
     }
 
+    /// Records that the request of a run is sent now.
+    pub fn record_sent(&mut self, run: RunKey, now: MonoTime) {
+        if let Some(run) = self.runs.get_mut(run) {
+            run.sent_at = Some(now);
+        }
+    }
+
     /// Ends a run; does nothing if a crash has already ended it.
     pub fn end(&mut self, run: RunKey) {
         if let Some(run) = self.runs.remove(run) {
@@ -86,14 +112,62 @@
         if self.unanswered.len() == UNANSWERED_MAX {
             self.unanswered.pop_front();
         }
-        self.unanswered.push_back(ended.fingerprint);
+        self.unanswered.push_back(UnansweredRun {
+            fingerprint: ended.fingerprint,
+            sent_at: ended.sent_at,
+        });
     }
 
     /// Records that the server has responded to a request, or left as planned: it did not crash under
     /// the requests that ended before.
-    pub fn record_response(&mut self) {
+    pub fn record_response(&mut self, now: MonoTime) {
         self.unanswered.clear();
         self.response_count += 1;
+        self.alive_at = now;
+    }
+
+    /// Records that the server has shown that it runs, without a response to a request.
+    pub fn record_alive(&mut self, now: MonoTime) {
+        self.alive_at = now;
+    }
+
+    /// Returns the requests that were sent at least `silence` ago, to a server that has shown nothing
+    /// since, and that are not yet struck for the next crash.
+    pub fn strike_ahead(&mut self, now: MonoTime, silence: Duration) -> Vec<RequestFingerprint> {
+        let alive_at = self.alive_at;
+        let is_silent = |sent_at: Option<MonoTime>| {
+            sent_at.is_some_and(|sent_at| now.since(sent_at.max(alive_at)) >= silence)
+        };
+        let running = self.runs.values().map(|run| (run.fingerprint, run.sent_at));
+        let unanswered = self.unanswered.iter();
+        let unanswered = unanswered.map(|run| (run.fingerprint, run.sent_at));
+        let candidates = running.chain(unanswered);
+        let mut struck: Vec<_> = candidates
+            .filter(|(_, sent_at)| is_silent(*sent_at))
+            .map(|(fingerprint, _)| fingerprint)
+            .filter(|fingerprint| !self.struck_ahead.contains(fingerprint))
+            .collect();
+        struck.sort_unstable();
+        struck.dedup();
+        self.struck_ahead.extend(&struck);
+        struck
+    }
+
+    /// Returns whether the request is struck for the next crash.
+    pub fn is_struck_ahead(&self, fingerprint: RequestFingerprint) -> bool {
+        self.struck_ahead.contains(&fingerprint)
+    }
+
+    /// Returns whether any request is struck for the next crash.
+    pub fn has_struck_ahead(&self) -> bool {
+        !self.struck_ahead.is_empty()
+    }
+
+    /// Ends the strikes for a crash that did not happen; returns its id and the requests that were
+    /// struck for it. The next crash has the id `next_crash`.
+    pub fn end_silence(&mut self, next_crash: CrashId) -> (CrashId, Vec<RequestFingerprint>) {
+        let struck = mem::take(&mut self.struck_ahead);
+        (mem::replace(&mut self.next_crash, next_crash), struck)
     }
 
     /// Returns the number of responses so far.
@@ -125,9 +199,11 @@
     /// crash after this one.
     pub fn record_crash(&mut self, next_crash: CrashId) -> (CrashId, Vec<RequestFingerprint>) {
         self.has_suspect = false;
+        self.struck_ahead.clear();
         let running = self.runs.drain().map(|(_, run)| run.fingerprint);
-        let struck = running.chain(self.unanswered.drain(..)).collect();
-        (std::mem::replace(&mut self.next_crash, next_crash), struck)
+        let unanswered = self.unanswered.drain(..).map(|run| run.fingerprint);
+        let struck = running.chain(unanswered).collect();
+        (mem::replace(&mut self.next_crash, next_crash), struck)
     }
 
     /// Returns whether `run` is in flight.
--- a/crates/decide/src/server_tracker.rs
+++ b/crates/decide/src/server_tracker.rs
@@ -165,6 +165,11 @@
         Some(&self.current.as_ref()?.heartbeat)
     }
 
+    /// Returns the time since the last heartbeat of the current incarnation.
+    pub fn heartbeat_age(&self, now: MonoTime) -> Option<Duration> {
+        Some(now.since(self.current.as_ref()?.received_at))
+    }
+
     /// Returns the last heartbeat of the server if it accepts work.
     pub fn serving(&self, now: MonoTime) -> Option<&ServerHeartbeat> {
         let current = self.current.as_ref()?;
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -335,7 +335,7 @@
         .unwrap();
     runs.end_unanswered(given_up);
     if has_response {
-        runs.record_response();
+        runs.record_response(MonoTime::ZERO);
     }
     assert_eq!(
         runs.record_crash(crash_id(0, 1)),
@@ -368,3 +368,35 @@
     state.remove_expired(now + QUARANTINE_DURATION * 4);
     assert!(state.is_empty());
 }
+
+/// A server that neither responds nor sends heartbeats has crashed under what it was sent, unless it
+/// shows later that it runs.
+#[test]
+fn requests_at_a_silent_server_are_struck_until_it_shows_that_it_runs() {
+    const SILENCE: Duration = Duration::from_secs(1);
+    let at = |millis| MonoTime::ZERO + Duration::from_millis(millis);
+    let mut runs = ServerRuns::new(crash_id(0, 0));
+    let send = |runs: &mut ServerRuns, request, millis| {
+        let run = runs.start(fingerprint(request), RunDecision::Unrestricted);
+        runs.record_sent(run.unwrap(), at(millis));
+        run.unwrap()
+    };
+    let given_up = send(&mut runs, 1, 0);
+    send(&mut runs, 2, 500);
+    runs.end_unanswered(given_up);
+    assert_eq!(runs.strike_ahead(at(900), SILENCE), []);
+    assert_eq!(runs.strike_ahead(at(1_000), SILENCE), [fingerprint(1)]);
+    assert_eq!(runs.strike_ahead(at(1_500), SILENCE), [fingerprint(2)]);
+    assert_eq!(runs.strike_ahead(at(1_600), SILENCE), []);
+    assert!(runs.is_struck_ahead(fingerprint(1)));
+
+    runs.record_alive(at(1_700));
+    let (crash, mut struck) = runs.end_silence(crash_id(0, 1));
+    struck.sort();
+    let mut expected = vec![fingerprint(1), fingerprint(2)];
+    expected.sort();
+    assert_eq!((crash, struck), (crash_id(0, 0), expected));
+    assert_eq!(runs.next_crash(), crash_id(0, 1));
+    assert_eq!(runs.strike_ahead(at(2_600), SILENCE), []);
+    assert_eq!(runs.strike_ahead(at(2_700), SILENCE).len(), 2);
+}
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -34,6 +34,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Retry-after while the server accepts no requests.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Time between two checks of whether the server misses its heartbeats.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two removals of expired connections and refreshes of the server's state.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -76,6 +78,7 @@
             clock,
         };
         tokio::spawn(gate.clone().run_maintenance());
+        tokio::spawn(gate.clone().watch_silence());
         gate
     }
 
@@ -92,14 +95,21 @@
     /// Records a heartbeat of the server. A server that starts anew without having announced that it
     /// leaves has crashed.
     pub fn record_heartbeat(&self, heartbeat: ServerHeartbeat) -> HeartbeatEffect {
-        let before = self.server.current().filter(|before| !before.is_leaving);
+        let Some(before) = self.server.current() else {
+            return self.server.record_heartbeat(heartbeat);
+        };
         let effect = self.server.record_heartbeat(heartbeat);
-        if let Some(before) = before
-            && effect == HeartbeatEffect::Started
-        {
-            let quarantine = self.quarantine.clone();
-            tokio::spawn(async move { quarantine.record_restart(before.address).await });
-        }
+        let quarantine = self.quarantine.clone();
+        tokio::spawn(async move {
+            match effect {
+                HeartbeatEffect::Started if before.is_leaving => {}
+                HeartbeatEffect::Started => quarantine.record_restart(before.address).await,
+                HeartbeatEffect::Changed | HeartbeatEffect::Refreshed => {
+                    quarantine.record_alive(before.address).await;
+                }
+                HeartbeatEffect::Ignored => {}
+            }
+        });
         effect
     }
 
@@ -111,7 +121,8 @@
         if let Some(before) = before
             && was_present
         {
-            self.quarantine.record_leave(before.address);
+            let quarantine = self.quarantine.clone();
+            tokio::spawn(async move { quarantine.record_leave(before.address).await });
         }
         was_present
     }
@@ -345,6 +356,19 @@
         HopOutcome::Answered
     }
 
+    /// Reports a server that misses its heartbeats, forever.
+    async fn watch_silence(self) {
+        loop {
+            let before = self.clock.now();
+            tokio::time::sleep(SILENCE_CHECK_INTERVAL).await;
+            // After a suspension of this host, heartbeats and responses are still to be read.
+            let has_paused = self.clock.now().since(before) >= 2 * SILENCE_CHECK_INTERVAL;
+            if let Some(addr) = self.server.overdue().filter(|_| !has_paused) {
+                self.quarantine.record_silence(addr).await;
+            }
+        }
+    }
+
     async fn run_maintenance(self) {
         loop {
             tokio::time::sleep(REFRESH_INTERVAL).await;
--- a/crates/relay/src/host_server.rs
+++ b/crates/relay/src/host_server.rs
@@ -16,6 +16,7 @@
 use slotmap::SecondaryMap;
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
@@ -30,6 +31,11 @@
 /// lasts when all callers wait.
 const ROUTE_LIMIT_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
+/// Missed heartbeats after which a server counts as failed.
+const MISSED_HEARTBEATS_MAX: u32 = 6;
+/// Heartbeat intervals without a heartbeat after which one is overdue.
+const OVERDUE_INTERVALS: f64 = 4.0 / 3.0;
+
 /// A request for a slot.
 #[derive(Clone, Copy, Debug)]
 pub struct SlotRequest {
@@ -60,6 +66,7 @@
 
 struct HostShared {
     clock: MonoClock,
+    heartbeat_interval: Duration,
     state: Mutex<HostState>,
     serving: watch::Sender<Option<ServerHeartbeat>>,
 }
@@ -82,11 +89,11 @@
 }
 
 impl HostServer {
-    /// Returns the state of a host without a server. A server counts as gone after
-    /// `heartbeat_timeout` without a heartbeat.
-    pub fn open(heartbeat_timeout: Duration, clock: MonoClock) -> HostServer {
+    /// Returns the state of a host without a server, whose heartbeats come every
+    /// `heartbeat_interval`.
+    pub fn open(heartbeat_interval: Duration, clock: MonoClock) -> HostServer {
         let state = HostState {
-            tracker: ServerTracker::new(heartbeat_timeout),
+            tracker: ServerTracker::new(heartbeat_interval * MISSED_HEARTBEATS_MAX),
             admission: SlotAdmission::new(1),
             waiting: SecondaryMap::new(),
             slots: 1,
@@ -99,6 +106,7 @@
         HostServer {
             shared: Arc::new(HostShared {
                 clock,
+                heartbeat_interval,
                 state: Mutex::new(state),
                 serving: watch::channel(None).0,
             }),
@@ -165,6 +173,16 @@
         self.lock().tracker.current().cloned()
     }
 
+    /// Returns the address of the server if its next heartbeat is overdue.
+    pub fn overdue(&self) -> Option<SocketAddr> {
+        let now = self.shared.clock.now();
+        let state = self.lock();
+        let age = state.tracker.heartbeat_age(now)?;
+        let is_overdue = age >= self.shared.heartbeat_interval.mul_f64(OVERDUE_INTERVALS);
+        let heartbeat = state.tracker.current().filter(|_| is_overdue)?;
+        Some(heartbeat.address)
+    }
+
     /// Subscribes to the server that accepts requests.
     pub fn watch(&self) -> watch::Receiver<Option<ServerHeartbeat>> {
         self.shared.serving.subscribe()
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -54,7 +54,7 @@
     async fn spawn(id: &str) -> TestDaemon {
         let clock = MonoClock::open();
         let server = TestServer::spawn(id).await;
-        let local = HostServer::open(Duration::from_secs(60), clock);
+        let local = HostServer::open(Duration::from_secs(10), clock);
         local.record_heartbeat(server.heartbeat(1));
         let log = Arc::new(DecisionLog::open());
         let names = Arc::new(names());
