Quarantine requests that differ in nothing but their query

What callers saw: a request that crashes servers and comes again with another query each time was never refused.

Cause: the fingerprint covers the query, so that each send was a content of its own with one strike.

Leaving the query out was ruled out: on a path with many honest queries any response would clear the one that crashes, and one crash would make the whole path serial. So requests with a query now have a second identity, their group: host, method, path and body. It is struck and cleared with the request and travels in the same reports. Below three strikes it restricts nothing; then it is refused for 5 s, tried serially at one gate, and after two trials that crashed refused for an hour. Crashes within 2 s of each other count once for that, so that a rack that loses power does not close a path for long.

Not detected: another query each time on a path whose other queries are answered between the crashes.

--- a/bin/bench/src/cmd/quarantine.rs
+++ b/bin/bench/src/cmd/quarantine.rs
@@ -7,7 +7,7 @@
 use agatehill_decide::{
     claim::RequestDigest,
     name::{DaemonName, Incarnation},
-    quarantine::{CrashId, CrashReport, RequestFingerprint},
+    quarantine::{CrashId, CrashReport, RequestContent, RequestFingerprint},
 };
 use agatehill_process::clock::MonoClock;
 use eyre::Result;
@@ -35,7 +35,7 @@
     let _context = runtime.enter();
     for bytes in BODY_BYTES {
         let body = vec![7; bytes];
-        let nanos = mean_nanos(args.requests, |number| content(number, &body));
+        let nanos = mean_nanos(args.requests, |number| fingerprint(number, &body));
         println!("body_bytes={bytes} digest_ns={nanos:.0}");
     }
     let monitor = open_monitor()?;
@@ -47,7 +47,7 @@
     let reports: Vec<_> = (0..args.suspects)
         .map(|number| CrashReport {
             // Other contents than those of the timed requests.
-            fingerprint: content(u64::MAX - number, b""),
+            fingerprint: fingerprint(u64::MAX - number, b""),
             crash: CrashId::of(&daemon, Incarnation(1), number / 50),
             cleared: false,
             age_seconds: 0,
@@ -77,16 +77,16 @@
 /// Decides at the entry and runs the request at the gate, without its server; includes one digest of an
 /// empty body.
 fn run_request(monitor: &FleetQuarantine, number: u64) {
-    let fingerprint = content(number, b"");
-    monitor.decide(fingerprint);
+    let content = RequestContent::from(fingerprint(number, b""));
+    monitor.decide(content);
     let addr = SocketAddr::from(([127, 0, 0, 1], 8_000));
-    let mut guard = monitor.guard(addr, fingerprint);
+    let mut guard = monitor.guard(addr, content);
     guard.try_start();
     guard.record_sent();
     guard.record_answer();
 }
 
-fn content(number: u64, body: &[u8]) -> RequestFingerprint {
+fn fingerprint(number: u64, body: &[u8]) -> RequestFingerprint {
     let path = format!("/certificates/{number}");
     RequestDigest::of("GET", "a.example", &path, body).into()
 }
--- a/crates/backend/src/gate.rs
+++ b/crates/backend/src/gate.rs
@@ -121,7 +121,7 @@
         };
         let addr = server.announcement.address;
         let fingerprint = RequestFingerprint::of(&head.customer, digest);
-        let mut quarantine = self.quarantine.guard(addr, fingerprint);
+        let mut quarantine = self.quarantine.guard(addr, fingerprint.into());
         let slot = loop {
             if let Err(refusal) = quarantine.wait_ready(call.deadline).await {
                 return quarantined(refusal);
--- a/crates/backend/src/quarantine.rs
+++ b/crates/backend/src/quarantine.rs
@@ -10,8 +10,8 @@
 use agatehill_decide::{
     name::{DaemonName, Incarnation},
     quarantine::{
-        CrashId, CrashReport, QUARANTINE_DURATION, QuarantineState, RequestFingerprint,
-        RunDecision, RunKey, ServerRuns,
+        CrashId, CrashReport, QUARANTINE_DURATION, QuarantineState, RequestContent,
+        RequestFingerprint, RunDecision, RunKey, ServerRuns,
     },
     time::MonoTime,
 };
@@ -225,10 +225,12 @@
         self.shared.lock().quarantine.reports(now).collect()
     }
 
-    /// Returns reports of the strikes of one request.
-    pub fn reports_of(&self, fingerprint: RequestFingerprint) -> Vec<CrashReport> {
+    /// Returns reports of the strikes of one request and its group.
+    pub fn reports_of(&self, content: RequestContent) -> Vec<CrashReport> {
         let now = self.shared.clock.now();
-        self.shared.lock().quarantine.reports_of(now, fingerprint)
+        let state = self.shared.lock();
+        let reports_of = |fingerprint| state.quarantine.reports_of(now, fingerprint);
+        content.fingerprints().flat_map(reports_of).collect()
     }
 
     /// Returns a digest of all strikes.
@@ -247,20 +249,24 @@
     }
 
     /// Returns how a request may run, before its server is selected.
-    pub fn decide(&self, fingerprint: RequestFingerprint) -> RunDecision {
+    pub fn decide(&self, content: RequestContent) -> RunDecision {
         if !self.has_suspects() {
             return RunDecision::Unrestricted;
         }
         let now = self.shared.clock.now();
-        self.shared
-            .lock()
-            .quarantine
-            .decide_at_entry(now, fingerprint)
+        self.shared.lock().quarantine.decide_content(now, content)
+    }
+
+    /// Returns the fingerprint that selects the gate for a request that must run serially.
+    pub fn serial_fingerprint(&self, content: RequestContent) -> RequestFingerprint {
+        let now = self.shared.clock.now();
+        let state = self.shared.lock();
+        state.quarantine.serial_fingerprint(now, content)
     }
 
     /// Returns the guard of a call to the server at `addr`.
-    pub fn guard(&self, addr: SocketAddr, fingerprint: RequestFingerprint) -> QuarantineGuard<T> {
-        QuarantineGuard::new(self.shared.clone(), addr, fingerprint)
+    pub fn guard(&self, addr: SocketAddr, content: RequestContent) -> QuarantineGuard<T> {
+        QuarantineGuard::new(self.shared.clone(), addr, content)
     }
 
     /// Records that the server at `addr` has started anew without leaving first: it has crashed.
@@ -433,14 +439,15 @@
         &mut self,
         now: MonoTime,
         addr: SocketAddr,
-        fingerprint: RequestFingerprint,
+        content: RequestContent,
     ) -> RunDecision {
         let runs = self.runs_at(addr);
-        if runs.is_struck_ahead(fingerprint) {
-            return self.quarantine.decide_at_entry(now, fingerprint);
+        if runs.is_struck_ahead(content.fingerprint) {
+            return self.quarantine.decide_content(now, content);
         }
         let own = runs.next_crash();
-        self.quarantine.decide(now, fingerprint, own)
+        let decision = self.quarantine.decide(now, content.fingerprint, own);
+        decision.stricter(self.quarantine.decide_group(now, content.group))
     }
 
     /// Withdraws the strikes for a crash of the server at `addr` that did not happen; returns the
--- a/crates/backend/src/quarantine/guard.rs
+++ b/crates/backend/src/quarantine/guard.rs
@@ -2,7 +2,7 @@
 
 use super::{CrashReportTransport, MonitorShared, QuarantineRefusal};
 use agatehill_decide::{
-    quarantine::{CrashId, RequestFingerprint, RunDecision, RunKey},
+    quarantine::{CrashId, RequestContent, RunDecision, RunKey},
     time::MonoTime,
 };
 use std::{
@@ -33,7 +33,7 @@
 pub struct QuarantineGuard<T: CrashReportTransport> {
     shared: Arc<MonitorShared<T>>,
     addr: SocketAddr,
-    fingerprint: RequestFingerprint,
+    content: RequestContent,
     run: Option<RunKey>,
     has_started: bool,
     /// The crash for which a strike was recorded before the run.
@@ -45,12 +45,12 @@
     pub(super) fn new(
         shared: Arc<MonitorShared<T>>,
         addr: SocketAddr,
-        fingerprint: RequestFingerprint,
+        content: RequestContent,
     ) -> QuarantineGuard<T> {
         QuarantineGuard {
             shared,
             addr,
-            fingerprint,
+            content,
             run: None,
             has_started: false,
             pending_strike: None,
@@ -85,17 +85,16 @@
 
     /// Starts the run; if false, [`QuarantineGuard::wait_ready`] must be called again.
     pub fn try_start(&mut self) -> bool {
-        let (addr, fingerprint, pending_strike) =
-            (self.addr, self.fingerprint, self.pending_strike);
+        let (addr, content, pending_strike) = (self.addr, self.content, self.pending_strike);
         let records_ahead = self.shared.options.records_ahead;
         self.run = self.shared.change(|state, now| {
-            let decision = state.decision(now, addr, fingerprint);
+            let decision = state.decision(now, addr, content);
             let runs = state.runs_at(addr);
             let is_recorded = !records_ahead || pending_strike == Some(runs.next_crash());
             if decision == RunDecision::Serial && !is_recorded {
                 return None;
             }
-            runs.start(fingerprint, decision)
+            runs.start(content, decision)
         });
         self.has_started = self.run.is_some();
         self.has_started
@@ -159,16 +158,16 @@
 
     /// Returns the decision and whether a suspect is running at the server.
     fn decision(&self) -> (RunDecision, bool) {
-        let (addr, fingerprint) = (self.addr, self.fingerprint);
+        let (addr, content) = (self.addr, self.content);
         self.shared.change(|state, now| {
-            let decision = state.decision(now, addr, fingerprint);
+            let decision = state.decision(now, addr, content);
             (decision, state.runs_at(addr).has_suspect())
         })
     }
 
     /// Records a strike for the crash that the suspect's run may cause, and notifies the zone.
     async fn record_pending_strike(&mut self) {
-        let (addr, fingerprint) = (self.addr, self.fingerprint);
+        let (addr, fingerprint) = (self.addr, self.content.fingerprint);
         let (crash, reports) = self.shared.change(|state, now| {
             let crash = state.runs_at(addr).next_crash();
             (
@@ -183,7 +182,7 @@
     /// Withdraws the strike for a crash that happened before the run has started.
     async fn withdraw_stale_strike(&mut self) {
         let (addr, fingerprint, pending_strike) =
-            (self.addr, self.fingerprint, self.pending_strike);
+            (self.addr, self.content.fingerprint, self.pending_strike);
         let reports = self.shared.change(|state, now| {
             let next = state.runs_at(addr).next_crash();
             let stale = pending_strike.filter(|crash| *crash != next);
@@ -198,7 +197,8 @@
 
 impl<T: CrashReportTransport> Drop for QuarantineGuard<T> {
     fn drop(&mut self) {
-        let (addr, fingerprint, end) = (self.addr, self.fingerprint, self.end);
+        let (addr, content, end) = (self.addr, self.content, self.end);
+        let fingerprint = content.fingerprint;
         let reports = self.shared.change(|state, now| {
             let runs = state.runs_at(addr);
             match (self.run, end) {
@@ -210,7 +210,9 @@
                 runs.record_response(now);
                 let mut reports = state.end_silence(addr, now);
                 if end == RunEnd::Answered {
-                    reports.extend(state.quarantine.clear(now, fingerprint));
+                    for fingerprint in content.fingerprints() {
+                        reports.extend(state.quarantine.clear(now, fingerprint));
+                    }
                 }
                 return reports;
             }
--- a/crates/backend/tests/quarantine.rs
+++ b/crates/backend/tests/quarantine.rs
@@ -7,7 +7,7 @@
 use agatehill_decide::{
     claim::RequestDigest,
     name::{DaemonName, Incarnation},
-    quarantine::{RequestFingerprint, RunDecision},
+    quarantine::{RequestContent, RequestFingerprint, RunDecision},
 };
 use agatehill_process::clock::MonoClock;
 use rstest::rstest;
@@ -27,8 +27,9 @@
     )
 }
 
-fn fingerprint(path: &str) -> RequestFingerprint {
-    RequestDigest::of("GET", "a.example", path, b"").into()
+fn content(path: &str) -> RequestContent {
+    let digest = RequestDigest::of("GET", "a.example", path, b"");
+    RequestFingerprint::from(digest).into()
 }
 
 /// Returns the guard of a request that is in flight at `addr`.
@@ -37,7 +38,7 @@
     addr: SocketAddr,
     path: &str,
 ) -> QuarantineGuard<CrashReportQueue> {
-    let mut guard = monitor.guard(addr, fingerprint(path));
+    let mut guard = monitor.guard(addr, content(path));
     assert!(guard.try_start());
     guard.record_sent();
     guard
@@ -63,8 +64,8 @@
     let struck: Vec<_> = reports.iter().map(|report| report.fingerprint).collect();
     assert_eq!(struck.len(), 2);
     for path in ["/1", "/2"] {
-        assert!(struck.contains(&fingerprint(path)));
-        assert_eq!(monitor.decide(fingerprint(path)), RunDecision::Serial);
+        assert!(struck.contains(&content(path).fingerprint));
+        assert_eq!(monitor.decide(content(path)), RunDecision::Serial);
     }
 }
 
@@ -118,8 +119,8 @@
         monitor.record_leave(addr).await;
     }
     monitor.record_restart(addr).await;
-    assert_eq!(monitor.decide(fingerprint("/1")), RunDecision::Unrestricted);
-    assert_eq!(monitor.decide(fingerprint("/2")), decision);
+    assert_eq!(monitor.decide(content("/1")), RunDecision::Unrestricted);
+    assert_eq!(monitor.decide(content("/2")), decision);
 }
 
 /// A request that could not be sent is not struck by the crash that it finds.
@@ -129,11 +130,11 @@
     let (addr, listener) = listening_server().await;
     drop(listener);
     drop(send(&monitor, addr, "/1"));
-    let mut unsent = monitor.guard(addr, fingerprint("/2"));
+    let mut unsent = monitor.guard(addr, content("/2"));
     assert!(unsent.try_start());
     assert!(unsent.record_unsent().await);
-    assert_eq!(monitor.decide(fingerprint("/1")), RunDecision::Serial);
-    assert_eq!(monitor.decide(fingerprint("/2")), RunDecision::Unrestricted);
+    assert_eq!(monitor.decide(content("/1")), RunDecision::Serial);
+    assert_eq!(monitor.decide(content("/2")), RunDecision::Unrestricted);
 }
 
 /// Suspects run one at a time, are quarantined at the second crash and cleared by a response.
@@ -147,17 +148,17 @@
     }
     let mut suspect = send(&monitor, addr, "/1");
     assert!(
-        !monitor.guard(addr, fingerprint("/2")).try_start(),
+        !monitor.guard(addr, content("/2")).try_start(),
         "two suspects at once"
     );
     assert!(suspect.record_lost().await);
     let deadline = MonoClock::open().now() + PROBE_TIME_MAX;
-    let mut guard = monitor.guard(addr, fingerprint("/1"));
+    let mut guard = monitor.guard(addr, content("/1"));
     let refusal = guard.wait_ready(deadline).await.unwrap_err();
     assert!(matches!(refusal, QuarantineRefusal::Quarantined(remaining)
             if remaining <= QuarantineOptions::FLEET.first_quarantine));
     let mut answered = send(&monitor, addr, "/2");
     answered.record_answer();
     drop(answered);
-    assert_eq!(monitor.decide(fingerprint("/2")), RunDecision::Unrestricted);
+    assert_eq!(monitor.decide(content("/2")), RunDecision::Unrestricted);
 }
--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -13,25 +13,26 @@
 //! Where every daemon sends a suspect to the same gate, the serial run there replaces the strike
 //! written ahead.
 //!
+//! A request that crashes servers may come again with another query each time. So requests that differ
+//! in nothing but their query form a group, which is struck as well; [`group`] has its rule.
+//!
 //! Daemons exchange [`CrashReport`]s. Merging them is commutative, associative and idempotent, so
 //! their order and duplicates don't matter.
 
-use crate::{
-    claim::RequestDigest,
-    name::{CustomerName, DaemonName, Incarnation},
-    time::MonoTime,
-};
+use crate::time::MonoTime;
 use serde::{Deserialize, Serialize};
 use std::{
     collections::BTreeMap,
-    fmt,
     hash::{DefaultHasher, Hash, Hasher},
     mem,
     time::Duration,
 };
 
+mod group;
+mod identity;
 mod server_runs;
 
+pub use identity::{CrashId, RequestContent, RequestFingerprint};
 pub use server_runs::{RunKey, ServerRuns};
 
 /// Number of uncleared strikes that quarantine a request.
@@ -45,55 +46,6 @@
 /// Most strikes that are stored for one request.
 const STRIKES_STORED_MAX: usize = 16;
 
-/// Identifies all requests of a customer with the same content, whatever their request ids.
-///
-/// The request id is not included because the caller of a poison request may send it again under a
-/// new one. Frequent requests of the same content are cleared by their own responses.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct RequestFingerprint([u8; 16]);
-
-impl RequestFingerprint {
-    /// Returns the fingerprint of the request of `customer` with the digest `digest`.
-    pub fn of(customer: &CustomerName, digest: RequestDigest) -> RequestFingerprint {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(customer.as_str().as_bytes());
-        hasher.update(digest.as_bytes());
-        let hash = hasher.finalize();
-        RequestFingerprint(hash.as_bytes()[..16].try_into().expect("sixteen bytes"))
-    }
-}
-
-/// The fingerprint of a request that belongs to no customer.
-impl From<RequestDigest> for RequestFingerprint {
-    fn from(digest: RequestDigest) -> RequestFingerprint {
-        RequestFingerprint(*digest.as_bytes())
-    }
-}
-
-impl fmt::Display for RequestFingerprint {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:032x}", u128::from_be_bytes(self.0))
-    }
-}
-
-/// Identifies one crash of a backend server, before it happens.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct CrashId(u64);
-
-impl CrashId {
-    /// Returns the id of the crash number `sequence` in the run `incarnation` of `daemon`.
-    pub fn of(daemon: &DaemonName, incarnation: Incarnation, sequence: u64) -> CrashId {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(&incarnation.0.to_le_bytes());
-        hasher.update(&sequence.to_le_bytes());
-        hasher.update(daemon.as_str().as_bytes());
-        let hash = hasher.finalize();
-        CrashId(u64::from_le_bytes(
-            hash.as_bytes()[..8].try_into().expect("eight bytes"),
-        ))
-    }
-}
-
 /// Report of a strike of one request, sent between daemons.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashReport {
@@ -119,6 +71,20 @@
     Quarantined(Duration),
 }
 
+impl RunDecision {
+    /// Returns the stricter of two decisions.
+    pub fn stricter(self, other: RunDecision) -> RunDecision {
+        match (self, other) {
+            (RunDecision::Quarantined(remaining), RunDecision::Quarantined(other)) => {
+                RunDecision::Quarantined(remaining.max(other))
+            }
+            (RunDecision::Quarantined(_), _) | (_, RunDecision::Unrestricted) => self,
+            (_, RunDecision::Quarantined(_)) | (RunDecision::Unrestricted, _) => other,
+            (RunDecision::Serial, RunDecision::Serial) => self,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Strike {
     at: MonoTime,
@@ -183,6 +149,35 @@
         self.decide_without(now, fingerprint, Some(own))
     }
 
+    /// Returns how a request with this content may run, before its server is selected.
+    pub fn decide_content(&self, now: MonoTime, content: RequestContent) -> RunDecision {
+        let decision = self.decide_at_entry(now, content.fingerprint);
+        decision.stricter(self.decide_group(now, content.group))
+    }
+
+    /// Returns the fingerprint that selects the gate for a request that must run serially: that of its
+    /// group, if all requests of the group must.
+    pub fn serial_fingerprint(&self, now: MonoTime, content: RequestContent) -> RequestFingerprint {
+        match self.decide_group(now, content.group) {
+            RunDecision::Unrestricted => content.fingerprint,
+            _ => content.group.unwrap_or(content.fingerprint),
+        }
+    }
+
+    /// Returns how the requests of a group may run.
+    pub fn decide_group(&self, now: MonoTime, group: Option<RequestFingerprint>) -> RunDecision {
+        let strikes = group.and_then(|group| self.suspects.get(&group));
+        let Some(strikes) = strikes else {
+            return RunDecision::Unrestricted;
+        };
+        let uncleared = strikes.values().filter(|strike| !strike.cleared);
+        group::decide(
+            now,
+            uncleared.map(|strike| strike.at).collect(),
+            self.first_quarantine,
+        )
+    }
+
     /// Returns how the request may run, before its server is selected: all its strikes count.
     pub fn decide_at_entry(&self, now: MonoTime, fingerprint: RequestFingerprint) -> RunDecision {
         self.decide_without(now, fingerprint, None)
--- a/crates/decide/src/quarantine/server_runs.rs
+++ b/crates/decide/src/quarantine/server_runs.rs
@@ -1,6 +1,6 @@
 //! Requests in flight at one backend server.
 
-use super::{CrashId, RequestFingerprint, RunDecision};
+use super::{CrashId, RequestContent, RequestFingerprint, RunDecision};
 use crate::time::MonoTime;
 use slotmap::{SlotMap, new_key_type};
 use std::{collections::VecDeque, mem, time::Duration};
@@ -15,7 +15,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct ServerRun {
-    fingerprint: RequestFingerprint,
+    content: RequestContent,
     is_suspect: bool,
     /// When it was sent to the server.
     sent_at: Option<MonoTime>,
@@ -26,7 +26,7 @@
 /// A request that ended without a response.
 #[derive(Clone, Copy, Debug)]
 struct UnansweredRun {
-    fingerprint: RequestFingerprint,
+    content: RequestContent,
     /// When it was sent to the server.
     sent_at: Option<MonoTime>,
 }
@@ -69,11 +69,7 @@
     }
 
     /// Starts a run; returns `None` if the decision doesn't allow it now.
-    pub fn start(
-        &mut self,
-        fingerprint: RequestFingerprint,
-        decision: RunDecision,
-    ) -> Option<RunKey> {
+    pub fn start(&mut self, content: RequestContent, decision: RunDecision) -> Option<RunKey> {
         let is_suspect = match decision {
             RunDecision::Unrestricted => false,
             RunDecision::Serial if !self.has_suspect => true,
@@ -81,7 +77,7 @@
         };
         self.has_suspect |= is_suspect;
         Some(self.runs.insert(ServerRun {
-            fingerprint,
+            content,
             is_suspect,
             sent_at: None,
             is_lost: false,
@@ -113,7 +109,7 @@
             self.unanswered.pop_front();
         }
         self.unanswered.push_back(UnansweredRun {
-            fingerprint: ended.fingerprint,
+            content: ended.content,
             sent_at: ended.sent_at,
         });
     }
@@ -138,13 +134,13 @@
         let is_silent = |sent_at: Option<MonoTime>| {
             sent_at.is_some_and(|sent_at| now.since(sent_at.max(alive_at)) >= silence)
         };
-        let running = self.runs.values().map(|run| (run.fingerprint, run.sent_at));
+        let running = self.runs.values().map(|run| (run.content, run.sent_at));
         let unanswered = self.unanswered.iter();
-        let unanswered = unanswered.map(|run| (run.fingerprint, run.sent_at));
+        let unanswered = unanswered.map(|run| (run.content, run.sent_at));
         let candidates = running.chain(unanswered);
         let mut struck: Vec<_> = candidates
             .filter(|(_, sent_at)| is_silent(*sent_at))
-            .map(|(fingerprint, _)| fingerprint)
+            .flat_map(|(content, _)| content.fingerprints())
             .filter(|fingerprint| !self.struck_ahead.contains(fingerprint))
             .collect();
         struck.sort_unstable();
@@ -200,9 +196,10 @@
     pub fn record_crash(&mut self, next_crash: CrashId) -> (CrashId, Vec<RequestFingerprint>) {
         self.has_suspect = false;
         self.struck_ahead.clear();
-        let running = self.runs.drain().map(|(_, run)| run.fingerprint);
-        let unanswered = self.unanswered.drain(..).map(|run| run.fingerprint);
-        let struck = running.chain(unanswered).collect();
+        let running = self.runs.drain().map(|(_, run)| run.content);
+        let unanswered = self.unanswered.drain(..).map(|run| run.content);
+        let struck = running.chain(unanswered);
+        let struck = struck.flat_map(RequestContent::fingerprints).collect();
         (mem::replace(&mut self.next_crash, next_crash), struck)
     }
 
@@ -214,7 +211,9 @@
     /// Returns whether the request is in flight here; if so, a strike elsewhere requires another one
     /// for this server's next crash.
     pub fn contains_request(&self, fingerprint: RequestFingerprint) -> bool {
-        self.runs.values().any(|run| run.fingerprint == fingerprint)
+        self.runs
+            .values()
+            .any(|run| run.content.fingerprint == fingerprint)
     }
 
     /// Returns the number of requests in flight.
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -4,8 +4,8 @@
     claim::RequestDigest,
     name::{DaemonName, Incarnation},
     quarantine::{
-        CrashId, CrashReport, QUARANTINE_DURATION, QuarantineState, RequestFingerprint,
-        RunDecision, RunKey, ServerRuns,
+        CrashId, CrashReport, QUARANTINE_DURATION, QuarantineState, RequestContent,
+        RequestFingerprint, RunDecision, RunKey, ServerRuns,
     },
     time::MonoTime,
 };
@@ -17,6 +17,8 @@
 const REQUESTS: usize = 6;
 /// The request that crashes every server that runs it.
 const POISON: usize = 0;
+/// Duration of the first quarantine where it is short.
+const FIRST_QUARANTINE: Duration = Duration::from_secs(5);
 /// Servers among which a request can choose.
 const CANDIDATES: usize = 2;
 
@@ -81,7 +83,7 @@
             self.write_ahead(idx, fingerprint);
             decision = self.decision(idx, fingerprint);
         }
-        match self.gates[idx].runs.start(fingerprint, decision) {
+        match self.gates[idx].runs.start(fingerprint.into(), decision) {
             Some(run) => self.gates[idx].in_flight.push((run, request)),
             None => self.end_unanswered(idx, fingerprint),
         }
@@ -329,9 +331,9 @@
 ) {
     let mut runs = ServerRuns::new(crash_id(0, 0));
     let given_up = runs
-        .start(fingerprint(1), RunDecision::Unrestricted)
+        .start(fingerprint(1).into(), RunDecision::Unrestricted)
         .unwrap();
-    runs.start(fingerprint(2), RunDecision::Unrestricted)
+    runs.start(fingerprint(2).into(), RunDecision::Unrestricted)
         .unwrap();
     runs.end_unanswered(given_up);
     if has_response {
@@ -377,7 +379,7 @@
     let at = |millis| MonoTime::ZERO + Duration::from_millis(millis);
     let mut runs = ServerRuns::new(crash_id(0, 0));
     let send = |runs: &mut ServerRuns, request, millis| {
-        let run = runs.start(fingerprint(request), RunDecision::Unrestricted);
+        let run = runs.start(fingerprint(request).into(), RunDecision::Unrestricted);
         runs.record_sent(run.unwrap(), at(millis));
         run.unwrap()
     };
@@ -400,3 +402,45 @@
     assert_eq!(runs.strike_ahead(at(2_600), SILENCE), []);
     assert_eq!(runs.strike_ahead(at(2_700), SILENCE).len(), 2);
 }
+
+/// Requests that differ in their query are refused together once they have crashed servers without a
+/// response in between; servers that crash at the same moment count once.
+#[rstest]
+#[case::two_strikes(&[0, 0], 0, RunDecision::Unrestricted)]
+#[case::three_strikes(&[0, 100, 200], 200, RunDecision::Quarantined(FIRST_QUARANTINE))]
+#[case::servers_of_a_rack_crash(&[0, 0, 0, 0, 0, 0], 0, RunDecision::Quarantined(FIRST_QUARANTINE))]
+#[case::a_trial_is_due(&[0, 100, 200], 5_200, RunDecision::Serial)]
+#[case::first_trial_crashed(&[0, 0, 0, 5_100], 5_100, RunDecision::Quarantined(FIRST_QUARANTINE))]
+#[case::second_trial_crashed(
+    &[0, 0, 0, 5_100, 10_200],
+    10_200,
+    RunDecision::Quarantined(QUARANTINE_DURATION)
+)]
+fn requests_with_another_query_each_time_are_quarantined_together(
+    #[case] crashes: &[u64],
+    #[case] now: u64,
+    #[case] expected: RunDecision,
+) {
+    let at = |millis| MonoTime::ZERO + Duration::from_millis(millis);
+    let mut state = QuarantineState::new(FIRST_QUARANTINE);
+    let content = |request| RequestContent {
+        fingerprint: fingerprint(request),
+        group: Some(fingerprint(0)),
+    };
+    for (idx, crash) in crashes.iter().enumerate() {
+        let struck = content(idx + 1).fingerprints();
+        state.record_strikes(at(*crash), crash_id(idx, 0), struck);
+    }
+    let next = content(crashes.len() + 1);
+    assert_eq!(state.decide_content(at(now), next), expected);
+    let serial = match expected {
+        RunDecision::Unrestricted => next.fingerprint,
+        _ => fingerprint(0),
+    };
+    assert_eq!(state.serial_fingerprint(at(now), next), serial);
+    state.clear(at(now), fingerprint(0));
+    assert_eq!(
+        state.decide_content(at(now), next),
+        RunDecision::Unrestricted
+    );
+}
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     body::{BodyError, BodyLimits, read_body},
-    content::fingerprint,
+    content::identify,
     decision_log::{EntryDecision, request_id},
     entry::RequestEntry,
     error::RelayError,
@@ -17,7 +17,7 @@
     call_parent::ParentRequest,
     gate_selection::RouteKey,
     name::ServiceName,
-    quarantine::{CrashReport, RequestFingerprint, RunDecision},
+    quarantine::{CrashReport, RequestContent, RequestFingerprint, RunDecision},
     service_config::{RouteRule, RouteTable},
     time::MonoTime,
 };
@@ -70,7 +70,7 @@
     /// Route and service, once a route has matched.
     target: Option<RequestTarget>,
     /// Identifies its content; known only once there are suspects.
-    content: Option<RequestFingerprint>,
+    content: Option<RequestContent>,
     gates_tried: Vec<SocketAddr>,
     /// Number of backend servers that it reached and got no response from.
     servers_reached: u32,
@@ -219,7 +219,7 @@
         }
     }
 
-    /// Returns the content of the request if it is suspected of crashing servers.
+    /// Returns the fingerprint that selects the gate, if the request is suspected of crashing servers.
     ///
     /// # Errors
     ///
@@ -234,14 +234,14 @@
         }
         let (content, body) = match self.content {
             Some(content) => (content, body),
-            None => fingerprint(&self.head, body)
+            None => identify(&self.head, body)
                 .await
                 .map_err(|_| RelayError::BadRequest)?,
         };
         self.content = Some(content);
         match quarantine.decide(content) {
             RunDecision::Unrestricted => Ok((None, body)),
-            RunDecision::Serial => Ok((Some(content), body)),
+            RunDecision::Serial => Ok((Some(quarantine.serial_fingerprint(content)), body)),
             RunDecision::Quarantined(_) if self.may_have_run => Err(RelayError::Lost),
             RunDecision::Quarantined(remaining) => Err(RelayError::Quarantined {
                 retry_after: add_jitter(remaining),
@@ -374,7 +374,7 @@
             route: target.map(|target| target.rule.name.as_str()),
             version: self.table.as_ref().map_or(0, |t| t.config().version),
             service: target.map(|target| &target.service),
-            content: self.content,
+            content: self.content.map(|content| content.fingerprint),
             gates_tried: &self.gates_tried,
             servers_reached: self.servers_reached + u32::from(outcome == "answered"),
             outcome,
--- a/crates/relay/src/content.rs
+++ b/crates/relay/src/content.rs
@@ -3,14 +3,15 @@
 use agatehill_backend::at_most_once::read_prefix;
 use agatehill_decide::{
     claim::{DIGEST_BODY_BYTES_MAX, RequestDigest},
-    quarantine::RequestFingerprint,
+    quarantine::RequestContent,
 };
 use agatehill_peer::body::CallBody;
 use http::{HeaderValue, Request, header::HOST, request::Parts};
 use std::io;
 
-/// Returns the fingerprint of the request's host, method, path, query and body, and the body
-/// unchanged. Costs a hash of up to [`DIGEST_BODY_BYTES_MAX`] bytes of the body.
+/// Returns what identifies a request by its host, method, path, query and body, and the body unchanged.
+/// Requests that differ in nothing but their query form a group. Costs a hash of up to
+/// [`DIGEST_BODY_BYTES_MAX`] bytes of the body, and a second one with a query.
 ///
 /// The service and the calling service are not part of it: a change of the configuration may route
 /// the same content elsewhere, and it may come again through another host.
@@ -18,31 +19,37 @@
 /// # Errors
 ///
 /// The sender aborted the body.
-pub(crate) async fn fingerprint(
+pub(crate) async fn identify(
     head: &Parts,
     body: CallBody,
-) -> io::Result<(RequestFingerprint, CallBody)> {
+) -> io::Result<(RequestContent, CallBody)> {
     let (bytes, body) = match body.buffered_bytes() {
         Some(bytes) => (bytes, body),
         None => read_prefix(body, DIGEST_BODY_BYTES_MAX).await?,
     };
     let prefix = &bytes[..bytes.len().min(DIGEST_BODY_BYTES_MAX)];
+    let (host, method) = (host(head), head.method.as_str());
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let digest = RequestDigest::of(head.method.as_str(), &host(head), path, prefix);
-    Ok((digest.into(), body))
+    let fingerprint = RequestDigest::of(method, &host, path, prefix).into();
+    // No method contains a space, so that no request has the fingerprint of a group.
+    let group = head.uri.query().map(|_| {
+        let method = format!("{method} with any query");
+        RequestDigest::of(&method, &host, head.uri.path(), prefix).into()
+    });
+    Ok((RequestContent { fingerprint, group }, body))
 }
 
-/// Returns the fingerprint of `req` and the request unchanged.
+/// Returns what identifies `req`, and the request unchanged.
 ///
 /// # Errors
 ///
 /// The sender aborted the body.
-pub(crate) async fn fingerprint_request(
+pub(crate) async fn identify_request(
     req: Request<CallBody>,
-) -> io::Result<(RequestFingerprint, Request<CallBody>)> {
+) -> io::Result<(RequestContent, Request<CallBody>)> {
     let (head, body) = req.into_parts();
-    let (fingerprint, body) = fingerprint(&head, body).await?;
-    Ok((fingerprint, Request::from_parts(head, body)))
+    let (content, body) = identify(&head, body).await?;
+    Ok((content, Request::from_parts(head, body)))
 }
 
 /// Returns the host that the request names, in lower case; empty without one.
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -4,7 +4,7 @@
 mod result;
 
 use crate::{
-    content::fingerprint_request,
+    content::identify_request,
     decision_log::{DecisionLog, request_id},
     headers::{HeaderNames, format_millis},
     hop::{HopContext, HopOutcome},
@@ -129,7 +129,7 @@
 
     /// Runs `req` on the server. Dropping the future cancels the request.
     pub async fn run(&self, hop: &HopContext, req: Request<CallBody>) -> GateResult {
-        let Ok((content, req)) = fingerprint_request(req).await else {
+        let Ok((content, req)) = identify_request(req).await else {
             return GateResult::refused("body-cut", Duration::ZERO);
         };
         let id = request_id(req.headers(), &self.names.request_id);
--- a/crates/relay/src/gate/record.rs
+++ b/crates/relay/src/gate/record.rs
@@ -5,7 +5,7 @@
     decision_log::GateDecision,
     hop::{HopContext, HopOutcome},
 };
-use agatehill_decide::{quarantine::RequestFingerprint, time::MonoTime};
+use agatehill_decide::{quarantine::RequestContent, time::MonoTime};
 use std::time::Duration;
 
 /// What is logged about a request at the gate; written on drop.
@@ -13,7 +13,7 @@
     gate: &'a RequestGate,
     hop: &'a HopContext,
     id: String,
-    pub(super) content: RequestFingerprint,
+    pub(super) content: RequestContent,
     pub(super) started: MonoTime,
     pub(super) server: Option<String>,
     /// Running and queued requests on arrival.
@@ -28,7 +28,7 @@
         gate: &'a RequestGate,
         hop: &'a HopContext,
         id: &str,
-        content: RequestFingerprint,
+        content: RequestContent,
     ) -> GateRecord<'a> {
         GateRecord {
             gate,
@@ -51,7 +51,7 @@
         let now = self.gate.clock.now();
         let decision = GateDecision {
             id: &self.id,
-            content: self.content,
+            content: self.content.fingerprint,
             hop: self.hop,
             outcome: self.outcome,
             reason: self.reason,
