Keep the limits that servers name in their responses, and believe that they leave

Cause: Server-Limit and Server-Leaving were read nowhere. The class: what a server says reaches no process that decides, or ends with the one process that heard it.

The gate beside a server passes every request for it, so the limit is kept there, by a token bucket at the named rate (decide server_notice): half a second's burst, tokens kept back from less important ranks, none from nested requests. What it turns away has not run, costs no retry budget and does not count against the gates that a request may try; entries avoid such a gate for the time that it names, 0.5 s at most.

A response that names less counts at once, one that names more or none only if its request was sent after the last naming arrived: responses overtake each other. A text that is no decimal number says nothing. A new incarnation under the same id keeps the limit until it responds; any other server has none. Entries store what the gates that they use have said and send it with their requests, so that a restarted gate takes it over, unless the server has responded to it since. Server-Leaving makes the server's state leaving for that incarnation, whatever its heartbeats say, and travels the same way.

--- a/crates/decide/src/gate_selection.rs
+++ b/crates/decide/src/gate_selection.rs
@@ -29,6 +29,9 @@
 /// Latency surcharge for an avoided gate, which is selected only if no other gate is left.
 const BACKOFF_SURCHARGE: Duration = Duration::from_secs(60);
 
+/// Latency surcharge for a gate whose server has reached the limit that it named: more than any distance.
+const LIMITED_SURCHARGE: Duration = Duration::from_secs(5);
+
 /// Distance of a gate from the daemon that selects.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum GateDistance {
@@ -69,6 +72,8 @@
     /// Number of consecutive failures.
     failures: u32,
     avoid_until: MonoTime,
+    /// Time until which its server is not expected to accept more.
+    limited_until: MonoTime,
 }
 
 /// Selects gates by what a daemon has measured of them.
@@ -150,6 +155,11 @@
         history.latencies.insert(route, estimate);
     }
 
+    /// Records that the server behind `gate` has reached its limit and accepts no more until `until`.
+    pub fn record_limited(&mut self, gate: SocketAddr, until: MonoTime) {
+        self.gates.entry(gate).or_default().limited_until = until;
+    }
+
     /// Records that `gate` did not accept a request or that a response was lost.
     pub fn record_failure(&mut self, gate: SocketAddr, now: MonoTime) {
         let history = self.gates.entry(gate).or_default();
@@ -172,6 +182,9 @@
         if now < history.avoid_until {
             cost += BACKOFF_SURCHARGE.as_secs_f64() * 1e3;
         }
+        if now < history.limited_until {
+            cost += LIMITED_SURCHARGE.as_secs_f64() * 1e3;
+        }
         let latency = history.latencies.get(&route).map_or(0.0, |l| l.aged(now));
         let occupancy = f64::from(history.in_flight) / f64::from(candidate.slots.max(1));
         cost + latency * (1.0 + occupancy)
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod retry;
 pub mod route;
 pub mod route_limit;
+pub mod server_notice;
 pub mod server_tracker;
 pub mod service_config;
 pub mod service_retry_budget;
--- a/crates/decide/src/server_tracker.rs
+++ b/crates/decide/src/server_tracker.rs
@@ -150,6 +150,13 @@
         }
     }
 
+    /// Records that the current incarnation has said that it accepts no new work.
+    pub fn record_leaving(&mut self) {
+        if let Some(current) = &mut self.current {
+            current.heartbeat.is_leaving = true;
+        }
+    }
+
     /// Records that nothing listens at the address of server `id`; returns whether that is news.
     pub fn mark_unreachable(&mut self, id: &str) -> bool {
         let Some(current) = &mut self.current else {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -12,6 +12,7 @@
     gate::GateResult,
     headers::{head_bytes, parse_millis, strip_hop_by_hop},
     hop::{HopContext, HopOutcome},
+    notice::NOTICE,
 };
 use agatehill_decide::{
     call_parent::ParentRequest,
@@ -41,7 +42,10 @@
 const TIMEOUT_GRACE: Duration = Duration::from_millis(100);
 /// Time reserved from a caller's deadline for sending the response back.
 const RESPONSE_RESERVE: Duration = Duration::from_millis(20);
-/// Largest number of gates that one request is sent to; each refusal costs a round trip.
+/// Longest time for which a gate whose server has reached its limit is avoided.
+const LIMIT_PAUSE_MAX: Duration = Duration::from_millis(500);
+/// Largest number of gates that one request is sent to, without those whose server has reached its limit;
+/// each refusal costs a round trip.
 const GATES_MAX: usize = 3;
 /// Latency recorded for a refusal: more than it costs to reach another zone of the region, less
 /// than to reach another region, which is likely to be under the same load.
@@ -72,6 +76,8 @@
     /// Identifies its content; known only once there are suspects.
     content: Option<RequestContent>,
     gates_tried: Vec<SocketAddr>,
+    /// Number of them whose server had reached its limit.
+    gates_limited: usize,
     /// Number of backend servers that it reached and got no response from.
     servers_reached: u32,
     /// Whether an earlier try may have run.
@@ -112,6 +118,7 @@
             target: None,
             content: None,
             gates_tried: Vec::new(),
+            gates_limited: 0,
             servers_reached: 0,
             may_have_run: false,
             is_in_flight: false,
@@ -149,8 +156,9 @@
         let response_limit = self.time_limit.saturating_sub(RESPONSE_RESERVE);
         self.time_limit = response_limit.min(rule.timeout + TIMEOUT_GRACE);
         strip_hop_by_hop(&mut self.head.headers);
-        // Only daemons report crashes.
+        // Only daemons send these.
         self.head.headers.remove(CRASH_REPORT_HEADER);
+        self.head.headers.remove(NOTICE);
         let limits = BodyLimits {
             buffered_max: BUFFERED_REQUEST_MAX,
             size_max: table.config().limits.body_bytes_max,
@@ -209,7 +217,9 @@
                         break;
                     }
                 }
-                HopOutcome::Refused => {}
+                HopOutcome::Refused => {
+                    self.gates_limited += usize::from(self.is_limited(gate));
+                }
             }
             next = copy;
         }
@@ -264,7 +274,8 @@
         target: &RequestTarget,
         suspect: Option<RequestFingerprint>,
     ) -> Option<SocketAddr> {
-        if self.gates_tried.len() >= GATES_MAX || self.servers_reached >= target.rule.servers_max {
+        let gates_tried = self.gates_tried.len() - self.gates_limited;
+        if gates_tried >= GATES_MAX || self.servers_reached >= target.rule.servers_max {
             return None;
         }
         let candidates = self.entry.options.gates.get(&target.service);
@@ -278,6 +289,18 @@
         }
     }
 
+    /// Returns whether the server behind `gate` has named a limit.
+    fn is_limited(&self, gate: SocketAddr) -> bool {
+        let options = &self.entry.options;
+        if gate == options.gate_addr {
+            let notice = options.gate.server().notice();
+            return notice.is_some_and(|notice| notice.limit.is_some());
+        }
+        let state = self.entry.lock();
+        let notice = state.notices.get(gate);
+        notice.is_some_and(|notice| notice.limit.is_some())
+    }
+
     /// Sends the request to `gate` and records the result.
     async fn try_gate(
         &mut self,
@@ -347,9 +370,14 @@
         started: MonoTime,
     ) {
         let now = self.entry.options.clock.now();
+        let is_limited = result.outcome == HopOutcome::Refused && self.is_limited(gate);
         let mut state = self.entry.lock();
         let latency = match result.outcome {
             HopOutcome::Lost => return state.selector.record_failure(gate, now),
+            HopOutcome::Refused if is_limited => {
+                let pause = result.retry_after.min(LIMIT_PAUSE_MAX);
+                return state.selector.record_limited(gate, now + pause);
+            }
             HopOutcome::Answered => now.since(started),
             HopOutcome::Refused | HopOutcome::Shed => REFUSAL_LATENCY,
         };
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -10,6 +10,7 @@
     gate_view::GateView,
     headers::HeaderNames,
     hop::{HopContext, HopOutcome},
+    notice::{self, KnownNotices},
     pool::{ConnectionPool, PoolOptions, SendError},
 };
 use agatehill_decide::{
@@ -80,6 +81,7 @@
 pub(crate) struct EntryState {
     pub(crate) selector: GateSelector,
     pub(crate) retry_budget: ServiceRetryBudget,
+    pub(crate) notices: KnownNotices,
     round_robins: HashMap<RouteKey, WeightedRoundRobin>,
 }
 
@@ -151,6 +153,11 @@
             return RelayError::BadRequest.response();
         };
         self.learn_strikes(&mut head.headers);
+        let server = self.options.gate.server();
+        let known = notice::take(&mut head.headers);
+        if let Some(notice) = &known {
+            server.adopt_notice(notice);
+        }
         let req = Request::from_parts(head, body);
         let result = self.options.gate.run(&hop, req).await;
         let mut response = result.response.unwrap_or_else(|| match result.outcome {
@@ -161,6 +168,11 @@
             }
         });
         let headers = response.headers_mut();
+        headers.remove(notice::NOTICE);
+        let notice = server.notice();
+        if let Some(notice) = notice.filter(|n| known.is_some() || n.is_restrictive()) {
+            notice::write(&notice, headers);
+        }
         result.outcome.write(headers);
         if !result.strikes.is_empty() {
             headers.insert(CRASH_REPORT_HEADER, crash_report_value(&result.strikes));
@@ -195,6 +207,10 @@
             let value = crash_report_value(strikes);
             req.headers_mut().insert(CRASH_REPORT_HEADER, value);
         }
+        if let Some(known) = self.lock().notices.get(gate) {
+            notice::write(known, req.headers_mut());
+        }
+        let sent_at = self.options.clock.now();
         let response = match self.pool.send(gate, req).await {
             Ok(response) => response,
             Err(SendError::NotSent) => {
@@ -209,6 +225,10 @@
             return GateResult::lost("answer-broken");
         };
         let outcome = HopOutcome::take(&mut head.headers).unwrap_or(HopOutcome::Lost);
+        if let Some(notice) = notice::take(&mut head.headers) {
+            let now = self.options.clock.now();
+            self.lock().notices.record(gate, &notice, sent_at, now);
+        }
         if outcome != HopOutcome::Answered {
             self.learn_strikes(&mut head.headers);
             let retry_after = head.headers.get(RETRY_AFTER);
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -8,13 +8,15 @@
     decision_log::{DecisionLog, request_id},
     headers::{HeaderNames, format_millis},
     hop::{HopContext, HopOutcome},
-    host_server::{HostServer, ServerSlot, SlotOutcome, SlotRequest},
+    host_server::{HostServer, ServerPermit, ServerSlot, SlotOutcome, SlotRequest},
+    notice,
     pool::{ConnectionPool, PoolOptions, PooledResponse, SendError},
 };
 use agatehill_backend::quarantine::{CrashReportQueue, FleetQuarantine, QuarantineGuard};
 use agatehill_decide::{
     admission::AdmissionRequest,
     call_parent::ParentRequest,
+    server_notice::RequestUrgency,
     server_tracker::{HeartbeatEffect, ServerHeartbeat},
     time::MonoTime,
 };
@@ -52,6 +54,7 @@
 
 /// A request that the server runs.
 struct GateRun {
+    permit: ServerPermit,
     slot: ServerSlot,
     quarantine: QuarantineGuard<CrashReportQueue>,
 }
@@ -155,6 +158,10 @@
             return GateResult::refused("no-server", NO_SERVER_RETRY_AFTER);
         };
         record.server = Some(heartbeat.id.clone());
+        let permit = match self.server.take_permit(&heartbeat, urgency(hop)) {
+            Ok(permit) => permit,
+            Err(retry_after) => return GateResult::refused("server-limited", retry_after),
+        };
         let slot_request = SlotRequest {
             route: hop.route,
             arrived: started,
@@ -187,7 +194,11 @@
         if remaining.is_zero() {
             return GateResult::refused("no-time", NO_SERVER_RETRY_AFTER);
         }
-        let run = GateRun { slot, quarantine };
+        let run = GateRun {
+            permit,
+            slot,
+            quarantine,
+        };
         self.send(hop, &heartbeat, req, run, remaining).await
     }
 
@@ -220,6 +231,8 @@
         };
         run.slot.begin_run(end, parent);
         run.quarantine.record_sent();
+        run.permit.spend();
+        let sent_at = self.clock.now();
         let sent = timeout(remaining, self.pool.send(heartbeat.address, req));
         let response = match sent.await {
             Ok(Ok(response)) => response,
@@ -238,7 +251,9 @@
             }
             Err(_) => return GateResult::lost("no-answer-in-time"),
         };
-        match self.classify(&response.head, id.as_ref()) {
+        let outcome = self.classify(&response.head, id.as_ref());
+        self.record_notice(heartbeat, &response.head, outcome, sent_at);
+        match outcome {
             HopOutcome::Answered => {}
             // The response may belong to another request. Dropping it closes the connection, so
             // that no later bytes are taken for another response.
@@ -282,6 +297,7 @@
         let GateRun {
             slot,
             mut quarantine,
+            ..
         } = run;
         let remaining = end.since(self.clock.now());
         let (head, body) = match timeout(remaining, response.read(slot)).await {
@@ -337,6 +353,23 @@
         }
     }
 
+    /// Records what the server says about itself. Nothing is known from the response of another server
+    /// or to another request.
+    fn record_notice(
+        &self,
+        heartbeat: &ServerHeartbeat,
+        head: &Parts,
+        outcome: HopOutcome,
+        sent_at: MonoTime,
+    ) {
+        if outcome == HopOutcome::Lost || head.status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        if let Some(notice) = notice::read_response(&head.headers, &self.names, heartbeat) {
+            self.server.record_notice(&notice, sent_at);
+        }
+    }
+
     /// Returns the outcome of the request with the id `id`, judged by the response head.
     fn classify(&self, head: &Parts, id: Option<&HeaderValue>) -> HopOutcome {
         let echo = head.headers.get(&self.names.request_id);
@@ -383,3 +416,11 @@
 fn slot_rank(hop: &HopContext) -> u32 {
     hop.rank * 2 + u32::from(!hop.is_nested)
 }
+
+/// Returns how urgent a request is where the server takes fewer than it is sent.
+fn urgency(hop: &HopContext) -> RequestUrgency {
+    match hop.is_nested {
+        true => RequestUrgency::Nested,
+        false => RequestUrgency::Root(hop.rank),
+    }
+}
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -26,6 +26,10 @@
     pub response_seal: HeaderName,
     /// Present in the response of a server that has not run the request.
     pub not_executed: HeaderName,
+    /// Number of requests a second that the server takes from all hosts together.
+    pub server_limit: HeaderName,
+    /// Is 1 in the responses of a server that accepts no new work.
+    pub server_leaving: HeaderName,
 }
 
 // Hop-by-hop headers that the http crate has no names for.
--- a/crates/relay/src/host_server.rs
+++ b/crates/relay/src/host_server.rs
@@ -1,5 +1,6 @@
 //! The backend server on this host: its state by heartbeats, and the slots that requests wait for.
 
+mod notice;
 mod slot;
 
 use agatehill_decide::{
@@ -8,6 +9,7 @@
     gate_selection::RouteKey,
     occupancy::OccupancyLimit,
     route_limit::RouteLimit,
+    server_notice::NoticeTracker,
     server_tracker::{HeartbeatEffect, ServerHeartbeat, ServerTracker},
     time::MonoTime,
 };
@@ -22,6 +24,8 @@
 };
 use tokio::sync::{oneshot, watch};
 
+pub use notice::ServerPermit;
+pub(crate) use notice::identity;
 pub use slot::{ServerSlot, SlotOutcome};
 
 /// Retry-after of requests whose wait for a slot fails; callers get it if no other gate accepts
@@ -73,6 +77,8 @@
 
 struct HostState {
     tracker: ServerTracker,
+    /// What the server says in its responses.
+    notices: NoticeTracker,
     admission: SlotAdmission,
     waiting: SecondaryMap<WaitKey, oneshot::Sender<bool>>,
     slots: u32,
@@ -94,6 +100,7 @@
     pub fn open(heartbeat_interval: Duration, clock: MonoClock) -> HostServer {
         let state = HostState {
             tracker: ServerTracker::new(heartbeat_interval * MISSED_HEARTBEATS_MAX),
+            notices: NoticeTracker::default(),
             admission: SlotAdmission::new(1),
             waiting: SecondaryMap::new(),
             slots: 1,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod headers;
 pub mod hop;
 pub mod host_server;
+mod notice;
 pub mod pool;
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -265,6 +265,8 @@
         expected_server: HeaderName::from_static("x-expected"),
         response_seal: HeaderName::from_static("x-seal"),
         not_executed: HeaderName::from_static("x-unrun"),
+        server_limit: HeaderName::from_static("x-limit"),
+        server_leaving: HeaderName::from_static("x-leaving"),
     }
 }
 
