Keep an acknowledged leave when the daemon restarts

Cause: the leave ended with the process that had heard it, the same class as the limits. A daemon that starts knows no server, and a heartbeat as late as its start was believed.

The host record in the keepers' directory now names the last server that has left or is leaving, by id and start. ServerIdentity moves to the tracker, which had a bare tuple for it.

Left: a daemon killed before its record has reached a keeper (two are sent it at once) still forgets.

--- a/crates/decide/src/host_directory.rs
+++ b/crates/decide/src/host_directory.rs
@@ -1,6 +1,9 @@
 //! Directory of all hosts with their daemons and backend servers, as keepers distribute it.
 
-use crate::name::{Incarnation, RegionName, ServiceName, ZoneName};
+use crate::{
+    name::{Incarnation, RegionName, ServiceName, ZoneName},
+    server_tracker::ServerIdentity,
+};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::BTreeMap,
@@ -23,6 +26,9 @@
     pub zone: ZoneName,
     /// Backend server, while it accepts work through this daemon.
     pub server: Option<ServerRecord>,
+    /// Last backend server of this host that accepts no new work as it leaves. A daemon that starts
+    /// again takes it over, because a late heartbeat may name that server.
+    pub left: Option<ServerIdentity>,
 }
 
 /// A backend server that accepts work.
@@ -51,13 +57,17 @@
 }
 
 impl HostDirectory {
-    /// Merges `record` if it is newer than the one held; returns whether it was.
-    pub fn merge(&mut self, record: HostRecord) -> bool {
+    /// Merges `record` if it is newer than the one held; returns whether it was. A run of a daemon that
+    /// knows of no server that has left keeps what the one before knew.
+    pub fn merge(&mut self, mut record: HostRecord) -> bool {
         let order = |record: &HostRecord| (record.run, record.sequence);
         let held = self.hosts.get(&record.gate);
         if held.is_some_and(|held| order(&held.record) >= order(&record)) {
             return false;
         }
+        if record.left.is_none() {
+            record.left = held.and_then(|held| held.record.left.clone());
+        }
         self.changes += 1;
         let change = self.changes;
         self.hosts
--- a/crates/decide/src/server_notice.rs
+++ b/crates/decide/src/server_notice.rs
@@ -10,7 +10,7 @@
 
 mod bucket;
 
-use crate::time::MonoTime;
+use crate::{server_tracker::ServerIdentity, time::MonoTime};
 use bucket::RateBucket;
 use std::{fmt, str::FromStr, time::Duration};
 
@@ -59,15 +59,6 @@
     }
 }
 
-/// Identifies one incarnation of a backend server.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ServerIdentity {
-    /// Identity chosen by the server; may be reused after a restart.
-    pub id: String,
-    /// Start of the incarnation, in milliseconds since the Unix epoch.
-    pub started_ms: u64,
-}
-
 /// What a server has said.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServerNotice {
--- a/crates/decide/src/server_tracker.rs
+++ b/crates/decide/src/server_tracker.rs
@@ -5,12 +5,22 @@
 //! ended. A server that announced that it leaves never accepts work again in that incarnation.
 
 use crate::{name::ServiceName, time::MonoTime};
+use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
 
 /// Maximum delay of a heartbeat. If a server left before any of its heartbeats arrived, heartbeats
 /// with its identity are ignored for this long: a delayed one looks like one of a new start.
 const HEARTBEAT_DELAY_MAX: Duration = Duration::from_secs(10);
 
+/// Identifies one incarnation of a backend server.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct ServerIdentity {
+    /// Identity chosen by the server; may be reused after a restart.
+    pub id: String,
+    /// Start of the incarnation by the server's clock, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+}
+
 /// A heartbeat of a backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServerHeartbeat {
@@ -32,6 +42,16 @@
     pub slow_start_left: Duration,
 }
 
+impl ServerHeartbeat {
+    /// Returns the identity of the incarnation that sent it.
+    pub fn identity(&self) -> ServerIdentity {
+        ServerIdentity {
+            id: self.id.clone(),
+            started_ms: self.started_ms,
+        }
+    }
+}
+
 /// Effect of a heartbeat.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum HeartbeatEffect {
@@ -59,8 +79,8 @@
 pub struct ServerTracker {
     heartbeat_timeout: Duration,
     current: Option<CurrentServer>,
-    /// Identity and start time of the incarnation that ended last.
-    ended: Option<(String, u64)>,
+    /// The incarnation that ended last.
+    ended: Option<ServerIdentity>,
     /// Identity of a server that left while none was known, and the time at which it left.
     left_unseen: Option<(String, MonoTime)>,
 }
@@ -83,9 +103,9 @@
         mut heartbeat: ServerHeartbeat,
         now: MonoTime,
     ) -> HeartbeatEffect {
-        let is_ended = |(id, started_ms): &(String, u64)| {
-            heartbeat.started_ms < *started_ms
-                || (heartbeat.started_ms == *started_ms && *id == heartbeat.id)
+        let is_ended = |ended: &ServerIdentity| {
+            heartbeat.started_ms < ended.started_ms
+                || (heartbeat.started_ms == ended.started_ms && heartbeat.id == ended.id)
         };
         let has_left = |(id, at): &(String, MonoTime)| {
             *id == heartbeat.id && now.since(*at) < HEARTBEAT_DELAY_MAX
@@ -134,7 +154,7 @@
         };
         match &self.current {
             Some(current) if matches(&current.heartbeat) => {
-                self.ended = Some((id.to_owned(), current.heartbeat.started_ms));
+                self.ended = Some(current.heartbeat.identity());
                 self.current = None;
                 true
             }
@@ -142,7 +162,12 @@
             // The daemon restarted and has received no heartbeat yet.
             None => {
                 match started_ms {
-                    Some(started_ms) => self.ended = Some((id.to_owned(), started_ms)),
+                    Some(started_ms) => {
+                        self.ended = Some(ServerIdentity {
+                            id: id.to_owned(),
+                            started_ms,
+                        });
+                    }
                     None => self.left_unseen = Some((id.to_owned(), now)),
                 }
                 false
@@ -150,6 +175,25 @@
         }
     }
 
+    /// Takes over from an earlier run of the daemon that `left` accepts no new work.
+    pub fn adopt_left(&mut self, left: &ServerIdentity) {
+        if self.ended.is_some() {
+            return;
+        }
+        self.ended = Some(left.clone());
+        let has_left = |current: &CurrentServer| current.heartbeat.identity() == *left;
+        if self.current.as_ref().is_some_and(has_left) {
+            self.current = None;
+        }
+    }
+
+    /// Returns the last incarnation that is known to accept no new work.
+    pub fn left(&self) -> Option<ServerIdentity> {
+        let leaving = self.current().filter(|heartbeat| heartbeat.is_leaving);
+        let leaving = leaving.map(ServerHeartbeat::identity);
+        leaving.or_else(|| self.ended.clone())
+    }
+
     /// Records that the current incarnation has said that it accepts no new work.
     pub fn record_leaving(&mut self) {
         if let Some(current) = &mut self.current {
--- a/crates/decide/tests/host_directory.rs
+++ b/crates/decide/tests/host_directory.rs
@@ -3,6 +3,7 @@
 use agatehill_decide::{
     host_directory::{HostDirectory, HostRecord},
     name::{Incarnation, RegionName, ZoneName},
+    server_tracker::ServerIdentity,
 };
 use rstest::rstest;
 
@@ -14,6 +15,7 @@
         region: RegionName::try_from("vest").unwrap(),
         zone: ZoneName::try_from("herning-1").unwrap(),
         server: None,
+        left: None,
     }
 }
 
@@ -57,3 +59,26 @@
     second.merge(record(3, 1, 0));
     assert_ne!(first.digest(), second.digest());
 }
+
+/// A daemon that has started again doesn't know yet which server had left.
+#[test]
+fn a_new_run_keeps_the_server_that_has_left() {
+    let left = |id: &str| {
+        Some(ServerIdentity {
+            id: id.to_owned(),
+            started_ms: 1,
+        })
+    };
+    let with_left = |run, sequence, id| HostRecord {
+        left: left(id),
+        ..record(1, run, sequence)
+    };
+    let mut directory = HostDirectory::default();
+    directory.merge(with_left(5, 1, "i-1"));
+    directory.merge(record(1, 6, 0));
+    let held =
+        |directory: &HostDirectory| directory.get(record(1, 0, 0).gate).unwrap().left.clone();
+    assert_eq!(held(&directory), left("i-1"));
+    directory.merge(with_left(6, 1, "i-2"));
+    assert_eq!(held(&directory), left("i-2"));
+}
--- a/crates/decide/tests/server_notice.rs
+++ b/crates/decide/tests/server_notice.rs
@@ -2,7 +2,8 @@
 //! through.
 
 use agatehill_decide::{
-    server_notice::{NoticeTracker, RequestUrgency, ServerIdentity, ServerNotice},
+    server_notice::{NoticeTracker, RequestUrgency, ServerNotice},
+    server_tracker::ServerIdentity,
     time::MonoTime,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
--- a/crates/decide/tests/server_tracker.rs
+++ b/crates/decide/tests/server_tracker.rs
@@ -136,3 +136,21 @@
     assert_eq!(effect, HeartbeatEffect::Changed);
     assert!(tracker.serving(MonoTime::ZERO).is_some());
 }
+
+/// A daemon that starts again is told which server had left, before or after a late heartbeat of it.
+#[rstest]
+#[case::told_first(true)]
+#[case::heartbeat_first(false)]
+fn a_server_that_had_left_before_the_start_is_not_believed(#[case] is_told_first: bool) {
+    let mut tracker = ServerTracker::new(HEARTBEAT_TIMEOUT);
+    let late = heartbeat("i-1", 1_000, 3);
+    let left = late.identity();
+    if is_told_first {
+        tracker.adopt_left(&left);
+    }
+    tracker.record_heartbeat(late, MonoTime::ZERO);
+    tracker.adopt_left(&left);
+    assert_eq!(tracker.serving(MonoTime::ZERO), None);
+    tracker.record_heartbeat(heartbeat("i-1", 2_000, 1), MonoTime::ZERO);
+    assert!(tracker.serving(MonoTime::ZERO).is_some());
+}
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -14,6 +14,7 @@
         POLL_RETRY_PAUSE,
     },
     name::{Incarnation, KeeperName, RegionName, ZoneName},
+    server_tracker::ServerIdentity,
 };
 use agatehill_peer::fleet::{SyncReply, SyncRequest};
 use futures_util::{
@@ -60,6 +61,8 @@
     directory: Mutex<HostDirectory>,
     config: watch::Sender<Option<AcceptedConfig>>,
     directory_changes: watch::Sender<u64>,
+    /// The server that had left this host, as an earlier run of the daemon told the keepers.
+    left_before: watch::Sender<Option<ServerIdentity>>,
     /// Whether a keeper in contact with the leader has replied since the start.
     has_synced: watch::Sender<bool>,
     pub(crate) strike_mismatch: StrikeMismatch,
@@ -93,6 +96,7 @@
             region: options.region.clone(),
             zone: options.zone.clone(),
             server: None,
+            left: None,
         };
         let sync = FleetSync {
             shared: Arc::new(SyncShared {
@@ -102,6 +106,7 @@
                 directory: Mutex::default(),
                 config: watch::channel(None).0,
                 directory_changes: watch::channel(0).0,
+                left_before: watch::channel(None).0,
                 has_synced: watch::channel(false).0,
                 strike_mismatch: StrikeMismatch::default(),
             }),
@@ -121,6 +126,11 @@
         self.shared.directory_changes.subscribe()
     }
 
+    /// Subscribes to the server that had left this host before the daemon started.
+    pub fn left_before(&self) -> watch::Receiver<Option<ServerIdentity>> {
+        self.shared.left_before.subscribe()
+    }
+
     /// Subscribes to whether a keeper in contact with the leader has replied since the start.
     pub fn has_synced(&self) -> watch::Receiver<bool> {
         self.shared.has_synced.subscribe()
@@ -141,14 +151,16 @@
         }
     }
 
-    /// Sets the backend server that accepts requests on this host and publishes a change to the
-    /// keepers.
-    pub fn set_server(&self, server: Option<ServerRecord>) {
+    /// Sets the backend server that accepts requests on this host, and the last one that has left it;
+    /// publishes a change to the keepers.
+    pub fn set_server(&self, server: Option<ServerRecord>, left: Option<ServerIdentity>) {
         let mut record = self.record();
-        if record.server == server {
+        let left = left.or_else(|| record.left.clone());
+        if record.server == server && record.left == left {
             return;
         }
         record.server = server;
+        record.left = left;
         record.sequence += 1;
         drop(record);
         self.shared
@@ -266,10 +278,11 @@
                 .directory_changes
                 .send_modify(|changes| *changes += 1);
         }
-        let own = directory.get(self.shared.options.gate_addr).cloned();
         drop(directory);
-        if let Some(own) = own {
-            self.supersede(&own);
+        let gate = self.shared.options.gate_addr;
+        if let Some(own) = reply.hosts.iter().find(|record| record.gate == gate) {
+            self.supersede(own);
+            self.adopt_left(own);
         }
     }
 
@@ -293,6 +306,18 @@
         }
     }
 
+    /// Takes over the server that had left this host from `known`, a record of an earlier run or one that
+    /// the keepers have completed from it.
+    fn adopt_left(&self, known: &HostRecord) {
+        let mut record = self.record();
+        if record.left.is_some() || known.left.is_none() {
+            return;
+        }
+        record.left.clone_from(&known.left);
+        drop(record);
+        self.shared.left_before.send_replace(known.left.clone());
+    }
+
     fn record(&self) -> MutexGuard<'_, HostRecord> {
         let record = self.shared.record.lock();
         record.expect("no thread panics while it holds the record")
--- a/crates/relay/src/host_server.rs
+++ b/crates/relay/src/host_server.rs
@@ -10,7 +10,7 @@
     occupancy::OccupancyLimit,
     route_limit::RouteLimit,
     server_notice::NoticeTracker,
-    server_tracker::{HeartbeatEffect, ServerHeartbeat, ServerTracker},
+    server_tracker::{HeartbeatEffect, ServerHeartbeat, ServerIdentity, ServerTracker},
     time::MonoTime,
 };
 use agatehill_process::clock::MonoClock;
@@ -25,7 +25,6 @@
 use tokio::sync::{oneshot, watch};
 
 pub use notice::ServerPermit;
-pub(crate) use notice::identity;
 pub use slot::{ServerSlot, SlotOutcome};
 
 /// Retry-after of requests whose wait for a slot fails; callers get it if no other gate accepts
@@ -152,6 +151,17 @@
         was_present
     }
 
+    /// Takes over from an earlier run of the daemon that `left` accepts no new work.
+    pub fn adopt_left(&self, left: &ServerIdentity) {
+        self.lock().tracker.adopt_left(left);
+        self.refresh();
+    }
+
+    /// Returns the last incarnation that is known to accept no new work.
+    pub fn left(&self) -> Option<ServerIdentity> {
+        self.lock().tracker.left()
+    }
+
     /// Records that nothing listens at the address of the server `id`.
     pub fn mark_unreachable(&self, id: &str) {
         if self.lock().tracker.mark_unreachable(id) {
--- a/crates/relay/src/host_server/notice.rs
+++ b/crates/relay/src/host_server/notice.rs
@@ -2,7 +2,7 @@
 
 use super::HostServer;
 use agatehill_decide::{
-    server_notice::{RequestUrgency, ServerIdentity, ServerNotice},
+    server_notice::{RequestUrgency, ServerNotice},
     server_tracker::ServerHeartbeat,
     time::MonoTime,
 };
@@ -43,7 +43,7 @@
         urgency: RequestUrgency,
     ) -> Result<ServerPermit, Duration> {
         let now = self.shared.clock.now();
-        let server = identity(heartbeat);
+        let server = heartbeat.identity();
         self.lock().notices.try_take(&server, urgency, now)?;
         Ok(ServerPermit {
             server: self.clone(),
@@ -68,7 +68,7 @@
     /// Returns what the present server has said; `None` without a server.
     pub fn notice(&self) -> Option<ServerNotice> {
         let state = self.lock();
-        let server = identity(state.tracker.current()?);
+        let server = state.tracker.current()?.identity();
         Some(state.notices.notice(server))
     }
 
@@ -82,7 +82,7 @@
         if !notice.is_restrictive() && state.notices.is_settled(&notice.server) {
             return;
         }
-        let current = state.tracker.current().map(identity);
+        let current = state.tracker.current().map(ServerHeartbeat::identity);
         if current.as_ref() != Some(&notice.server) || !change(&mut state) {
             return;
         }
@@ -96,14 +96,6 @@
     }
 }
 
-/// Returns the identity of the incarnation that sent `heartbeat`.
-pub(crate) fn identity(heartbeat: &ServerHeartbeat) -> ServerIdentity {
-    ServerIdentity {
-        id: heartbeat.id.clone(),
-        started_ms: heartbeat.started_ms,
-    }
-}
-
 /// Writes a log line and sets the metrics when a statement changes.
 fn report(notice: &ServerNotice) {
     let limit = notice.limit.map(|limit| limit.per_second());
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -1,9 +1,9 @@
 //! Headers with what a backend server says about itself: the server's own, and those between daemons.
 
-use crate::{headers::HeaderNames, host_server::identity};
+use crate::headers::HeaderNames;
 use agatehill_decide::{
-    server_notice::{RequestRate, ServerIdentity, ServerNotice},
-    server_tracker::ServerHeartbeat,
+    server_notice::{RequestRate, ServerNotice},
+    server_tracker::{ServerHeartbeat, ServerIdentity},
     time::MonoTime,
 };
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -27,7 +27,7 @@
     };
     let leaving = headers.get(&names.server_leaving);
     Some(ServerNotice {
-        server: identity(heartbeat),
+        server: heartbeat.identity(),
         limit,
         is_leaving: leaving.is_some_and(|value| value == "1"),
     })
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -131,6 +131,7 @@
                 id: self.server.id.clone(),
                 slots: 2,
             }),
+            left: None,
         }
     }
 }
