Save strikes that reach a keeper before its saving task has run

What callers could see: after a loss of power of everything, a strike that had arrived in the first moment of a keeper's run was missing in its file. Cause: the task subscribed to changes when it first ran, and took what had come before for known.

It now saves at once if there are any.

--- a/crates/fleet/src/crash_log.rs
+++ b/crates/fleet/src/crash_log.rs
@@ -68,6 +68,10 @@
     /// Saves the strikes after each change, forever.
     pub(crate) async fn save_changes(&self) {
         let mut changes = self.changes.subscribe();
+        if self.change_count() > 0 {
+            // Reports may have arrived before this task ran for the first time.
+            changes.mark_changed();
+        }
         while changes.changed().await.is_ok() {
             sleep(SAVE_DELAY).await;
             changes.mark_unchanged();
