--- a/crates/backend/src/quarantine.rs
+++ b/crates/backend/src/quarantine.rs
@@ -3,6 +3,7 @@
 //! Drives [`QuarantineState`] and [`ServerRuns`] for the calls at this daemon's gates. When a call
 //! loses its connection, the server is probed; if nothing listens any more, it has crashed.
 
+mod detection;
 mod guard;
 mod probe;
 mod transport;
@@ -11,7 +12,7 @@
     name::{DaemonName, Incarnation},
     quarantine::{
         CrashId, CrashReport, QUARANTINE_DURATION, QuarantineState, RequestContent,
-        RequestFingerprint, RunDecision, RunKey, ServerRuns,
+        RequestFingerprint, RunDecision, ServerRuns,
     },
     time::MonoTime,
 };
@@ -27,6 +28,7 @@
 };
 use tokio::time::sleep;
 
+use detection::ServerProbe;
 pub use guard::QuarantineGuard;
 pub use transport::{CrashReportQueue, CrashReportTransport, ZoneTransport};
 
@@ -35,9 +37,6 @@
 /// Time without a response after which a request may have crashed a server that misses its heartbeats;
 /// longer than most requests run.
 const SILENCE_TIME: Duration = Duration::from_secs(1);
-/// Time between two checks for a response that shows that the server still runs.
-const RESPONSE_POLL_INTERVAL: Duration = Duration::from_millis(5);
-
 /// The quarantine of an availability zone, which its daemons keep among themselves.
 pub type ZoneQuarantine = QuarantineMonitor<ZoneTransport>;
 /// The quarantine of a deployment, which the keepers hand on.
@@ -122,13 +121,6 @@
     last_probe: Arc<tokio::sync::Mutex<Option<ServerProbe>>>,
 }
 
-/// The last probe of a server. Its result serves all calls that were lost before it began.
-#[derive(Clone, Copy, Debug)]
-struct ServerProbe {
-    began: MonoTime,
-    is_down: bool,
-}
-
 impl QuarantineMonitor<ZoneTransport> {
     /// Sets the forward addresses of the zone's other daemons; new ones are sent all strikes.
     pub async fn set_peers(&self, peers: Vec<SocketAddr>) {
@@ -307,87 +299,6 @@
 }
 
 impl<T: CrashReportTransport> MonitorShared<T> {
-    /// Ends `run`, whose connection was lost, and all other runs at the server if that has crashed.
-    ///
-    /// Returns whether the server has crashed, after the others have been notified.
-    async fn end_lost(&self, addr: SocketAddr, run: RunKey) -> bool {
-        let has_crashed = self.has_crashed(addr, run).await;
-        // All calls that a crash has ended return only after the others have been notified of it.
-        let _broadcast = self.broadcast.lock().await;
-        let reports = self.change(|state, now| {
-            if !state.runs_at(addr).contains_run(run) {
-                return Vec::new();
-            }
-            if has_crashed {
-                return state.record_crash(addr, now);
-            }
-            state.runs_at(addr).end_unanswered(run);
-            Vec::new()
-        });
-        self.broadcast(reports).await;
-        has_crashed
-    }
-
-    /// Returns whether the server at `addr`, which does not accept a connection, has crashed; strikes
-    /// the requests that it ended without a response.
-    async fn check_unreachable(&self, addr: SocketAddr) -> bool {
-        let lost_at = self.clock.now();
-        if !self.is_down(addr, lost_at).await {
-            return false;
-        }
-        self.record_crash(addr).await;
-        true
-    }
-
-    /// Strikes the requests that the server at `addr` has not responded to.
-    async fn record_crash(&self, addr: SocketAddr) {
-        let _broadcast = self.broadcast.lock().await;
-        let reports = self.change(|state, now| match state.runs_at(addr).has_candidates() {
-            true => state.record_crash(addr, now),
-            false => Vec::new(),
-        });
-        self.broadcast(reports).await;
-    }
-
-    /// Returns whether the server at `addr`, which ended the connection of `run`, has crashed.
-    async fn has_crashed(&self, addr: SocketAddr, run: RunKey) -> bool {
-        let lost_at = self.clock.now();
-        let responses = self.change(|state, _| {
-            let runs = state.runs_at(addr);
-            runs.record_lost(run);
-            runs.response_count()
-        });
-        // A crash ends all connections, and no response comes after it.
-        let end = lost_at + self.options.response_wait;
-        while self.clock.now() < end {
-            let (has_responded, has_connected_run) = self.change(|state, _| {
-                let runs = state.runs_at(addr);
-                (runs.response_count() != responses, runs.has_connected_run())
-            });
-            if has_responded {
-                return false;
-            }
-            if !has_connected_run {
-                break;
-            }
-            sleep(RESPONSE_POLL_INTERVAL).await;
-        }
-        self.is_down(addr, lost_at).await
-    }
-
-    /// Probes the server at `addr`, unless a probe that began after `lost_at` has ended meanwhile.
-    async fn is_down(&self, addr: SocketAddr, lost_at: MonoTime) -> bool {
-        let last_probe = self.change(|state, _| state.server(addr).last_probe.clone());
-        let mut last_probe = last_probe.lock().await;
-        if let Some(probe) = last_probe.filter(|probe| probe.began >= lost_at) {
-            return probe.is_down;
-        }
-        let began = self.clock.now();
-        let is_down = probe::is_down(addr, self.options.probe_open_time).await;
-        *last_probe = Some(ServerProbe { began, is_down });
-        is_down
-    }
-
     /// Sends `reports` to the other daemons and merges their replies.
     async fn broadcast(&self, reports: Vec<CrashReport>) {
         if reports.is_empty() {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -3,9 +3,11 @@
 //! Gates are tried one after the other until one returns the server's response, no further try is
 //! allowed or the deadline passes.
 
+mod pending;
+mod selection;
+
 use crate::{
     body::{BodyError, BodyLimits, read_body},
-    content::identify,
     decision_log::{EntryDecision, request_id},
     entry::RequestEntry,
     error::RelayError,
@@ -18,7 +20,7 @@
     call_parent::ParentRequest,
     gate_selection::RouteKey,
     name::ServiceName,
-    quarantine::{CrashReport, RequestContent, RequestFingerprint, RunDecision},
+    quarantine::RequestContent,
     service_config::{RouteRule, RouteTable},
     time::MonoTime,
 };
@@ -32,6 +34,8 @@
     time::Duration,
 };
 
+use pending::PendingGuard;
+
 /// Largest request body that is buffered, so that it can be sent again, in bytes.
 pub(crate) const BUFFERED_REQUEST_MAX: usize = 256 * 1024;
 /// Shortest retry-after of a refusal, before jitter.
@@ -44,9 +48,6 @@
 const RESPONSE_RESERVE: Duration = Duration::from_millis(20);
 /// Longest time for which a gate whose server has reached its limit is avoided.
 const LIMIT_PAUSE_MAX: Duration = Duration::from_millis(500);
-/// Largest number of gates that one request is sent to, without those whose server has reached its limit;
-/// each refusal costs a round trip.
-const GATES_MAX: usize = 3;
 /// Latency recorded for a refusal: more than it costs to reach another zone of the region, less
 /// than to reach another region, which is likely to be under the same load.
 const REFUSAL_LATENCY: Duration = Duration::from_millis(300);
@@ -55,9 +56,6 @@
 const LATE_FRACTION_PRIORITY_0: f64 = 0.85;
 /// The same fraction for all other priorities; lower, so that their routes are limited first.
 const LATE_FRACTION: f64 = 0.6;
-/// Time in flight at a gate from which a request that is cancelled without a reply counts as a
-/// failure of the gate.
-const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Shortest remaining time in which a request is retried.
 const RETRY_TIME_MIN: Duration = Duration::from_millis(10);
 
@@ -229,36 +227,6 @@
         }
     }
 
-    /// Returns the fingerprint that selects the gate, if the request is suspected of crashing servers.
-    ///
-    /// # Errors
-    ///
-    /// The request is quarantined, or its body is interrupted.
-    async fn check_quarantine(
-        &mut self,
-        body: CallBody,
-    ) -> Result<(Option<RequestFingerprint>, CallBody), RelayError> {
-        let quarantine = self.entry.gate().quarantine();
-        if !quarantine.has_suspects() {
-            return Ok((None, body));
-        }
-        let (content, body) = match self.content {
-            Some(content) => (content, body),
-            None => identify(&self.head, body)
-                .await
-                .map_err(|_| RelayError::BadRequest)?,
-        };
-        self.content = Some(content);
-        match quarantine.decide(content) {
-            RunDecision::Unrestricted => Ok((None, body)),
-            RunDecision::Serial => Ok((Some(quarantine.serial_fingerprint(content)), body)),
-            RunDecision::Quarantined(_) if self.may_have_run => Err(RelayError::Lost),
-            RunDecision::Quarantined(remaining) => Err(RelayError::Quarantined {
-                retry_after: add_jitter(remaining),
-            }),
-        }
-    }
-
     fn remaining(&self) -> Duration {
         let end = self.started + self.time_limit;
         end.since(self.entry.options.clock.now())
@@ -269,38 +237,6 @@
         is_allowed && self.entry.lock().retry_budget.try_spend(&target.service)
     }
 
-    fn select_gate(
-        &self,
-        target: &RequestTarget,
-        suspect: Option<RequestFingerprint>,
-    ) -> Option<SocketAddr> {
-        let gates_tried = self.gates_tried.len() - self.gates_limited;
-        if gates_tried >= GATES_MAX || self.servers_reached >= target.rule.servers_max {
-            return None;
-        }
-        let candidates = self.entry.options.gates.get(&target.service);
-        let now = self.entry.options.clock.now();
-        let selector = &self.entry.lock().selector;
-        match suspect {
-            Some(content) => {
-                selector.select_for_suspect(&candidates, &self.gates_tried, content, now)
-            }
-            None => selector.select(&candidates, &self.gates_tried, target.route, now),
-        }
-    }
-
-    /// Returns whether the server behind `gate` has named a limit.
-    fn is_limited(&self, gate: SocketAddr) -> bool {
-        let options = &self.entry.options;
-        if gate == options.gate_addr {
-            let notice = options.gate.server().notice();
-            return notice.is_some_and(|notice| notice.limit.is_some());
-        }
-        let state = self.entry.lock();
-        let notice = state.notices.get(gate);
-        notice.is_some_and(|notice| notice.limit.is_some())
-    }
-
     /// Sends the request to `gate` and records the result.
     async fn try_gate(
         &mut self,
@@ -345,13 +281,6 @@
         result
     }
 
-    /// Returns the strikes against the request that are known here.
-    fn strikes(&self) -> Vec<CrashReport> {
-        let quarantine = self.entry.gate().quarantine();
-        let content = self.content.filter(|_| quarantine.has_suspects());
-        content.map_or_else(Vec::new, |content| quarantine.reports_of(content))
-    }
-
     fn build_request(&self, body: CallBody) -> Request<CallBody> {
         let mut req = Request::new(body);
         *req.method_mut() = self.head.method.clone();
@@ -414,41 +343,6 @@
     }
 }
 
-/// A request in flight at a gate; dropping it ends its count at the gate selection.
-struct PendingGuard<'a> {
-    entry: &'a RequestEntry,
-    gate: SocketAddr,
-    started: MonoTime,
-    /// Whether the gate's result has arrived.
-    has_result: bool,
-}
-
-impl<'a> PendingGuard<'a> {
-    fn begin(entry: &'a RequestEntry, gate: SocketAddr) -> PendingGuard<'a> {
-        entry.lock().selector.record_start(gate);
-        PendingGuard {
-            entry,
-            gate,
-            started: entry.options.clock.now(),
-            has_result: false,
-        }
-    }
-}
-
-impl Drop for PendingGuard<'_> {
-    fn drop(&mut self) {
-        let now = self.entry.options.clock.now();
-        let is_unresponsive = !self.has_result && now.since(self.started) >= UNRESPONSIVE_TIMEOUT;
-        let mut state = self.entry.lock();
-        state.selector.record_end(self.gate);
-        if is_unresponsive {
-            state.selector.record_failure(self.gate, now);
-            drop(state);
-            self.entry.pool.close_idle(self.gate);
-        }
-    }
-}
-
 /// Returns the error for a request that has not run, with jitter on `retry_after`.
 fn unavailable(retry_after: Duration) -> RelayError {
     RelayError::Unavailable {
