Count no crash against a group that another request explains

The fault came with the groups: a path in steady use is in flight at every crash, so that it had three strikes at once.

Cause: presence at a crash was taken for its cause, though the same reports name a better one, the content that was there each time.

Crashes that a request outside the group explains, one with two strikes or more that no response has cleared, don't count against the group. So that strikes tell which requests belong to a group, their fingerprints begin with the first half of the group's; the messages stay as they are. A request of the group that was sent twice explains nothing.

--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -166,16 +166,9 @@
 
     /// Returns how the requests of a group may run.
     pub fn decide_group(&self, now: MonoTime, group: Option<RequestFingerprint>) -> RunDecision {
-        let strikes = group.and_then(|group| self.suspects.get(&group));
-        let Some(strikes) = strikes else {
-            return RunDecision::Unrestricted;
-        };
-        let uncleared = strikes.values().filter(|strike| !strike.cleared);
-        group::decide(
-            now,
-            uncleared.map(|strike| strike.at).collect(),
-            self.first_quarantine,
-        )
+        group.map_or(RunDecision::Unrestricted, |group| {
+            group::decide(now, &self.suspects, group, self.first_quarantine)
+        })
     }
 
     /// Returns how the request may run, before its server is selected: all its strikes count.
--- a/crates/decide/src/quarantine/identity.rs
+++ b/crates/decide/src/quarantine/identity.rs
@@ -7,6 +7,9 @@
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
+/// Number of bytes that the fingerprints of a group and of its requests have in common.
+const GROUP_BYTES: usize = 8;
+
 /// Identifies all requests of a customer with the same content, whatever their request ids.
 ///
 /// The request id is not included because the caller of a poison request may send it again under a
@@ -25,6 +28,13 @@
     }
 }
 
+impl RequestFingerprint {
+    /// Returns whether this is the fingerprint of `group` or of one of its requests.
+    pub(super) fn is_in(self, group: RequestFingerprint) -> bool {
+        self.0[..GROUP_BYTES] == group.0[..GROUP_BYTES]
+    }
+}
+
 /// The fingerprint of a request that belongs to no customer.
 impl From<RequestDigest> for RequestFingerprint {
     fn from(digest: RequestDigest) -> RequestFingerprint {
@@ -66,6 +76,17 @@
 }
 
 impl RequestContent {
+    /// Returns the content of a request that belongs to a group. Its fingerprint begins with the first half
+    /// of the group's, so that strikes tell which group a request belongs to.
+    pub fn in_group(fingerprint: RequestFingerprint, group: RequestFingerprint) -> RequestContent {
+        let mut bytes = fingerprint.0;
+        bytes[..GROUP_BYTES].copy_from_slice(&group.0[..GROUP_BYTES]);
+        RequestContent {
+            fingerprint: RequestFingerprint(bytes),
+            group: Some(group),
+        }
+    }
+
     /// Returns all fingerprints that are struck and cleared with the request.
     pub fn fingerprints(self) -> impl Iterator<Item = RequestFingerprint> {
         [self.fingerprint].into_iter().chain(self.group)
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -423,10 +423,7 @@
 ) {
     let at = |millis| MonoTime::ZERO + Duration::from_millis(millis);
     let mut state = QuarantineState::new(FIRST_QUARANTINE);
-    let content = |request| RequestContent {
-        fingerprint: fingerprint(request),
-        group: Some(fingerprint(0)),
-    };
+    let content = |request| RequestContent::in_group(fingerprint(request), fingerprint(0));
     for (idx, crash) in crashes.iter().enumerate() {
         let struck = content(idx + 1).fingerprints();
         state.record_strikes(at(*crash), crash_id(idx, 0), struck);
@@ -444,3 +441,29 @@
         RunDecision::Unrestricted
     );
 }
+
+/// Crashes of which another request is the likely cause don't count against a group; a request of the
+/// group that was sent twice is no other cause.
+#[rstest]
+#[case::one_request_was_in_flight_at_each(&[Some(9), Some(9), Some(9)], true)]
+#[case::one_request_was_in_flight_at_one(&[Some(9), None, None], false)]
+#[case::another_was_in_flight_at_each(&[Some(7), Some(8), Some(9)], false)]
+fn crashes_that_another_request_explains_do_not_count_against_a_group(
+    #[case] others: &[Option<usize>],
+    #[case] is_explained: bool,
+    #[values(false, true)] comes_twice: bool,
+) {
+    let now = MonoTime::ZERO;
+    let mut state = QuarantineState::new(FIRST_QUARANTINE);
+    let content = |request| RequestContent::in_group(fingerprint(request), fingerprint(0));
+    for (idx, other) in others.iter().enumerate() {
+        let member = if comes_twice { 1 } else { idx + 1 };
+        let struck = content(member).fingerprints().chain(other.map(fingerprint));
+        state.record_strikes(now, crash_id(idx, 0), struck);
+    }
+    let expected = match is_explained {
+        true => RunDecision::Unrestricted,
+        false => RunDecision::Quarantined(FIRST_QUARANTINE),
+    };
+    assert_eq!(state.decide_content(now, content(20)), expected);
+}
--- a/crates/relay/src/content.rs
+++ b/crates/relay/src/content.rs
@@ -3,7 +3,7 @@
 use agatehill_backend::at_most_once::read_prefix;
 use agatehill_decide::{
     claim::{DIGEST_BODY_BYTES_MAX, RequestDigest},
-    quarantine::RequestContent,
+    quarantine::{RequestContent, RequestFingerprint},
 };
 use agatehill_peer::body::CallBody;
 use http::{HeaderValue, Request, header::HOST, request::Parts};
@@ -30,13 +30,15 @@
     let prefix = &bytes[..bytes.len().min(DIGEST_BODY_BYTES_MAX)];
     let (host, method) = (host(head), head.method.as_str());
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let fingerprint = RequestDigest::of(method, &host, path, prefix).into();
+    let fingerprint = RequestFingerprint::from(RequestDigest::of(method, &host, path, prefix));
+    if head.uri.query().is_none() {
+        return Ok((fingerprint.into(), body));
+    }
     // No method contains a space, so that no request has the fingerprint of a group.
-    let group = head.uri.query().map(|_| {
-        let method = format!("{method} with any query");
-        RequestDigest::of(&method, &host, head.uri.path(), prefix).into()
-    });
-    Ok((RequestContent { fingerprint, group }, body))
+    let method = format!("{method} with any query");
+    let group = RequestDigest::of(&method, &host, head.uri.path(), prefix);
+    let content = RequestContent::in_group(fingerprint, group.into());
+    Ok((content, body))
 }
 
 /// Returns what identifies `req`, and the request unchanged.
