Withdraw the strike recorded before a run that the server rejects

What callers could see on the product's own path: a request with one strike whose server then rejected it was refused for an hour. The fault came with the strikes at silent servers, which returned early where a rejection is a sign of life. Found by reading the diff; no test had a rejected suspect.

The drop of the guard now ends the run and updates the strikes in two steps, and only an answer skips the second. The new test failed before (quarantined for 3,600 s) and passes. On the users' platform no strike is recorded before a run, so that nothing changes there.

--- a/crates/backend/src/quarantine/guard.rs
+++ b/crates/backend/src/quarantine/guard.rs
@@ -1,8 +1,8 @@
 //! One monitored call.
 
-use super::{CrashReportTransport, MonitorShared, QuarantineRefusal};
+use super::{CrashReportTransport, MonitorShared, MonitorState, QuarantineRefusal};
 use agatehill_decide::{
-    quarantine::{CrashId, RequestContent, RunDecision, RunKey},
+    quarantine::{CrashId, CrashReport, RequestContent, RunDecision, RunKey},
     time::MonoTime,
 };
 use std::{
@@ -197,42 +197,10 @@
 
 impl<T: CrashReportTransport> Drop for QuarantineGuard<T> {
     fn drop(&mut self) {
-        let (addr, content, end) = (self.addr, self.content, self.end);
-        let fingerprint = content.fingerprint;
         let reports = self.shared.change(|state, now| {
-            let runs = state.runs_at(addr);
-            match (self.run, end) {
-                (Some(run), RunEnd::Unanswered) => runs.end_unanswered(run),
-                (Some(run), _) => runs.end(run),
-                (None, _) => {}
-            }
-            if matches!(end, RunEnd::Answered | RunEnd::Rejected) {
-                runs.record_response(now);
-                let mut reports = state.end_silence(addr, now);
-                if end == RunEnd::Answered {
-                    for fingerprint in content.fingerprints() {
-                        reports.extend(state.quarantine.clear(now, fingerprint));
-                    }
-                }
-                return reports;
-            }
-            if runs.is_struck_ahead(fingerprint) {
-                return Vec::new();
-            }
-            let next = runs.next_crash();
-            // After a crash `next` is the one that follows, so a run that has crashed its server
-            // keeps its strike.
-            let own_crash = if self.has_started {
-                Some(next)
-            } else {
-                self.pending_strike
-            };
-            match own_crash {
-                Some(crash) if crash != next || !runs.contains_request(fingerprint) => {
-                    state.quarantine.withdraw_strike(now, fingerprint, crash)
-                }
-                _ => Vec::new(),
-            }
+            let mut reports = self.end_run(state, now);
+            reports.extend(self.update_strikes(state, now));
+            reports
         });
         let shared = self.shared.clone();
         if !reports.is_empty()
@@ -242,3 +210,49 @@
         }
     }
 }
+
+impl<T: CrashReportTransport> QuarantineGuard<T> {
+    /// Ends the run; returns the reports to send if that shows that the server runs.
+    fn end_run(&self, state: &mut MonitorState, now: MonoTime) -> Vec<CrashReport> {
+        let runs = state.runs_at(self.addr);
+        match (self.run, self.end) {
+            (Some(run), RunEnd::Unanswered) => runs.end_unanswered(run),
+            (Some(run), _) => runs.end(run),
+            (None, _) => {}
+        }
+        if !matches!(self.end, RunEnd::Answered | RunEnd::Rejected) {
+            return Vec::new();
+        }
+        runs.record_response(now);
+        state.end_silence(self.addr, now)
+    }
+
+    /// Clears the request, or withdraws the strike for a crash that its run did not cause; returns the
+    /// reports to send.
+    fn update_strikes(&self, state: &mut MonitorState, now: MonoTime) -> Vec<CrashReport> {
+        if self.end == RunEnd::Answered {
+            let fingerprints = self.content.fingerprints();
+            return fingerprints
+                .flat_map(|fingerprint| state.quarantine.clear(now, fingerprint))
+                .collect();
+        }
+        let fingerprint = self.content.fingerprint;
+        let runs = state.runs_at(self.addr);
+        if runs.is_struck_ahead(fingerprint) {
+            return Vec::new();
+        }
+        let next = runs.next_crash();
+        // After a crash `next` is the one that follows, so a run that has crashed its server keeps its
+        // strike.
+        let own_crash = match self.has_started {
+            true => Some(next),
+            false => self.pending_strike,
+        };
+        match own_crash {
+            Some(crash) if crash != next || !runs.contains_request(fingerprint) => {
+                state.quarantine.withdraw_strike(now, fingerprint, crash)
+            }
+            _ => Vec::new(),
+        }
+    }
+}
--- a/crates/backend/tests/quarantine.rs
+++ b/crates/backend/tests/quarantine.rs
@@ -18,11 +18,15 @@
 const PROBE_TIME_MAX: Duration = Duration::from_secs(5);
 
 fn monitor() -> FleetQuarantine {
+    monitor_with(QuarantineOptions::FLEET)
+}
+
+fn monitor_with(options: QuarantineOptions) -> FleetQuarantine {
     QuarantineMonitor::spawn(
         DaemonName::try_from("daemon-1").unwrap(),
         Incarnation(1),
         MonoClock::open(),
-        QuarantineOptions::FLEET,
+        options,
         CrashReportQueue::default(),
     )
 }
@@ -162,3 +166,22 @@
     drop(answered);
     assert_eq!(monitor.decide(content("/2")), RunDecision::Unrestricted);
 }
+
+/// A run that the server rejected did not crash it, so the strike that was recorded before it is
+/// withdrawn.
+#[tokio::test]
+async fn a_rejected_run_withdraws_the_strike_recorded_before_it() {
+    let monitor = monitor_with(QuarantineOptions::ZONE);
+    let (addr, listener) = listening_server().await;
+    drop(listener);
+    assert!(send(&monitor, addr, "/1").record_lost().await);
+    let (addr, _listener) = listening_server().await;
+    let mut rejected = monitor.guard(addr, content("/1"));
+    let deadline = MonoClock::open().now() + PROBE_TIME_MAX;
+    rejected.wait_ready(deadline).await.unwrap();
+    assert!(rejected.try_start());
+    rejected.record_sent();
+    rejected.record_rejection();
+    drop(rejected);
+    assert_eq!(monitor.decide(content("/1")), RunDecision::Serial);
+}
