--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -14,7 +14,7 @@
 //! written ahead.
 //!
 //! A request that crashes servers may come again with another query each time. So requests that differ
-//! in nothing but their query form a group, which is struck as well; [`group`] has its rule.
+//! in nothing but their query form a group, which is struck as well; the module `group` has its rule.
 //!
 //! Daemons exchange [`CrashReport`]s. Merging them is commutative, associative and idempotent, so
 //! their order and duplicates don't matter.
