Exchange between keepers only the host records that the other lacks

Cause, from reading: each second every keeper exchanged with every other, sent its list of keepers both ways, and got the whole directory whenever two digests differed, as they do while any record is on its way; each new record went to all keepers from both keepers that its daemon had told; each reply to a daemon's poll carried the list of keepers.

Change: a keeper asks three others a round, in turn, with a digest and its position in their changes, and gets what changed since, 256 records at most a reply. New records are collected for 20 ms and cross to one keeper of each other region, which hands them on there; the next is tried if it does not accept. Lists of keepers go out only where digests differ. Replies to daemons collect new hosts for 50 ms. The directory finds changes by number instead of scanning all hosts, and keeps its digest up to date.

Ruled out: positions without digests (each record would travel once for each pair of keepers).

--- a/crates/decide/src/host_directory.rs
+++ b/crates/decide/src/host_directory.rs
@@ -11,6 +11,10 @@
     net::SocketAddr,
 };
 
+/// Most records in one [`DirectoryAnswer`]; about 30 KB, so that a keeper that lacks all of a large
+/// directory fetches it in pieces.
+pub const ANSWER_RECORDS_MAX: usize = 256;
+
 /// A daemon's description of its host.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct HostRecord {
@@ -42,6 +46,40 @@
     pub slots: u32,
 }
 
+/// How far a reader has followed the changes of one directory.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DirectoryPosition {
+    /// Identifies the run of the directory's process; changes are numbered anew in each.
+    pub run: u64,
+    /// Number of the last change that the reader has.
+    pub change: u64,
+}
+
+/// A keeper's question for the records that it lacks.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DirectoryQuery {
+    /// How far the asking keeper has followed the asked one.
+    pub position: DirectoryPosition,
+    /// Digest of the asking keeper's directory.
+    pub digest: u64,
+}
+
+/// The reply to a [`DirectoryQuery`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DirectoryAnswer {
+    /// How far the asking keeper has followed the asked one once it has merged `records`.
+    pub position: DirectoryPosition,
+    /// Records that changed after the position of the query, the earliest change first.
+    pub records: Vec<HostRecord>,
+}
+
+impl DirectoryAnswer {
+    /// Returns whether more records may follow at its position.
+    pub fn is_full(&self) -> bool {
+        self.records.len() == ANSWER_RECORDS_MAX
+    }
+}
+
 #[derive(Clone, Debug)]
 struct DirectoryEntry {
     record: HostRecord,
@@ -53,7 +91,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct HostDirectory {
     hosts: BTreeMap<SocketAddr, DirectoryEntry>,
+    /// Hosts by the change that merged their record.
+    changed: BTreeMap<u64, SocketAddr>,
     changes: u64,
+    digest: u64,
 }
 
 impl HostDirectory {
@@ -68,8 +109,14 @@
         if record.left.is_none() {
             record.left = held.and_then(|held| held.record.left.clone());
         }
+        if let Some(held) = held {
+            self.digest ^= record_digest(&held.record);
+            self.changed.remove(&held.change);
+        }
+        self.digest ^= record_digest(&record);
         self.changes += 1;
         let change = self.changes;
+        self.changed.insert(change, record.gate);
         self.hosts
             .insert(record.gate, DirectoryEntry { record, change });
         true
@@ -90,20 +137,60 @@
         self.hosts.values().map(|entry| &entry.record)
     }
 
-    /// Returns the records that were merged after change number `after`.
+    /// Returns the records that were merged after change number `after`, the earliest first.
     pub fn changed_after(&self, after: u64) -> Vec<HostRecord> {
-        let changed = self.hosts.values().filter(|entry| entry.change > after);
-        changed.map(|entry| entry.record.clone()).collect()
+        let changed = self.changed.range(after + 1..);
+        changed.map(|(_, gate)| self.held(gate).clone()).collect()
+    }
+
+    /// Returns what the asking keeper lacks, [`ANSWER_RECORDS_MAX`] records at most. `run` identifies the
+    /// run of this process.
+    ///
+    /// Equal digests show that it lacks nothing. Else it gets what changed since its position: it keeps
+    /// all that it has once merged.
+    pub fn answer(&self, query: &DirectoryQuery, run: u64) -> DirectoryAnswer {
+        let end = DirectoryPosition {
+            run,
+            change: self.changes,
+        };
+        if query.digest == self.digest {
+            return DirectoryAnswer {
+                position: end,
+                records: Vec::new(),
+            };
+        }
+        let after = match query.position.run == run {
+            true => query.position.change,
+            false => 0,
+        };
+        let changed = self.changed.range(after + 1..).take(ANSWER_RECORDS_MAX);
+        let changed: Vec<_> = changed.collect();
+        let last = match changed.last() {
+            Some((change, _)) if changed.len() == ANSWER_RECORDS_MAX => **change,
+            _ => self.changes,
+        };
+        DirectoryAnswer {
+            position: DirectoryPosition { run, change: last },
+            records: changed
+                .into_iter()
+                .map(|(_, gate)| self.held(gate).clone())
+                .collect(),
+        }
     }
 
     /// Returns a hash that is equal for equal sets of records.
     pub fn digest(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        for entry in self.hosts.values() {
-            entry.record.gate.hash(&mut hasher);
-            entry.record.run.hash(&mut hasher);
-            entry.record.sequence.hash(&mut hasher);
-        }
-        hasher.finish()
+        self.digest
+    }
+
+    fn held(&self, gate: &SocketAddr) -> &HostRecord {
+        &self.hosts[gate].record
     }
 }
+
+/// Returns the part of the digest that comes from one record.
+fn record_digest(record: &HostRecord) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (record.gate, record.run, record.sequence).hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod gate;
 pub mod gate_selection;
 pub mod host_directory;
+pub mod keeper_exchange;
 pub mod keeper_poller;
 pub mod level;
 pub mod limit;
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -5,11 +5,12 @@
 use crate::{
     anti_entropy,
     crash_log::CrashLog,
-    keeper_map::{KeeperMap, keeper_name},
+    host_sharing::{self, ShareQueue},
+    keeper_map::{KeeperMap, KnownKeeper, keeper_name},
 };
 use agatehill_decide::{
     config_history::{ConfigCommand, ConfigHistory, ConfigReply},
-    host_directory::{HostDirectory, HostRecord},
+    host_directory::{DirectoryPosition, HostDirectory, HostRecord},
     name::{Incarnation, KeeperName, RegionName, ZoneName},
     replica::{ReplicaEnvelope, ReplicaId, ReplicaSettings, ReplicaStatus, VoterPolicy},
 };
@@ -25,6 +26,7 @@
 use agatehill_store::{DataFolder, StoreError};
 use serde_json::json;
 use std::{
+    collections::HashMap,
     fmt, io,
     net::{IpAddr, SocketAddr},
     path::PathBuf,
@@ -43,7 +45,7 @@
 const SNAPSHOT_CHUNK_BYTES: usize = 1 << 18;
 /// Time without a message after which a voter is replaced by a reachable keeper.
 const REPLACE_VOTER_AFTER: Duration = Duration::from_secs(8);
-/// Timeout of a message to another keeper: a command for the leader, or shared host records.
+/// Timeout of a command that is forwarded to the leader.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(1_600);
 /// Longest wait for the transfer of leadership before the process stops.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -107,12 +109,15 @@
 pub(crate) struct KeeperShared {
     pub(crate) own_record: KeeperRecord,
     /// Identifies this run; the daemons' positions in the directory are valid for one run only.
-    run: u64,
+    pub(crate) run: u64,
     voters_min: usize,
     pub(crate) keepers: KeeperMap,
     group: GroupHandle<ConfigHistory>,
     outbox: PeerOutbox,
     directory: Mutex<HostDirectory>,
+    /// How far the directories of other keepers have been followed.
+    positions: Mutex<HashMap<KeeperName, DirectoryPosition>>,
+    pub(crate) share_queue: ShareQueue,
     /// Number of directory changes.
     directory_changes: watch::Sender<u64>,
     pub(crate) crash_log: CrashLog,
@@ -133,6 +138,7 @@
         let server = FleetServer::bind(addr, keeper.clone()).await;
         let server = server.map_err(|error| KeeperOpenError::Bind(addr, error))?;
         tokio::spawn(anti_entropy::run_anti_entropy(keeper.clone()));
+        tokio::spawn(host_sharing::share_new_hosts(keeper.clone()));
         let saving = keeper.clone();
         tokio::spawn(async move { saving.shared.crash_log.save_changes().await });
         Ok((keeper, server))
@@ -162,6 +168,8 @@
                 group,
                 outbox,
                 directory: Mutex::default(),
+                positions: Mutex::default(),
+                share_queue: ShareQueue::default(),
                 directory_changes: watch::channel(0).0,
                 crash_log: CrashLog::open(clock, folder.strike_file()),
                 _folder: folder,
@@ -260,17 +268,37 @@
         directory.expect("no thread panics while it holds the directory")
     }
 
+    /// Returns all known keepers but this one.
+    pub(crate) fn others(&self) -> Vec<KnownKeeper> {
+        let mut others = self.shared.keepers.list();
+        others.retain(|other| other.name != self.shared.own_record.name);
+        others
+    }
+
+    /// Returns how far the directory of the keeper `name` has been followed.
+    pub(crate) fn position(&self, name: &KeeperName) -> DirectoryPosition {
+        let positions = self.positions();
+        positions.get(name).copied().unwrap_or_default()
+    }
+
+    /// Sets how far the directory of the keeper `name` has been followed.
+    pub(crate) fn set_position(&self, name: &KeeperName, position: DirectoryPosition) {
+        self.positions().insert(name.clone(), position);
+    }
+
+    fn positions(&self) -> MutexGuard<'_, HashMap<KeeperName, DirectoryPosition>> {
+        let positions = self.shared.positions.lock();
+        positions.expect("no thread panics while it holds the positions")
+    }
+
     /// Adds all known keepers to the replica and opens their outbound queues.
     pub(crate) fn link_keepers(&self) {
-        let keepers = self.shared.keepers.list();
-        let others = keepers
-            .iter()
-            .filter(|k| k.name != self.shared.own_record.name);
-        for keeper in others.clone() {
+        let others = self.others();
+        for keeper in &others {
             let link = EnvelopeLink(keeper.link.clone());
             self.shared.outbox.add_keeper(&keeper.name, Arc::new(link));
         }
-        let names = others.map(|keeper| keeper.name.clone()).collect();
+        let names = others.into_iter().map(|keeper| keeper.name).collect();
         self.shared.group.add_keepers(names);
     }
 
@@ -295,15 +323,6 @@
         }
         self.shared.group.propose(command).await
     }
-
-    /// Sends new host records to all other keepers.
-    fn share_with_others(&self, records: Vec<HostRecord>) {
-        for keeper in self.shared.keepers.list() {
-            if keeper.name != self.shared.own_record.name {
-                tokio::spawn(share(keeper.link, records.clone()));
-            }
-        }
-    }
 }
 
 /// Delivers messages of the replica over the link to another keeper.
@@ -319,14 +338,6 @@
     }
 }
 
-async fn share(link: Arc<FleetLink>, records: Vec<HostRecord>) {
-    let shared = link.call(FORWARD_TIMEOUT, |client, ctx| async move {
-        client.share_hosts(ctx, records).await
-    });
-    // The next exchange recovers a lost record.
-    let _ = shared.await;
-}
-
 fn replica_settings(options: &KeeperOptions, name: &KeeperName) -> ReplicaSettings {
     let founders = match options.is_first_start {
         true => options.seeds.iter().copied().map(keeper_name).collect(),
--- a/crates/fleet/src/keeper/service.rs
+++ b/crates/fleet/src/keeper/service.rs
@@ -1,14 +1,16 @@
 //! What a keeper replies to daemons and other keepers.
 
 use super::FleetKeeper;
+use crate::host_sharing::ShareScope;
 use agatehill_decide::{
     config_history::{ConfigCommand, ConfigHistory, ConfigReply},
-    host_directory::HostRecord,
+    host_directory::DirectoryPosition,
     quarantine::CrashReport,
     replica::ReplicaEnvelope,
 };
 use agatehill_peer::fleet::{
-    CommandError, FleetService, KeeperExchange, KeeperExchangeReply, SyncReply, SyncRequest,
+    CommandError, FleetService, KeeperExchange, KeeperExchangeReply, KeeperRecord, SharedHosts,
+    SyncReply, SyncRequest,
 };
 use agatehill_replica::group::ProposeError;
 use std::time::{Duration, Instant};
@@ -17,16 +19,21 @@
 const SYNC_WAIT_MAX: Duration = Duration::from_secs(5);
 /// Time between two checks of a waiting sync request for contact with the leader.
 const SYNC_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which new host records are collected before they are sent to a daemon.
+const HOSTS_BATCH_DELAY: Duration = Duration::from_millis(50);
 
 impl FleetKeeper {
-    fn has_changes(&self, request: &SyncRequest) -> bool {
-        let is_same_run = request.keeper_run == self.shared.run;
+    /// Returns whether there is something new that is sent at once.
+    fn has_urgent_changes(&self, request: &SyncRequest) -> bool {
         self.shared.group.read(ConfigHistory::version) > request.config_after
-            || !is_same_run
-            || self.directory().change_count() > request.hosts_after
+            || request.hosts.run != self.shared.run
             || self.shared.crash_log.change_count() > request.reports_after
     }
 
+    fn has_new_hosts(&self, request: &SyncRequest) -> bool {
+        self.directory().change_count() > request.hosts.change
+    }
+
     fn sync_reply(&self, request: &SyncRequest) -> SyncReply {
         // Read before the state: changes applied in between only make the reply newer.
         let is_current = self.status().current;
@@ -35,9 +42,9 @@
             (config.version > request.config_after).then(|| config.clone())
         };
         let config = self.shared.group.read(newer);
-        let is_same_run = request.keeper_run == self.shared.run;
+        let is_same_run = request.hosts.run == self.shared.run;
         let (hosts_after, reports_after) = match is_same_run {
-            true => (request.hosts_after, request.reports_after),
+            true => (request.hosts.change, request.reports_after),
             false => (0, 0),
         };
         let strikes = self.shared.crash_log.changed_after(reports_after);
@@ -45,44 +52,65 @@
         SyncReply {
             is_current,
             config,
-            keeper_run: self.shared.run,
-            hosts_at: directory.change_count(),
+            position: DirectoryPosition {
+                run: self.shared.run,
+                change: directory.change_count(),
+            },
             hosts: directory.changed_after(hosts_after),
             reports_at: strikes.at,
             crash_reports: strikes.reports,
             reports_digest: strikes.digest,
-            keepers: self.shared.keepers.records(),
+            keepers: self.keepers_unless(request.keepers_digest),
         }
     }
-}
 
-impl FleetService for FleetKeeper {
-    async fn sync(&self, request: SyncRequest) -> SyncReply {
-        if let Some(record) = request.record.clone() {
-            let new = self.merge(vec![record]);
-            if !new.is_empty() {
-                self.share_with_others(new);
-            }
+    /// Returns the known keepers, or none if `digest` is theirs.
+    fn keepers_unless(&self, digest: u64) -> Vec<KeeperRecord> {
+        match self.shared.keepers.digest() == digest {
+            true => Vec::new(),
+            false => self.shared.keepers.records(),
         }
-        let wait = Duration::from_millis(request.wait_ms.into()).min(SYNC_WAIT_MAX);
-        let end = Instant::now() + wait;
+    }
+
+    /// Waits until a reply to `request` has something to tell, until `end` at most.
+    async fn wait_changes(&self, request: &SyncRequest, end: Instant) {
         let mut applied = self.shared.group.subscribe_applied();
         let mut changed = self.shared.directory_changes.subscribe();
         let mut reported = self.shared.crash_log.subscribe();
-        while Instant::now() < end && self.status().current && !self.has_changes(&request) {
+        let mut end = end;
+        let mut has_new_hosts = false;
+        while Instant::now() < end && self.status().current && !self.has_urgent_changes(request) {
+            if !has_new_hosts && self.has_new_hosts(request) {
+                has_new_hosts = true;
+                end = end.min(Instant::now() + HOSTS_BATCH_DELAY);
+            }
             let remaining = end.saturating_duration_since(Instant::now());
             tokio::select! {
                 _ = applied.changed() => {}
-                _ = changed.changed() => {}
+                _ = changed.changed(), if !has_new_hosts => {}
                 _ = reported.changed() => {}
                 () = tokio::time::sleep(remaining.min(SYNC_CHECK_INTERVAL)) => {}
             }
         }
+    }
+}
+
+impl FleetService for FleetKeeper {
+    async fn sync(&self, request: SyncRequest) -> SyncReply {
+        if let Some(record) = request.record.clone() {
+            let new = self.merge(vec![record]);
+            self.shared.share_queue.add(new, ShareScope::All);
+        }
+        let wait = Duration::from_millis(request.wait_ms.into()).min(SYNC_WAIT_MAX);
+        self.wait_changes(&request, Instant::now() + wait).await;
         self.sync_reply(&request)
     }
 
-    async fn share_hosts(&self, records: Vec<HostRecord>) {
-        self.merge(records);
+    async fn share_hosts(&self, hosts: SharedHosts) {
+        let new = self.merge(hosts.records);
+        if hosts.is_relayed {
+            self.shared.share_queue.add(new, ShareScope::Region);
+        }
     }
 
     async fn share_crash_reports(&self, reports: Vec<CrashReport>) {
@@ -90,16 +118,11 @@
     }
 
     async fn exchange_keepers(&self, exchange: KeeperExchange) -> KeeperExchangeReply {
-        self.update_records(&exchange.keepers);
+        self.update_records(std::slice::from_ref(&exchange.sender));
         let crash_log = &self.shared.crash_log;
-        let directory = self.directory();
-        let is_same = directory.digest() == exchange.hosts_digest;
         KeeperExchangeReply {
-            keepers: self.shared.keepers.records(),
-            hosts: match is_same {
-                true => Vec::new(),
-                false => directory.iter().cloned().collect(),
-            },
+            keepers: self.keepers_unless(exchange.keepers_digest),
+            hosts: self.directory().answer(&exchange.hosts, self.shared.run),
             crash_reports: match crash_log.digest() == exchange.reports_digest {
                 true => Vec::new(),
                 false => crash_log.changed_after(0).reports,
--- a/crates/fleet/src/keeper_map.rs
+++ b/crates/fleet/src/keeper_map.rs
@@ -4,6 +4,7 @@
 use agatehill_peer::fleet::{FleetLink, KeeperRecord};
 use std::{
     collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher},
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard},
 };
@@ -90,6 +91,15 @@
         list
     }
 
+    /// Returns a hash that is equal for equal records, see [`KeeperMap::records`].
+    pub fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        for record in self.records() {
+            (&record.name, &record.region, &record.zone).hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
     /// Returns the records of the keepers whose region and zone are known.
     pub fn records(&self) -> Vec<KeeperRecord> {
         let keepers = self.lock();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod anti_entropy;
 mod crash_log;
+mod host_sharing;
 pub mod keeper;
 pub mod keeper_map;
 mod report_sender;
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -8,7 +8,7 @@
 use agatehill_backend::quarantine::FleetQuarantine;
 use agatehill_decide::{
     config_history::AcceptedConfig,
-    host_directory::{HostDirectory, HostRecord, ServerRecord},
+    host_directory::{DirectoryPosition, HostDirectory, HostRecord, ServerRecord},
     keeper_poller::{
         KeeperPoll, KeeperPoller, LONG_POLL_GRACE, LONG_POLL_WAIT, POLL_ALL_TIMEOUT,
         POLL_RETRY_PAUSE,
@@ -71,16 +71,14 @@
 /// Position in the changes of one keeper.
 #[derive(Clone, Copy, Debug, Default)]
 struct SyncPosition {
-    keeper_run: u64,
-    hosts_at: u64,
+    hosts: DirectoryPosition,
     reports_at: u64,
 }
 
 impl From<&SyncReply> for SyncPosition {
     fn from(reply: &SyncReply) -> SyncPosition {
         SyncPosition {
-            keeper_run: reply.keeper_run,
-            hosts_at: reply.hosts_at,
+            hosts: reply.position,
             reports_at: reply.reports_at,
         }
     }
@@ -246,9 +244,9 @@
         let request = SyncRequest {
             record: Some(self.record().clone()),
             config_after: version,
-            keeper_run: position.keeper_run,
-            hosts_after: position.hosts_at,
+            hosts: position.hosts,
             reports_after: position.reports_at,
+            keepers_digest: self.shared.keepers.digest(),
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
         };
         let limit = wait + LONG_POLL_GRACE;
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -7,7 +7,7 @@
 };
 use agatehill_decide::{
     config_history::{AcceptedConfig, ConfigCommand, ConfigReply},
-    host_directory::HostRecord,
+    host_directory::{DirectoryAnswer, DirectoryPosition, DirectoryQuery, HostRecord},
     name::{KeeperName, RegionName, ZoneName},
     quarantine::CrashReport,
     replica::ReplicaEnvelope,
@@ -48,12 +48,12 @@
     pub record: Option<HostRecord>,
     /// Version of the configuration that the daemon has; 0 for none.
     pub config_after: u64,
-    /// The keeper's run to which `hosts_after` belongs.
-    pub keeper_run: u64,
-    /// Number of the last change to the directory that the daemon has.
-    pub hosts_after: u64,
-    /// Number of the last change to the strikes that the daemon has, in the same run.
+    /// How far the daemon has followed the keeper's directory.
+    pub hosts: DirectoryPosition,
+    /// Number of the last change to the strikes that the daemon has, in the same run of the keeper.
     pub reports_after: u64,
+    /// Digest of the keepers that the daemon knows.
+    pub keepers_digest: u64,
     /// Longest time that the keeper waits for a change, in milliseconds.
     pub wait_ms: u32,
 }
@@ -65,11 +65,9 @@
     pub is_current: bool,
     /// The configuration, if it is newer than the daemon's.
     pub config: Option<AcceptedConfig>,
-    /// The keeper's run to which `hosts_at` belongs.
-    pub keeper_run: u64,
-    /// Number of the last change to the directory that `hosts` includes.
-    pub hosts_at: u64,
-    /// Host records that changed after `hosts_after`.
+    /// Position in the directory that `hosts` leads to.
+    pub position: DirectoryPosition,
+    /// Host records that changed after the position of the request.
     pub hosts: Vec<HostRecord>,
     /// Number of the last change to the strikes that `crash_reports` includes.
     pub reports_at: u64,
@@ -77,17 +75,28 @@
     pub crash_reports: Vec<CrashReport>,
     /// Digest of all strikes that the keeper knows.
     pub reports_digest: u64,
-    /// All keepers that the sender knows.
+    /// All keepers that the sender knows, if their digest differs from the daemon's; empty otherwise.
     pub keepers: Vec<KeeperRecord>,
 }
 
+/// New host records that a keeper sends to another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SharedHosts {
+    /// The records.
+    pub records: Vec<HostRecord>,
+    /// Whether the receiver hands them on to the other keepers of its region.
+    pub is_relayed: bool,
+}
+
 /// What a keeper periodically sends to the other keepers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct KeeperExchange {
-    /// All keepers that the sender knows, itself included.
-    pub keepers: Vec<KeeperRecord>,
-    /// Digest of the sender's directory of hosts.
-    pub hosts_digest: u64,
+    /// The sender.
+    pub sender: KeeperRecord,
+    /// Digest of all keepers that the sender knows, itself included.
+    pub keepers_digest: u64,
+    /// Question for the host records that the sender lacks.
+    pub hosts: DirectoryQuery,
     /// Digest of all strikes that the sender knows.
     pub reports_digest: u64,
 }
@@ -95,10 +104,10 @@
 /// The reply to a [`KeeperExchange`].
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct KeeperExchangeReply {
-    /// All keepers that the receiver knows, itself included.
+    /// All keepers that the receiver knows, itself included, if their digest differs; empty otherwise.
     pub keepers: Vec<KeeperRecord>,
-    /// The receiver's directory of hosts, if its digest differs; empty otherwise.
-    pub hosts: Vec<HostRecord>,
+    /// The host records that the sender lacks.
+    pub hosts: DirectoryAnswer,
     /// All strikes that the receiver knows, if their digest differs; empty otherwise.
     pub crash_reports: Vec<CrashReport>,
 }
@@ -118,7 +127,7 @@
     fn sync(&self, request: SyncRequest) -> impl Future<Output = SyncReply> + Send;
 
     /// Merges host records from another keeper.
-    fn share_hosts(&self, records: Vec<HostRecord>) -> impl Future<Output = ()> + Send;
+    fn share_hosts(&self, hosts: SharedHosts) -> impl Future<Output = ()> + Send;
 
     /// Merges strikes against requests that crash servers.
     fn share_crash_reports(&self, reports: Vec<CrashReport>) -> impl Future<Output = ()> + Send;
@@ -148,8 +157,8 @@
         self.0.sync(request).await
     }
 
-    async fn share_hosts(self, _: Context, records: Vec<HostRecord>) {
-        self.0.share_hosts(records).await;
+    async fn share_hosts(self, _: Context, hosts: SharedHosts) {
+        self.0.share_hosts(hosts).await;
     }
 
     async fn share_crash_reports(self, _: Context, reports: Vec<CrashReport>) {
@@ -177,8 +186,8 @@
     #![allow(missing_docs)] // tarpc generates items without documentation.
 
     use super::{
-        CommandError, ConfigCommand, ConfigReply, CrashReport, HostRecord, KeeperExchange,
-        KeeperExchangeReply, ReplicaEnvelope, SyncReply, SyncRequest,
+        CommandError, ConfigCommand, ConfigReply, CrashReport, KeeperExchange, KeeperExchangeReply,
+        ReplicaEnvelope, SharedHosts, SyncReply, SyncRequest,
     };
 
     /// The wire form of [`super::FleetService`].
@@ -187,7 +196,7 @@
         /// Merges a daemon's record and returns what is newer than the daemon's state.
         async fn sync(request: SyncRequest) -> SyncReply;
         /// Merges host records from another keeper.
-        async fn share_hosts(records: Vec<HostRecord>);
+        async fn share_hosts(hosts: SharedHosts);
         /// Merges the keepers that another keeper knows and returns those known here.
         async fn exchange_keepers(exchange: KeeperExchange) -> KeeperExchangeReply;
         /// Runs a configuration command if the receiver is the leader.
