Spend retries on the calls that save most

Cause: a root needs four calls there, one after the other, and retries are limited to a fifth of the requests. They went to whichever call failed first, so most were spent on chains that failed at a later call; and savings above one retry a daemon were lost.

Change: a retry leaves part of a daemon's savings to others: less the more calls of its parent have been answered, and less for roots of the most important rank.

Who is served better: callers of important routes, and callers whose request had most of its work done.

Measured: the test retries_by_value_serve_more_roots fails without values (its baseline) and passes: with the same share of retries, important roots served at least 1.5 times as often, others no less.

Ruled out: shedding roots while the servers reject at random. The rejections do not depend on the load, so that fewer roots would complete no more.

--- a/crates/decide/src/service_retry_budget.rs
+++ b/crates/decide/src/service_retry_budget.rs
@@ -6,6 +6,11 @@
 //! adding to it. Where it isn't certain whether a call is made by a retry, the probability counts.
 //! A service that fails at the end of a chain can use the whole budget unless the services above it
 //! use some.
+//!
+//! Designed also for a service at the end of a chain that rejects more than the budget can repeat. A root
+//! request needs several calls there, one after the other, and fails with the first that fails. So the
+//! budget goes to the calls that save most: those of important roots, and those of parents that have most
+//! of their calls behind them. What would come through anyway by chance alone is not retried early.
 
 use crate::{name::ServiceName, time::MonoTime};
 use std::{collections::HashMap, time::Duration};
@@ -26,6 +31,30 @@
 const DEBT_PER_REQUEST: f64 = 0.2;
 /// Largest debt, however few the requests are.
 const DEBT_MIN: f64 = 5.0;
+/// Share of the savings that an important request leaves to others, in relation to another of equal
+/// progress.
+const IMPORTANT_RESERVE_SHARE: f64 = 0.4;
+
+/// How much is lost if a request is not retried.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryValue {
+    /// Whether its root is of the most important rank.
+    pub is_important: bool,
+    /// Calls of its parent that have been answered before, 0 for a root.
+    pub calls_answered: u32,
+}
+
+impl RetryValue {
+    /// Returns the share of the savings, 0 to 1, that must be left for others.
+    fn reserve_share(self) -> f64 {
+        let share = match self.is_important {
+            true => IMPORTANT_RESERVE_SHARE,
+            false => 1.0,
+        };
+        share / f64::from(1 + self.calls_answered)
+    }
+}
+
 /// The budget for one service, in retries.
 #[derive(Clone, Copy, Debug)]
 struct ServiceBalance {
@@ -67,8 +96,9 @@
         self.balance = balance.clamp(-debt_max, self.saved_max());
     }
 
-    fn try_spend(&mut self) -> bool {
-        let is_enough = self.balance >= 1.0;
+    fn try_spend(&mut self, value: RetryValue) -> bool {
+        let reserve = (self.saved_max() - 1.0) * value.reserve_share();
+        let is_enough = self.balance >= 1.0 + reserve;
         if is_enough {
             self.balance -= 1.0;
         }
@@ -89,9 +119,9 @@
         self.balance(service, now).record_request(retry_share);
     }
 
-    /// Takes one retry from the budget; returns false if there is none.
-    pub fn try_spend(&mut self, service: &ServiceName, now: MonoTime) -> bool {
-        self.balance(service, now).try_spend()
+    /// Takes one retry of a request of `value` from the budget; returns false if there is none for it.
+    pub fn try_spend(&mut self, service: &ServiceName, value: RetryValue, now: MonoTime) -> bool {
+        self.balance(service, now).try_spend(value)
     }
 
     fn balance(&mut self, service: &ServiceName, now: MonoTime) -> &mut ServiceBalance {
--- a/crates/decide/tests/service_retry_budget.rs
+++ b/crates/decide/tests/service_retry_budget.rs
@@ -1,7 +1,9 @@
 //! Retry budgets of many daemons and a chain of services.
 
 use agatehill_decide::{
-    name::ServiceName, service_retry_budget::ServiceRetryBudget, time::MonoTime,
+    name::ServiceName,
+    service_retry_budget::{RetryValue, ServiceRetryBudget},
+    time::MonoTime,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rstest::rstest;
@@ -16,6 +18,11 @@
 const DEPTH: usize = 4;
 const SECONDS: usize = 40;
 
+const ANY_VALUE: RetryValue = RetryValue {
+    is_important: true,
+    calls_answered: 9,
+};
+
 fn service() -> ServiceName {
     ServiceName::try_from("gasdata").unwrap()
 }
@@ -113,7 +120,7 @@
         if self.arrive(second, depth, is_retry) {
             return true;
         }
-        if !self.budgets[entry].try_spend(&service, self.now) {
+        if !self.budgets[entry].try_spend(&service, ANY_VALUE, self.now) {
             return false;
         }
         self.counts[depth][second].retries += 1.0;
@@ -221,7 +228,7 @@
     let times = (0..10_000_u64).map(|idx| MonoTime::from_millis(idx * 5_000));
     times.for_each(|now| budget.record_request(&service, 0.0, now));
     let now = MonoTime::from_millis(50_000_000);
-    let retries = (0..100).filter(|_| budget.try_spend(&service, now));
+    let retries = (0..100).filter(|_| budget.try_spend(&service, ANY_VALUE, now));
     assert_eq!(retries.count(), 1);
 }
 
@@ -238,7 +245,7 @@
         budget.record_request(&service, 0.0, now);
     }
     let now = MonoTime::from_millis(10_000);
-    let retries = (0..1_000).filter(|_| budget.try_spend(&service, now));
+    let retries = (0..1_000).filter(|_| budget.try_spend(&service, ANY_VALUE, now));
     let spare = (RATIO - 0.16) * requests as f64;
     assert!(retries.count() as f64 <= spare.max(1.25));
 }
@@ -255,7 +262,7 @@
         let mut requests = 0..100_000;
         requests.position(|_| {
             budget.record_request(&service, 0.0, now);
-            budget.try_spend(&service, now)
+            budget.try_spend(&service, ANY_VALUE, now)
         })
     };
     let soon = needed(&mut budget, at(2));
@@ -264,3 +271,115 @@
     let later = needed(&mut budget, at(2 + 8 * WINDOW_SECONDS as u64));
     assert!(later < Some(50), "{later:?}");
 }
+
+/// Roots whose parent makes four calls to a service that rejects more than half of them.
+struct RejectingService {
+    rng: StdRng,
+    budget: ServiceRetryBudget,
+    /// Whether retries are decided by their value.
+    by_value: bool,
+    requests: u32,
+    retries: u32,
+}
+
+/// A root in progress.
+#[derive(Clone, Copy)]
+struct RootCalls {
+    is_important: bool,
+    answered: u32,
+}
+
+/// Share of the roots that were served.
+#[derive(Clone, Copy, Debug)]
+struct ServedShares {
+    important: f64,
+    other: f64,
+}
+
+impl RejectingService {
+    const REJECTED: f64 = 0.55;
+    const CALLS: u32 = 4;
+    const ROOTS: usize = 30_000;
+    /// Roots in progress at once.
+    const IN_PROGRESS: usize = 30;
+    const CALLS_PER_SECOND: u64 = 250;
+
+    /// Serves [`Self::ROOTS`] roots, a quarter of them important.
+    fn serve(by_value: bool, seed: u64) -> (RejectingService, ServedShares) {
+        let mut service = RejectingService {
+            rng: StdRng::seed_from_u64(seed),
+            budget: ServiceRetryBudget::default(),
+            by_value,
+            requests: 0,
+            retries: 0,
+        };
+        let mut begun = [0.0, 0.0];
+        let mut served = [0.0, 0.0];
+        let mut roots = Vec::new();
+        let mut left = Self::ROOTS;
+        while left > 0 || !roots.is_empty() {
+            while roots.len() < Self::IN_PROGRESS && left > 0 {
+                left -= 1;
+                let is_important = service.rng.random_bool(0.25);
+                begun[usize::from(is_important)] += 1.0;
+                roots.push(RootCalls {
+                    is_important,
+                    answered: 0,
+                });
+            }
+            let idx = service.rng.random_range(0..roots.len());
+            if !service.call(roots[idx]) {
+                roots.swap_remove(idx);
+                continue;
+            }
+            roots[idx].answered += 1;
+            if roots[idx].answered == Self::CALLS {
+                served[usize::from(roots[idx].is_important)] += 1.0;
+                roots.swap_remove(idx);
+            }
+        }
+        let shares = ServedShares {
+            important: served[1] / begun[1],
+            other: served[0] / begun[0],
+        };
+        (service, shares)
+    }
+
+    /// Returns whether a call succeeds, sent twice at most.
+    fn call(&mut self, root: RootCalls) -> bool {
+        let name = service();
+        self.requests += 1;
+        let micros = u64::from(self.requests) * 1_000_000 / Self::CALLS_PER_SECOND;
+        let now = MonoTime::from_micros(micros);
+        self.budget.record_request(&name, 0.0, now);
+        if !self.rng.random_bool(Self::REJECTED) {
+            return true;
+        }
+        let value = RetryValue {
+            is_important: self.by_value && root.is_important,
+            calls_answered: if self.by_value { root.answered } else { 0 },
+        };
+        if !self.budget.try_spend(&name, value, now) {
+            return false;
+        }
+        self.retries += 1;
+        !self.rng.random_bool(Self::REJECTED)
+    }
+}
+
+/// All servers at the end of the chain reject more than half of their requests for some seconds. With the
+/// same number of retries, more roots are served if the retries go to those that have most calls behind
+/// them, and important ones first.
+#[rstest]
+fn retries_by_value_serve_more_roots(#[values(1, 2, 3)] seed: u64) {
+    let (_, plain) = RejectingService::serve(false, seed);
+    let (service, valued) = RejectingService::serve(true, seed);
+    println!("{plain:?} {valued:?}");
+    let ratio = f64::from(service.retries) / f64::from(service.requests);
+    assert!(ratio <= 0.161, "{ratio}");
+    assert!(
+        valued.important >= 1.5 * plain.important,
+        "{plain:?} {valued:?}"
+    );
+    assert!(valued.other >= plain.other, "{plain:?} {valued:?}");
+}
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -22,6 +22,7 @@
     name::ServiceName,
     quarantine::RequestContent,
     service_config::{RouteRule, RouteTable},
+    service_retry_budget::RetryValue,
     time::MonoTime,
 };
 use agatehill_peer::{body::CallBody, crash_report::CRASH_REPORT_HEADER};
@@ -56,6 +57,8 @@
 const LATE_FRACTION_PRIORITY_0: f64 = 0.85;
 /// The same fraction for all other priorities; lower, so that their routes are limited first.
 const LATE_FRACTION: f64 = 0.6;
+/// Rank of the most important requests.
+const RANK_IMPORTANT: u32 = 0;
 /// Shortest remaining time in which a request is retried.
 const RETRY_TIME_MIN: Duration = Duration::from_millis(10);
 
@@ -252,10 +255,14 @@
     }
 
     fn may_retry(&self, target: &RequestTarget) -> bool {
+        let value = RetryValue {
+            is_important: self.rank(target) == RANK_IMPORTANT,
+            calls_answered: self.parent.map_or(0, |parent| parent.calls_answered),
+        };
         let is_allowed = self.servers_reached < target.rule.servers_max;
         let now = self.entry.options.clock.now();
         let budget = &mut self.entry.lock().retry_budget;
-        is_allowed && budget.try_spend(&target.service, now)
+        is_allowed && budget.try_spend(&target.service, value, now)
     }
 
     /// Returns the rank of the request at the root of the call graph.
