Learn routes that servers call from requests that follow each other

Callers saw: calls taken for roots wherever the time limit of a call is always shorter than its parent's time, as nothing certain was ever seen of such a route.

Cause: routes were learned from equal deadlines only. On a busy host calls came later than the 40 ms allowed, were counted as callers' own and unlearned the route.

Change: requests that follow another on their connection within 30 ms, while a running request could have made them, are counted; ten of them make a route one that servers call, unless callers use it. 60 ms of delay are allowed, 500 ms on a connection that is known as the server's.

Still not told apart: a caller that sends one request right after the other on one connection, each with less time than the running requests beside it.

--- a/crates/decide/src/call_parent.rs
+++ b/crates/decide/src/call_parent.rs
@@ -7,8 +7,11 @@
 //!   running request, because no request is given more time than its route allows.
 //! - A server that makes one call after the other sends the next one right after the response to the one
 //!   before, mostly on the same connection.
-//! - Routes that servers call are learned from the calls that are certain, and so are connections that
-//!   servers use.
+//! - Routes that servers call are learned from calls with the deadline of their parent and from requests
+//!   that follow each other so; connections that servers use are learned from the former.
+//!
+//! What is not told apart: a caller that sends one request right after the other on one connection, each
+//! with less time than requests that run on its host at every moment have left.
 //!
 //! Designed for overload of a service deep in the call graph: calls must keep the rank of their root at
 //! every hop, also when many requests run at once and when the calls at the end of the chain have the
@@ -29,15 +32,19 @@
 
 /// Time by which a call's deadline may seem to lie after its parent's: deadlines are sent as remaining
 /// time, so the transit time is added.
-const LATE_MAX: Duration = Duration::from_millis(40);
+const LATE_MAX: Duration = Duration::from_millis(60);
+/// The same on a connection that servers use: a busy host may delay a call for long.
+const SERVER_LATE_MAX: Duration = Duration::from_millis(500);
 /// Time by which it may seem to lie before its parent's: remaining time is sent in whole milliseconds.
 const EARLY_MAX: Duration = Duration::from_millis(3);
 /// Time after a response in which the next request on the connection is taken for the parent's next call.
 const NEXT_CALL_MAX: Duration = Duration::from_millis(30);
 /// Certain calls after which a route counts as one that servers call.
 const CERTAIN_CALLS_MIN: u32 = 3;
-/// Callers' own requests per certain call up to which a route counts as one that servers call.
-const OWN_PER_CALL_MAX: f64 = 0.05;
+/// Requests that follow each other on a connection after which their route counts as one that servers call.
+const FOLLOW_UPS_MIN: u32 = 10;
+/// Callers' own requests per call up to which a route counts as one that servers call.
+const OWN_PER_CALL_MAX: f64 = 0.5;
 /// Share of a route's certain calls that the calls of one parent route need for it to count as a parent.
 const PARENT_ROUTE_SHARE_MIN: f64 = 0.1;
 /// Requests of a route after which its counts are halved, so that they follow a new configuration.
@@ -112,20 +119,33 @@
     calls_answered: u32,
 }
 
-/// The last call on a connection of the server.
+/// The last request on a connection, which may be one of the server's.
 #[derive(Clone, Copy, Debug)]
-struct LastCall {
-    parent: ParentKey,
+struct LastRequest {
+    /// The parent, if the request is taken for a call.
+    parent: Option<ParentKey>,
+    /// Whether the connection has carried a call with the deadline of its parent.
+    is_of_server: bool,
     /// When it was answered; `None` while it is in flight.
     answered_at: Option<MonoTime>,
 }
 
+impl LastRequest {
+    /// Returns whether the parent's next call is expected at `now`.
+    fn is_followed(&self, now: MonoTime) -> bool {
+        let answered_at = self.answered_at;
+        answered_at.is_some_and(|at| now.since(at) <= NEXT_CALL_MAX)
+    }
+}
+
 /// Requests of one route, by who sent them.
 #[derive(Clone, Debug, Default)]
 struct RouteCounts {
-    /// Certain calls.
+    /// Calls with the deadline of their parent.
     calls: u32,
-    /// The certain calls by the route of their parent.
+    /// Requests that followed another on their connection, while they may have been calls.
+    follow_ups: u32,
+    /// Of `calls`, those by the route of their parent.
     by_parent: HashMap<RouteKey, u32>,
     /// Requests that no running request can have made.
     own: u32,
@@ -133,8 +153,9 @@
 
 impl RouteCounts {
     fn is_called(&self) -> bool {
-        self.calls >= CERTAIN_CALLS_MIN
-            && f64::from(self.own) <= f64::from(self.calls) * OWN_PER_CALL_MAX
+        let has_evidence = self.calls >= CERTAIN_CALLS_MIN || self.follow_ups >= FOLLOW_UPS_MIN;
+        let calls = f64::from(self.calls) + f64::from(self.follow_ups);
+        has_evidence && f64::from(self.own) <= calls * OWN_PER_CALL_MAX
     }
 
     /// Returns whether callers use the route, so that an equal deadline may be chance.
@@ -154,16 +175,22 @@
         self.halve_if_full();
     }
 
+    fn record_follow_up(&mut self) {
+        self.follow_ups += 1;
+        self.halve_if_full();
+    }
+
     fn record_own(&mut self) {
         self.own += 1;
         self.halve_if_full();
     }
 
     fn halve_if_full(&mut self) {
-        if self.calls.max(self.own) < ROUTE_COUNT_MAX {
+        if self.calls.max(self.own).max(self.follow_ups) < ROUTE_COUNT_MAX {
             return;
         }
         self.calls /= 2;
+        self.follow_ups /= 2;
         self.own /= 2;
         self.by_parent.retain(|_, calls| {
             *calls /= 2;
@@ -180,7 +207,7 @@
     by_deadline: BTreeMap<(MonoTime, u64), ParentKey>,
     last_number: u64,
     routes: HashMap<RouteKey, RouteCounts>,
-    connections: HashMap<SocketAddr, LastCall>,
+    connections: HashMap<SocketAddr, LastRequest>,
 }
 
 impl ParentIndex {
@@ -209,21 +236,32 @@
     /// Returns the parent of the call that arrives at `now`, which is in flight until
     /// [`ParentIndex::end_call`]; `None` for a caller's own request.
     pub fn begin_call(&mut self, call: CallArrival, now: MonoTime) -> Option<CallParent> {
-        if !self.may_be_call(call.deadline) {
-            self.routes.entry(call.route).or_default().record_own();
+        let last = self.connections.get(&call.connection);
+        let late_max = match last.is_some_and(|last| last.is_of_server) {
+            true => SERVER_LATE_MAX,
+            false => LATE_MAX,
+        };
+        let latest = self.by_deadline.last_key_value();
+        let may_be_call = latest.is_some_and(|((at, _), _)| *at + late_max >= call.deadline);
+        let counts = self.routes.entry(call.route).or_default();
+        if !may_be_call {
+            counts.record_own();
             self.connections.remove(&call.connection);
             return None;
         }
-        let (key, evidence) = self.find(call, now)?;
-        if evidence == ParentEvidence::Deadline {
-            let parent = self.requests[key].request.route;
-            let counts = self.routes.entry(call.route).or_default();
-            counts.record_call(parent);
+        if last.is_some_and(|last| last.is_followed(now)) {
+            counts.record_follow_up();
         }
-        self.remember(call.connection, key);
+        let found = self.find(call, now);
+        self.remember(call.connection, found, now);
+        let (key, evidence) = found?;
         let parent = self.requests.get_mut(key)?;
         parent.calls_in_flight += 1;
         let (request, calls_answered) = (parent.request, parent.calls_answered);
+        if evidence == ParentEvidence::Deadline {
+            let counts = self.routes.entry(call.route).or_default();
+            counts.record_call(request.route);
+        }
         Some(CallParent {
             key,
             request: match evidence {
@@ -235,15 +273,16 @@
         })
     }
 
-    /// Records that a call of `parent` on `connection` has been answered.
-    pub fn end_call(&mut self, parent: ParentKey, connection: SocketAddr, now: MonoTime) {
-        if let Some(request) = self.requests.get_mut(parent) {
+    /// Records that a request on `connection` has been answered; `parent` is what
+    /// [`ParentIndex::begin_call`] returned for it.
+    pub fn end_call(&mut self, parent: Option<ParentKey>, connection: SocketAddr, now: MonoTime) {
+        let request = parent.and_then(|parent| self.requests.get_mut(parent));
+        if let Some(request) = request {
             request.calls_in_flight = request.calls_in_flight.saturating_sub(1);
             request.calls_answered += 1;
         }
-        if let Some(last) = self.connections.get_mut(&connection)
-            && last.parent == parent
-        {
+        let last = self.connections.get_mut(&connection);
+        if let Some(last) = last.filter(|last| last.parent == parent) {
             last.answered_at = Some(now);
         }
     }
@@ -253,25 +292,20 @@
         self.connections.len()
     }
 
-    /// Returns whether a running request could make a call with the deadline `deadline`.
-    fn may_be_call(&self, deadline: MonoTime) -> bool {
-        let latest = self.by_deadline.last_key_value();
-        latest.is_some_and(|((latest, _), _)| *latest + LATE_MAX >= deadline)
-    }
-
     fn find(&self, call: CallArrival, now: MonoTime) -> Option<(ParentKey, ParentEvidence)> {
         let last = self.connections.get(&call.connection);
         if let Some(key) = last.and_then(|last| self.next_call_of(last, call.deadline, now)) {
             return Some((key, ParentEvidence::Connection));
         }
+        let is_of_server = last.is_some_and(|last| last.is_of_server);
         let counts = self.routes.get(&call.route);
-        if last.is_none() && counts.is_some_and(RouteCounts::is_own) {
+        if !is_of_server && counts.is_some_and(RouteCounts::is_own) {
             return None;
         }
         if let Some(key) = self.same_deadline(call.deadline) {
             return Some((key, ParentEvidence::Deadline));
         }
-        if last.is_none() && !counts.is_some_and(RouteCounts::is_called) {
+        if !is_of_server && !counts.is_some_and(RouteCounts::is_called) {
             return None;
         }
         let key = self.likeliest(call)?;
@@ -281,16 +315,15 @@
     /// Returns the parent of the last call on a connection if its next call is expected now.
     fn next_call_of(
         &self,
-        last: &LastCall,
+        last: &LastRequest,
         deadline: MonoTime,
         now: MonoTime,
     ) -> Option<ParentKey> {
-        let answered_at = last.answered_at?;
-        let parent = self.requests.get(last.parent)?;
-        let is_expected = now.since(answered_at) <= NEXT_CALL_MAX
-            && parent.calls_in_flight == 0
-            && parent.deadline + LATE_MAX >= deadline;
-        is_expected.then_some(last.parent)
+        let key = last.parent.filter(|_| last.is_followed(now))?;
+        let parent = self.requests.get(key)?;
+        let is_expected =
+            parent.calls_in_flight == 0 && parent.deadline + SERVER_LATE_MAX >= deadline;
+        is_expected.then_some(key)
     }
 
     /// Returns the request that has about the deadline `deadline`, the nearest if there are several.
@@ -314,8 +347,10 @@
                 request.number,
             )
         };
-        let best = self.candidates(call).min_by_key(order)?;
-        Some(best.0)
+        let best = self.candidates(call).min_by_key(order);
+        // A delayed call may seem to end after all of them.
+        let latest = || self.by_deadline.values().next_back().copied();
+        best.map(|(key, _)| key).or_else(latest)
     }
 
     /// Returns the requests that may make `call` by their deadline and route.
@@ -341,20 +376,26 @@
         }
     }
 
-    /// Remembers the connection of a call. Connections close unnoticed, so that old ones are removed
-    /// once there are too many.
-    fn remember(&mut self, connection: SocketAddr, parent: ParentKey) {
+    /// Remembers a connection that may be the server's. Connections close unnoticed, so that those
+    /// without a request of lately are removed once there are too many.
+    fn remember(
+        &mut self,
+        connection: SocketAddr,
+        found: Option<(ParentKey, ParentEvidence)>,
+        now: MonoTime,
+    ) {
+        let known = self.connections.get(&connection).copied();
         let is_full = self.connections.len() >= CONNECTIONS_MAX;
-        if is_full && !self.connections.contains_key(&connection) {
-            let requests = &self.requests;
-            self.connections
-                .retain(|_, last| requests.contains_key(last.parent));
+        if is_full && known.is_none() {
+            self.connections.retain(|_, last| last.is_followed(now));
         }
-        if self.connections.len() < CONNECTIONS_MAX || self.connections.contains_key(&connection) {
-            let last = LastCall {
-                parent,
-                answered_at: None,
-            };
+        let has_deadline = found.is_some_and(|(_, by)| by == ParentEvidence::Deadline);
+        let last = LastRequest {
+            parent: found.map(|(key, _)| key),
+            is_of_server: has_deadline || known.is_some_and(|known| known.is_of_server),
+            answered_at: None,
+        };
+        if self.connections.len() < CONNECTIONS_MAX || known.is_some() {
             self.connections.insert(connection, last);
         }
     }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -355,10 +355,8 @@
     /// Logs the end of the request.
     fn drop(&mut self) {
         let options = &self.entry.options;
-        if let Some(parent) = &self.parent {
-            let server = options.gate.server();
-            server.end_call(parent.key, self.sender);
-        }
+        let parent = self.parent.map(|parent| parent.key);
+        options.gate.server().end_call(parent, self.sender);
         let now = options.clock.now();
         let target = self.target.as_ref();
         let (outcome, status) = match &self.end {
--- a/crates/relay/src/host_server.rs
+++ b/crates/relay/src/host_server.rs
@@ -236,8 +236,9 @@
         self.lock().parent_index.begin_call(call, now)
     }
 
-    /// Records that a call of `parent` on `connection` has been answered.
-    pub fn end_call(&self, parent: ParentKey, connection: SocketAddr) {
+    /// Records that a request on `connection` has been answered; `parent` is what
+    /// [`HostServer::begin_call`] returned for it.
+    pub fn end_call(&self, parent: Option<ParentKey>, connection: SocketAddr) {
         let now = self.shared.clock.now();
         self.lock().parent_index.end_call(parent, connection, now);
     }
