Bound what retries are saved up and keep debts for the whole window

Debts were forgiven by a tenth each second, so that what repeats used at the services above was not missing below. They now last until their window has passed. 3. Savings of up to five a daemon, and in a trial a whole window's at once, were spent in one burst; the calls of these repeats arrive below while fewer new requests do. Savings are now a fiftieth of the window's requests, 1.25 at least and 5 at most.

Tried and not kept: an exact sliding window at each daemon (0.18 of its requests): spends all at the start of a disturbance, which is the burst of 3.

--- a/crates/decide/tests/service_retry_budget.rs
+++ b/crates/decide/tests/service_retry_budget.rs
@@ -51,8 +51,8 @@
     /// Share of the calls whose parent is known for certain. The others are charged with the share of
     /// the calls of lately on that host that are made by retries.
     certain: f64,
-    /// That share, by daemon.
-    retry_shares: Vec<f64>,
+    /// That share and the number of calls so far, by daemon.
+    retry_shares: Vec<(f64, f64)>,
     /// Share of the requests that fail, by service.
     failing: [f64; DEPTH],
     counts: [[Counts; SECONDS]; DEPTH],
@@ -70,7 +70,7 @@
             services: names.collect(),
             load: DaemonLoad::Even,
             certain: 1.0,
-            retry_shares: vec![0.0; daemons],
+            retry_shares: vec![(0.0, 0.0); daemons],
             failing,
             counts: [[Counts::default(); SECONDS]; DEPTH],
             now: MonoTime::ZERO,
@@ -110,11 +110,13 @@
         let service = self.services[depth].clone();
         let exact = f64::from(u8::from(is_retry));
         let charged = match depth > 0 && !self.rng.random_bool(self.certain) {
-            true => self.retry_shares[entry],
+            true => self.retry_shares[entry].0,
             false => exact,
         };
         if depth > 0 {
-            self.retry_shares[entry] += (exact - self.retry_shares[entry]) * 0.05;
+            let (share, calls) = &mut self.retry_shares[entry];
+            *calls += 1.0;
+            *share += (exact - *share) * f64::max(1.0 / *calls, 0.05);
         }
         self.budgets[entry].record_request(&service, charged, self.now);
         if self.arrive(second, depth, is_retry) {
@@ -221,7 +223,7 @@
 }
 
 #[test]
-fn balance_of_a_service_with_few_requests_is_bounded() {
+fn few_requests_are_retried_once_in_a_window() {
     let service = service();
     let mut budget = ServiceRetryBudget::default();
     // One request in five seconds.
@@ -232,28 +234,31 @@
     assert_eq!(retries.count(), 1);
 }
 
-/// What a daemon saves up is bounded by the part of the allowed ratio that requests don't add.
+/// One daemon alone must stay within its part of the bound, whatever it did before.
 #[rstest]
 #[case::few(20)]
 #[case::many(100)]
 #[case::very_many(100_000)]
-fn savings_are_bounded_by_recent_requests(#[case] requests: u64) {
+fn retries_are_bounded_by_the_requests_of_the_window(#[case] requests: u64) {
     let service = service();
     let mut budget = ServiceRetryBudget::default();
-    for idx in 0..requests {
+    for idx in 0..3 * requests {
         let now = MonoTime::from_micros(idx * 10_000_000 / requests);
         budget.record_request(&service, 0.0, now);
     }
-    let now = MonoTime::from_millis(10_000);
-    let retries = (0..1_000).filter(|_| budget.try_spend(&service, ANY_VALUE, now));
-    let spare = (RATIO - 0.16) * requests as f64;
-    assert!(retries.count() as f64 <= spare.max(1.25));
+    let now = MonoTime::from_millis(30_000);
+    let retries = (0..100_000).filter(|_| budget.try_spend(&service, ANY_VALUE, now));
+    let retries = retries.count() as f64;
+    assert!(
+        retries <= RATIO * requests as f64 + ALLOWANCE_PER_DAEMON,
+        "{retries}"
+    );
 }
 
 /// The calls made by retries count for a window of time, whatever their number, and no longer: afterwards
 /// the budget must soon allow retries again.
 #[test]
-fn debt_lasts_for_a_window() {
+fn calls_of_retries_count_for_a_window() {
     let service = service();
     let mut budget = ServiceRetryBudget::default();
     let at = |seconds: u64| MonoTime::from_millis(seconds * 1_000);
@@ -265,10 +270,10 @@
             budget.try_spend(&service, ANY_VALUE, now)
         })
     };
-    let soon = needed(&mut budget, at(2));
-    assert!(soon > Some(1_000), "{soon:?}");
-    (0..10_000).for_each(|_| budget.record_request(&service, 1.0, at(2)));
-    let later = needed(&mut budget, at(2 + 8 * WINDOW_SECONDS as u64));
+    let soon = needed(&mut budget, at(9));
+    assert!(soon > Some(5_000), "{soon:?}");
+    (0..10_000).for_each(|_| budget.record_request(&service, 1.0, at(10)));
+    let later = needed(&mut budget, at(21));
     assert!(later < Some(50), "{later:?}");
 }
 
@@ -376,7 +381,7 @@
     let (service, valued) = RejectingService::serve(true, seed);
     println!("{plain:?} {valued:?}");
     let ratio = f64::from(service.retries) / f64::from(service.requests);
-    assert!(ratio <= 0.161, "{ratio}");
+    assert!(ratio <= RATIO, "{ratio}");
     assert!(
         valued.important >= 1.5 * plain.important,
         "{plain:?} {valued:?}"
