Test servers whose responses have no end

Endless status line, header line, header lines, informational responses, bodies with a length, without one and in chunks, chunk extensions, trailers, and one byte at a time.

--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -33,7 +33,7 @@
 };
 
 use server::read_head;
-pub(crate) use server::{ServerBehavior, TestServer, header};
+pub(crate) use server::{EndlessBytes, ServerBehavior, TestServer, header};
 
 pub(crate) const HEAD_BYTES_MAX: usize = 16_384;
 pub(crate) const BODY_BYTES_MAX: usize = 1 << 20;
--- a/crates/relay/tests/support/server.rs
+++ b/crates/relay/tests/support/server.rs
@@ -52,6 +52,65 @@
     Silent,
     /// Rejects it before it reads the body.
     RejectEarly,
+    /// Runs it and sends bytes without end until the connection closes.
+    Endless(EndlessBytes),
+}
+
+/// Which part of a response goes on without end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum EndlessBytes {
+    StatusLine,
+    HeaderLine,
+    HeaderLines,
+    InformationalResponses,
+    BodyWithLength,
+    BodyWithoutLength,
+    Chunks,
+    ChunkExtension,
+    Trailers,
+    /// A body of few bytes a second.
+    SlowBody,
+    /// A head of few bytes a second.
+    SlowHead,
+}
+
+impl EndlessBytes {
+    /// Returns how the response to the request `id` begins, and what is repeated after it.
+    fn parts(self, id: &str) -> (String, Vec<u8>) {
+        let head = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s-{id}\r\n");
+        let chunked = format!("{head}transfer-encoding: chunked\r\n\r\n");
+        let letters = vec![b'a'; 16 * 1024];
+        match self {
+            EndlessBytes::StatusLine => ("HTTP/1.1 200 ".to_owned(), letters),
+            EndlessBytes::HeaderLine => (format!("{head}x-a: "), letters),
+            EndlessBytes::HeaderLines => (head, b"x-a: b\r\n".repeat(512)),
+            EndlessBytes::InformationalResponses => {
+                (String::new(), b"HTTP/1.1 102 x\r\n\r\n".repeat(64))
+            }
+            EndlessBytes::BodyWithLength => (
+                format!("{head}content-length: 1000000000000\r\n\r\n"),
+                letters,
+            ),
+            EndlessBytes::BodyWithoutLength => (format!("{head}\r\n"), letters),
+            EndlessBytes::Chunks => (chunked, b"4\r\naaaa\r\n".repeat(1_000)),
+            EndlessBytes::ChunkExtension => (format!("{chunked}4;a="), letters),
+            EndlessBytes::Trailers => (format!("{chunked}0\r\n"), b"x-a: b\r\n".repeat(512)),
+            EndlessBytes::SlowBody => {
+                (format!("{head}content-length: 1000000\r\n\r\n"), vec![b'a'])
+            }
+            EndlessBytes::SlowHead => (format!("{head}x-a: "), vec![b'a']),
+        }
+    }
+
+    /// Sends until the connection closes.
+    async fn send(self, stream: &mut TcpStream, id: &str) {
+        let (start, repeated) = self.parts(id);
+        let mut sent = stream.write_all(start.as_bytes()).await;
+        while sent.is_ok() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+            sent = stream.write_all(&repeated).await;
+        }
+    }
 }
 
 /// A backend server with a fault that the test selects.
@@ -158,6 +217,10 @@
             let _ = stream.read(&mut [0]).await;
             return ServeEnd::Cancelled;
         }
+        if let ServerBehavior::Endless(bytes) = behavior {
+            bytes.send(&mut stream, &id).await;
+            return ServeEnd::Cancelled;
+        }
         if !send_response(&mut stream, behavior, &id).await {
             return ServeEnd::Closed;
         }
@@ -202,6 +265,7 @@
         ServerBehavior::Reset
         | ServerBehavior::Close
         | ServerBehavior::RejectEarly
+        | ServerBehavior::Endless(_)
         | ServerBehavior::Silent => String::new(),
     };
     let _ = stream.write_all(text.as_bytes()).await;
