Cut response bodies that go on past their deadline, and bound connection buffers

Callers saw: a response without an end was passed on until its caller closed; its slot stayed taken, and a daemon beside such a server could hold 400 KB a connection for a head without an end.

Cause: a body beyond 64 KiB is streamed, and nothing limited how long; hyper's buffer for a head was at its default.

Change: a streamed body fails 0.1 s after the deadline that the server was given, which ends the caller's response incomplete, closes the server's connection and frees the slot; counted in agatehill_relay_bodies_cut. A connection buffers 64 KiB at most, which also bounds a response head.

The tests of faults share one program, so that its support is used whole.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -3,11 +3,14 @@
 use agatehill_peer::body::CallBody;
 use bytes::Bytes;
 use http_body::{Body, Frame};
+use metrics::counter;
 use std::{
+    future::Future,
     io,
     pin::Pin,
     task::{Context, Poll, ready},
 };
+use tokio::time::{Instant, Sleep, sleep_until};
 
 /// Size limits of a body.
 #[derive(Clone, Copy, Debug)]
@@ -16,6 +19,8 @@
     pub buffered_max: usize,
     /// Largest body that is accepted, in bytes.
     pub size_max: u64,
+    /// Time at which a streamed body fails unless it has ended; `None` without a limit.
+    pub ends_at: Option<Instant>,
 }
 
 /// Why a body can't be read.
@@ -28,7 +33,8 @@
 }
 
 /// Reads `body`. A body of up to `limits.buffered_max` bytes is buffered; a larger one is returned
-/// as a stream that holds `guard` until it is dropped and fails once it exceeds `limits.size_max`.
+/// as a stream that holds `guard` until it is dropped and fails once it exceeds `limits.size_max` or goes
+/// on past `limits.ends_at`.
 ///
 /// # Errors
 ///
@@ -64,6 +70,7 @@
                 start: Some(start.into()),
                 rest: body,
                 remaining,
+                timer: limits.ends_at.map(|end| Box::pin(sleep_until(end))),
                 _guard: guard,
             }));
         }
@@ -76,6 +83,8 @@
     rest: B,
     /// Bytes that may still follow `start` within the size limit.
     remaining: u64,
+    /// Fires at the time by which the body must have ended.
+    timer: Option<Pin<Box<Sleep>>>,
     _guard: G,
 }
 
@@ -94,6 +103,12 @@
         if let Some(start) = self.start.take() {
             return Poll::Ready(Some(Ok(Frame::data(start))));
         }
+        if let Some(timer) = &mut self.timer
+            && timer.as_mut().poll(cx).is_ready()
+        {
+            counter!("agatehill_relay_bodies_cut").increment(1);
+            return Poll::Ready(Some(Err(body_error("it goes on past the deadline"))));
+        }
         let frame = match ready!(Pin::new(&mut self.rest).poll_frame(cx)) {
             None => return Poll::Ready(None),
             Some(Err(_)) => return Poll::Ready(Some(Err(body_error("the sender interrupted it")))),
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -166,6 +166,7 @@
         let limits = BodyLimits {
             buffered_max: BUFFERED_REQUEST_MAX,
             size_max: table.config().limits.body_bytes_max,
+            ends_at: None,
         };
         let read = tokio::time::timeout(self.time_limit, read_body(body, limits, ())).await;
         let body = match read {
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -149,6 +149,7 @@
         let limits = BodyLimits {
             buffered_max: BUFFERED_REQUEST_MAX,
             size_max: u64::MAX,
+            ends_at: None,
         };
         let Ok(body) = read_body(body, limits, ()).await else {
             return RelayError::BadRequest.response();
@@ -222,7 +223,7 @@
             }
             Err(SendError::Lost) => return GateResult::lost("gate-lost"),
         };
-        let Ok((mut head, body)) = response.read(()).await else {
+        let Ok((mut head, body)) = response.read((), None).await else {
             return GateResult::lost("answer-broken");
         };
         let outcome = HopOutcome::take(&mut head.headers).unwrap_or(HopOutcome::Lost);
--- a/crates/relay/src/gate/exchange.rs
+++ b/crates/relay/src/gate/exchange.rs
@@ -15,7 +15,10 @@
 use agatehill_peer::body::CallBody;
 use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_ENCODING, response::Parts};
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
+
+/// Time after the deadline of a request in which the rest of a streamed body may still arrive.
+const BODY_GRACE: Duration = Duration::from_millis(100);
 
 /// A request that the server runs.
 pub(super) struct GateRun {
@@ -82,7 +85,7 @@
                     _ => run.quarantine.record_rejection(),
                 }
                 // Reads the body, so that the connection can be reused.
-                let _ = timeout(remaining, response.read(())).await;
+                let _ = timeout(remaining, response.read((), None)).await;
                 return GateResult {
                     outcome: HopOutcome::Shed,
                     reason: "server-shed",
@@ -113,7 +116,10 @@
             ..
         } = run;
         let remaining = end.since(self.clock.now());
-        let (head, body) = match timeout(remaining, response.read(slot)).await {
+        // The server was told this deadline; what it still sends afterwards need not be an answer.
+        let ends_at = Instant::now() + remaining + BODY_GRACE;
+        let read = response.read(slot, Some(ends_at));
+        let (head, body) = match timeout(remaining, read).await {
             Ok(Ok(read)) => read,
             Ok(Err(_)) => return self.end_lost(heartbeat, quarantine, "answer-broken").await,
             Err(_) => return GateResult::lost("answer-broken"),
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -35,6 +35,8 @@
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for a connection to become ready again after the end of a response.
 const READY_TIMEOUT: Duration = Duration::from_millis(100);
+/// Largest buffer of a connection, in bytes; also the largest response head.
+const READ_BUFFER_BYTES_MAX: usize = 64 * 1024;
 /// Largest response body that is buffered, in bytes; a larger one is streamed.
 const BUFFERED_RESPONSE_MAX: usize = 64 * 1024;
 
@@ -171,7 +173,9 @@
             _ => return Err(SendError::NotSent),
         };
         set_options(&stream);
-        let (sender, conn) = http1::handshake(TokioIo::new(stream))
+        let (sender, conn) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES_MAX)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|_| SendError::NotSent)?;
         metrics::counter!("agatehill_relay_connections_opened").increment(1);
@@ -196,12 +200,16 @@
 
 impl PooledResponse {
     /// Reads the body into memory if it is small, else returns it as a stream that holds `guard`
-    /// until it is dropped. Removes the hop-by-hop headers from the head.
+    /// until it is dropped and fails at `ends_at`. Removes the hop-by-hop headers from the head.
     ///
     /// # Errors
     ///
     /// The body is interrupted.
-    pub async fn read<G>(self, guard: G) -> Result<(Parts, CallBody), SendError>
+    pub async fn read<G>(
+        self,
+        guard: G,
+        ends_at: Option<time::Instant>,
+    ) -> Result<(Parts, CallBody), SendError>
     where
         G: Send + Unpin + 'static,
     {
@@ -209,6 +217,7 @@
         let limits = BodyLimits {
             buffered_max: BUFFERED_RESPONSE_MAX,
             size_max: u64::MAX,
+            ends_at,
         };
         let read = read_body(body, limits, guard).await;
         let body = read.map_err(|_| SendError::Lost)?;
--- a/crates/relay/tests/endless.rs
+++ b/crates/relay/tests/faults/endless.rs
@@ -1,16 +1,16 @@
 //! A backend server whose response has no end: the caller gets a true answer in time, and nothing of the
 //! request stays behind.
 
-mod support;
-
+use crate::support::{
+    EndlessBytes, ServerBehavior, TestDaemon, TestResponse, header, one_daemon, send, wait_until,
+};
 use rstest::rstest;
 use std::time::{Duration, Instant};
-use support::{EndlessBytes, ServerBehavior, TestDaemon, header, one_daemon, send, wait_until};
 
 /// Timeout of the routes, and time for an answer of the daemon to arrive after it.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(600 + 500);
 
-async fn request(daemon: &TestDaemon, line: &str, id: &str) -> Option<support::TestResponse> {
+async fn request(daemon: &TestDaemon, line: &str, id: &str) -> Option<TestResponse> {
     let headers = [("x-id", id), ("x-deadline", "5000")];
     send(daemon.addr(), line, &headers, b"").await
 }
--- /dev/null
+++ b/crates/relay/tests/faults/main.rs
@@ -0,0 +1,5 @@
+//! Daemons in this process with backend servers that fail in ways that the test selects.
+
+mod endless;
+mod server_faults;
+mod support;
--- a/crates/relay/tests/faults.rs
+++ b/crates/relay/tests/faults/server_faults.rs
@@ -1,25 +1,23 @@
 //! Faults of a backend server at each step of a request: the response that the caller gets, and how
 //! often the request runs.
 
-mod support;
-
-use rstest::rstest;
-use support::{
-    BODY_BYTES_MAX, HEAD_BYTES_MAX, ServerBehavior, TestResponse, header, one_daemon, send,
-    send_and_disconnect, send_bytes, two_daemons, unconfigured_daemon, wait_until,
+use crate::support::{
+    BODY_BYTES_MAX, HEAD_BYTES_MAX, ServerBehavior, TestDaemon, TestResponse, header, one_daemon,
+    send, send_and_disconnect, send_bytes, two_daemons, unconfigured_daemon, wait_until,
 };
+use rstest::rstest;
 
 const GET: &str = "GET /safe/x";
 const POST: &str = "POST /once/x";
 
-async fn send_request(daemon: &support::TestDaemon, line: &str, id: &str) -> TestResponse {
+async fn send_request(daemon: &TestDaemon, line: &str, id: &str) -> TestResponse {
     let headers = [("x-id", id), ("x-deadline", "5000")];
     let sent = send(daemon.addr(), line, &headers, b"").await;
     sent.expect("every request gets a response")
 }
 
 /// Sends requests until the retry budget allows a retry.
-async fn fill_retry_budget(daemon: &support::TestDaemon) {
+async fn fill_retry_budget(daemon: &TestDaemon) {
     for idx in 0..60 {
         assert_eq!(
             send_request(daemon, GET, &format!("fill-{idx}"))
