Take a request of an unknown route for a call only if its deadline is nearly its parent's

Cause, from the decision lines: a caller that sends a request again has less time left; on a host with many running requests one of them has about the same deadline by chance, and the route was not known as a caller's yet. Calls came with up to 60 ms of delay allowed.

--- a/crates/decide/src/call_parent.rs
+++ b/crates/decide/src/call_parent.rs
@@ -33,6 +33,9 @@
 /// Time by which a call's deadline may seem to lie after its parent's: deadlines are sent as remaining
 /// time, so the transit time is added.
 const LATE_MAX: Duration = Duration::from_millis(60);
+/// The same as long as nothing else shows that servers call the route: of many running requests, one has
+/// a close deadline by chance.
+const UNKNOWN_LATE_MAX: Duration = Duration::from_millis(5);
 /// The same on a connection that servers use: a busy host may delay a call for long.
 const SERVER_LATE_MAX: Duration = Duration::from_millis(500);
 /// Time by which it may seem to lie before its parent's: remaining time is sent in whole milliseconds.
@@ -302,10 +305,15 @@
         if !is_of_server && counts.is_some_and(RouteCounts::is_own) {
             return None;
         }
-        if let Some(key) = self.same_deadline(call.deadline) {
+        let is_known = is_of_server || counts.is_some_and(RouteCounts::is_called);
+        let late_max = match is_known {
+            true => LATE_MAX,
+            false => UNKNOWN_LATE_MAX,
+        };
+        if let Some(key) = self.same_deadline(call.deadline, late_max) {
             return Some((key, ParentEvidence::Deadline));
         }
-        if !is_of_server && !counts.is_some_and(RouteCounts::is_called) {
+        if !is_known {
             return None;
         }
         let key = self.likeliest(call)?;
@@ -326,9 +334,10 @@
         is_expected.then_some(key)
     }
 
-    /// Returns the request that has about the deadline `deadline`, the nearest if there are several.
-    fn same_deadline(&self, deadline: MonoTime) -> Option<ParentKey> {
-        let before = self.between(deadline - LATE_MAX, deadline).next_back();
+    /// Returns the request whose deadline is about `deadline`, `late_max` earlier at most; the nearest if
+    /// there are several.
+    fn same_deadline(&self, deadline: MonoTime, late_max: Duration) -> Option<ParentKey> {
+        let before = self.between(deadline - late_max, deadline).next_back();
         let after = self.between(deadline, deadline + EARLY_MAX).next();
         before.or(after).map(|(_, key)| *key)
     }
--- a/crates/decide/tests/call_parent.rs
+++ b/crates/decide/tests/call_parent.rs
@@ -53,17 +53,34 @@
     index
 }
 
+/// On a connection that the server has used before.
 #[rstest]
 #[case::same(1_000, Some(0))]
 #[case::rounded_down(998, Some(0))]
 #[case::delayed_in_transit(1_020, Some(0))]
+#[case::delayed_by_a_busy_host(1_055, Some(0))]
 #[case::nearest(1_100, Some(7))]
 #[case::nearest_of_two(1_108, Some(2))]
-#[case::too_early(990, None)]
-#[case::delayed_by_a_busy_host(1_055, Some(0))]
-#[case::too_late(1_090, None)]
 #[case::own_request_of_a_caller(6_000, None)]
 fn finds_parent_by_deadline(#[case] deadline: u64, #[case] rank: Option<u32>) {
+    let mut index = three_requests();
+    let parent = begin(&mut index, call(1_101), 0).unwrap();
+    index.end_call(Some(parent.key), connection(1), MonoTime::ZERO);
+    let found = begin(&mut index, call(deadline), 200);
+    assert_eq!(found.map(|found| found.request), rank.map(request));
+    assert!(found.is_none_or(|found| found.evidence == ParentEvidence::Deadline));
+}
+
+/// On a new connection, of a route of which nothing is known, only a deadline that is nearly the same counts.
+#[rstest]
+#[case::same(1_000, Some(0))]
+#[case::rounded_down(998, Some(0))]
+#[case::passed_on_at_once(1_004, Some(0))]
+#[case::nearest_of_two(1_103, Some(2))]
+#[case::too_early(990, None)]
+#[case::too_late(1_020, None)]
+#[case::own_request_of_a_caller(6_000, None)]
+fn finds_parent_of_an_unknown_route(#[case] deadline: u64, #[case] rank: Option<u32>) {
     let found = begin(&mut three_requests(), call(deadline), 0);
     assert_eq!(found.map(|found| found.request), rank.map(request));
     assert!(found.is_none_or(|found| found.evidence == ParentEvidence::Deadline));
