--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -128,10 +128,11 @@
         &self.options.gate
     }
 
-    /// Handles a request of a caller.
-    pub async fn handle_call(&self, req: Request<Body>) -> Response<CallBody> {
+    /// Handles a request of a caller or of the server on this host, whose end of the connection is
+    /// `sender`.
+    pub async fn handle_call(&self, req: Request<Body>, sender: SocketAddr) -> Response<CallBody> {
         let (head, body) = req.into_parts();
-        let mut response = RequestCall::new(self, head).respond(body).await;
+        let mut response = RequestCall::new(self, head, sender).respond(body).await;
         if self.is_draining.load(Ordering::Relaxed) {
             let headers = response.headers_mut();
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
@@ -148,6 +149,7 @@
         let limits = BodyLimits {
             buffered_max: BUFFERED_REQUEST_MAX,
             size_max: u64::MAX,
+            ends_at: None,
         };
         let Ok(body) = read_body(body, limits, ()).await else {
             return RelayError::BadRequest.response();
@@ -221,7 +223,7 @@
             }
             Err(SendError::Lost) => return GateResult::lost("gate-lost"),
         };
-        let Ok((mut head, body)) = response.read(()).await else {
+        let Ok((mut head, body)) = response.read((), None).await else {
             return GateResult::lost("answer-broken");
         };
         let outcome = HopOutcome::take(&mut head.headers).unwrap_or(HopOutcome::Lost);
