Send daemons only the host records that they lack

A daemon that tells keepers about itself, that polls all of them because its own has lost the leader, or that goes over to another got the whole directory each time: 300 records for each of 300 daemons and each keeper.

Change: a poll asks for host records only where it waits for changes, and then with a digest and its position at that keeper, which is remembered for each. The daemon's own record of an earlier run is waited for in a complete reply, as before.

--- a/crates/fleet/src/keeper/service.rs
+++ b/crates/fleet/src/keeper/service.rs
@@ -4,7 +4,7 @@
 use crate::host_sharing::ShareScope;
 use agatehill_decide::{
     config_history::{ConfigCommand, ConfigHistory, ConfigReply},
-    host_directory::DirectoryPosition,
+    host_directory::DirectoryQuery,
     quarantine::CrashReport,
     replica::ReplicaEnvelope,
 };
@@ -26,12 +26,16 @@
     /// Returns whether there is something new that is sent at once.
     fn has_urgent_changes(&self, request: &SyncRequest) -> bool {
         self.shared.group.read(ConfigHistory::version) > request.config_after
-            || request.hosts.run != self.shared.run
+            || request.keeper_run != self.shared.run
             || self.shared.crash_log.change_count() > request.reports_after
     }
 
     fn has_new_hosts(&self, request: &SyncRequest) -> bool {
-        self.directory().change_count() > request.hosts.change
+        let is_behind = |query: &DirectoryQuery| {
+            query.position.run != self.shared.run
+                || self.directory().change_count() > query.position.change
+        };
+        request.hosts.as_ref().is_some_and(is_behind)
     }
 
     fn sync_reply(&self, request: &SyncRequest) -> SyncReply {
@@ -42,21 +46,17 @@
             (config.version > request.config_after).then(|| config.clone())
         };
         let config = self.shared.group.read(newer);
-        let is_same_run = request.hosts.run == self.shared.run;
-        let (hosts_after, reports_after) = match is_same_run {
-            true => (request.hosts.change, request.reports_after),
-            false => (0, 0),
+        let reports_after = match request.keeper_run == self.shared.run {
+            true => request.reports_after,
+            false => 0,
         };
         let strikes = self.shared.crash_log.changed_after(reports_after);
-        let directory = self.directory();
+        let answer = |query| self.directory().answer(query, self.shared.run);
         SyncReply {
             is_current,
             config,
-            position: DirectoryPosition {
-                run: self.shared.run,
-                change: directory.change_count(),
-            },
-            hosts: directory.changed_after(hosts_after),
+            keeper_run: self.shared.run,
+            hosts: request.hosts.as_ref().map(answer),
             reports_at: strikes.at,
             crash_reports: strikes.reports,
             reports_digest: strikes.digest,
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -8,7 +8,7 @@
 use agatehill_backend::quarantine::FleetQuarantine;
 use agatehill_decide::{
     config_history::AcceptedConfig,
-    host_directory::{DirectoryPosition, HostDirectory, HostRecord, ServerRecord},
+    host_directory::{DirectoryPosition, DirectoryQuery, HostDirectory, HostRecord, ServerRecord},
     keeper_poller::{
         KeeperPoll, KeeperPoller, LONG_POLL_GRACE, LONG_POLL_WAIT, POLL_ALL_TIMEOUT,
         POLL_RETRY_PAUSE,
@@ -22,6 +22,7 @@
     stream::{FuturesUnordered, StreamExt},
 };
 use std::{
+    collections::HashMap,
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, SystemTime},
@@ -58,6 +59,8 @@
     pub(crate) options: SyncOptions,
     pub(crate) keepers: KeeperMap,
     record: Mutex<HostRecord>,
+    /// How far the changes of each keeper have been followed.
+    positions: Mutex<HashMap<KeeperName, SyncPosition>>,
     directory: Mutex<HostDirectory>,
     config: watch::Sender<Option<AcceptedConfig>>,
     directory_changes: watch::Sender<u64>,
@@ -72,16 +75,18 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct SyncPosition {
     hosts: DirectoryPosition,
+    /// Run of the keeper to which `reports_at` belongs.
+    keeper_run: u64,
     reports_at: u64,
 }
 
-impl From<&SyncReply> for SyncPosition {
-    fn from(reply: &SyncReply) -> SyncPosition {
-        SyncPosition {
-            hosts: reply.position,
-            reports_at: reply.reports_at,
-        }
-    }
+/// What a poll is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum PollPurpose {
+    /// All changes; the keeper may delay its reply until there is one.
+    Changes,
+    /// Publishing the daemon's record, or whether the keeper is in contact with the leader.
+    Contact,
 }
 
 impl FleetSync {
@@ -101,6 +106,7 @@
                 keepers: KeeperMap::open(&options.seeds, options.port),
                 options,
                 record: Mutex::new(record),
+                positions: Mutex::default(),
                 directory: Mutex::default(),
                 config: watch::channel(None).0,
                 directory_changes: watch::channel(0).0,
@@ -171,17 +177,13 @@
     fn publish(&self) {
         for keeper in self.nearest().into_iter().take(PUBLISH_KEEPERS) {
             let sync = self.clone();
-            tokio::spawn(async move {
-                let start = SyncPosition::default();
-                sync.poll(&keeper, start, Duration::ZERO).await
-            });
+            tokio::spawn(async move { sync.poll(&keeper, PollPurpose::Contact).await });
         }
     }
 
     /// Polls the keepers forever.
     async fn run(self) {
         let mut poller = KeeperPoller::default();
-        let mut position = SyncPosition::default();
         // The preferred keeper of the last log line.
         let mut logged = None;
         loop {
@@ -191,10 +193,9 @@
                 KeeperPoll::One(name) => {
                     let keeper = nearest.iter().find(|k| k.name == name);
                     let keeper = keeper.expect("the poller returns one of the given names");
-                    let reply = self.poll(keeper, position, LONG_POLL_WAIT).await;
-                    let reply = reply.filter(|reply| reply.is_current);
-                    poller.record_reply(&name, reply.is_some());
-                    position = reply.as_ref().map(SyncPosition::from).unwrap_or_default();
+                    let reply = self.poll(keeper, PollPurpose::Changes).await;
+                    let is_current = reply.is_some_and(|reply| reply.is_current);
+                    poller.record_reply(&name, is_current);
                 }
                 KeeperPoll::All => {
                     let current = self.poll_all(&nearest).await;
@@ -213,12 +214,12 @@
     /// Polls all keepers at once; returns the first that replies and is in contact with the leader.
     async fn poll_all(&self, keepers: &[KnownKeeper]) -> Option<KeeperName> {
         let poll = |keeper| async move {
-            let polled = self.poll(keeper, SyncPosition::default(), Duration::ZERO);
+            let polled = self.poll(keeper, PollPurpose::Contact);
             let reply = timeout(POLL_ALL_TIMEOUT, polled).await.ok()??;
             reply.is_current.then(|| keeper.name.clone())
         };
         let replies: FuturesUnordered<_> = keepers.iter().map(poll).collect();
-        // The next poll fetches what the dropped replies would have contained.
+        // The next poll fetches what has changed.
         replies.filter_map(ready).next().await
     }
 
@@ -227,14 +228,13 @@
         self.shared.keepers.nearest(&options.region, &options.zone)
     }
 
-    /// Polls `keeper`, which may delay its reply for up to `wait`, and applies the reply. Returns
-    /// `None` if none arrives in time.
-    async fn poll(
-        &self,
-        keeper: &KnownKeeper,
-        position: SyncPosition,
-        wait: Duration,
-    ) -> Option<SyncReply> {
+    /// Polls `keeper` and applies the reply. Returns `None` if none arrives in time.
+    async fn poll(&self, keeper: &KnownKeeper, purpose: PollPurpose) -> Option<SyncReply> {
+        let wait = match purpose {
+            PollPurpose::Changes => LONG_POLL_WAIT,
+            PollPurpose::Contact => Duration::ZERO,
+        };
+        let position = self.position(&keeper.name);
         let version = self
             .shared
             .config
@@ -244,7 +244,11 @@
         let request = SyncRequest {
             record: Some(self.record().clone()),
             config_after: version,
-            hosts: position.hosts,
+            hosts: (purpose == PollPurpose::Changes).then(|| DirectoryQuery {
+                position: position.hosts,
+                digest: self.directory().digest(),
+            }),
+            keeper_run: position.keeper_run,
             reports_after: position.reports_at,
             keepers_digest: self.shared.keepers.digest(),
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
@@ -255,8 +259,11 @@
         });
         let reply = timeout(limit, sent).await.ok()?.ok()?;
         self.apply(&reply);
+        self.set_position(&keeper.name, position, &reply);
         report_sender::send_missing(self, keeper, &reply);
-        if reply.is_current {
+        // Only then this daemon's own record of an earlier run is known.
+        let has_all = reply.hosts.as_ref().is_some_and(|answer| !answer.is_full());
+        if reply.is_current && has_all {
             self.shared.has_synced.send_replace(true);
         }
         Some(reply)
@@ -269,8 +276,10 @@
         if let Some(config) = &reply.config {
             self.apply_config(config);
         }
+        let hosts = reply.hosts.as_ref();
+        let hosts = hosts.map_or(&[][..], |answer| &answer.records);
         let mut directory = self.directory();
-        let merged = reply.hosts.iter().filter(|r| directory.merge((*r).clone()));
+        let merged = hosts.iter().filter(|r| directory.merge((*r).clone()));
         if merged.count() > 0 {
             self.shared
                 .directory_changes
@@ -278,7 +287,7 @@
         }
         drop(directory);
         let gate = self.shared.options.gate_addr;
-        if let Some(own) = reply.hosts.iter().find(|record| record.gate == gate) {
+        if let Some(own) = hosts.iter().find(|record| record.gate == gate) {
             self.supersede(own);
             self.adopt_left(own);
         }
@@ -316,6 +325,26 @@
         self.shared.left_before.send_replace(known.left.clone());
     }
 
+    fn position(&self, keeper: &KeeperName) -> SyncPosition {
+        self.positions().get(keeper).copied().unwrap_or_default()
+    }
+
+    /// Records how far `reply` leads from `position`.
+    fn set_position(&self, keeper: &KeeperName, position: SyncPosition, reply: &SyncReply) {
+        let hosts = reply.hosts.as_ref();
+        let position = SyncPosition {
+            hosts: hosts.map_or(position.hosts, |answer| answer.position),
+            keeper_run: reply.keeper_run,
+            reports_at: reply.reports_at,
+        };
+        self.positions().insert(keeper.clone(), position);
+    }
+
+    fn positions(&self) -> MutexGuard<'_, HashMap<KeeperName, SyncPosition>> {
+        let positions = self.shared.positions.lock();
+        positions.expect("no thread panics while it holds the positions")
+    }
+
     fn record(&self) -> MutexGuard<'_, HostRecord> {
         let record = self.shared.record.lock();
         record.expect("no thread panics while it holds the record")
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -7,7 +7,7 @@
 };
 use agatehill_decide::{
     config_history::{AcceptedConfig, ConfigCommand, ConfigReply},
-    host_directory::{DirectoryAnswer, DirectoryPosition, DirectoryQuery, HostRecord},
+    host_directory::{DirectoryAnswer, DirectoryQuery, HostRecord},
     name::{KeeperName, RegionName, ZoneName},
     quarantine::CrashReport,
     replica::ReplicaEnvelope,
@@ -48,9 +48,11 @@
     pub record: Option<HostRecord>,
     /// Version of the configuration that the daemon has; 0 for none.
     pub config_after: u64,
-    /// How far the daemon has followed the keeper's directory.
-    pub hosts: DirectoryPosition,
-    /// Number of the last change to the strikes that the daemon has, in the same run of the keeper.
+    /// Question for the host records that the daemon lacks; `None` if it asks for none.
+    pub hosts: Option<DirectoryQuery>,
+    /// Run of the keeper to which `reports_after` belongs.
+    pub keeper_run: u64,
+    /// Number of the last change to the strikes that the daemon has.
     pub reports_after: u64,
     /// Digest of the keepers that the daemon knows.
     pub keepers_digest: u64,
@@ -65,10 +67,10 @@
     pub is_current: bool,
     /// The configuration, if it is newer than the daemon's.
     pub config: Option<AcceptedConfig>,
-    /// Position in the directory that `hosts` leads to.
-    pub position: DirectoryPosition,
-    /// Host records that changed after the position of the request.
-    pub hosts: Vec<HostRecord>,
+    /// Run of the keeper to which `reports_at` belongs.
+    pub keeper_run: u64,
+    /// The host records that the daemon lacks, if it asks for them.
+    pub hosts: Option<DirectoryAnswer>,
     /// Number of the last change to the strikes that `crash_reports` includes.
     pub reports_at: u64,
     /// Strikes against requests that crash servers, as far as they changed after `reports_after`.
