--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -3,6 +3,7 @@
 //! Gates are tried one after the other until one returns the server's response, no further try is
 //! allowed or the deadline passes.
 
+mod inheritance;
 mod pending;
 mod selection;
 
@@ -17,12 +18,11 @@
     notice::NOTICE,
 };
 use agatehill_decide::{
-    call_parent::{CallArrival, CallParent},
+    call_parent::CallParent,
     gate_selection::RouteKey,
     name::ServiceName,
     quarantine::RequestContent,
     service_config::{RouteRule, RouteTable},
-    service_retry_budget::RetryValue,
     time::MonoTime,
 };
 use agatehill_peer::{body::CallBody, crash_report::CRASH_REPORT_HEADER};
@@ -57,8 +57,6 @@
 const LATE_FRACTION_PRIORITY_0: f64 = 0.85;
 /// The same fraction for all other priorities; lower, so that their routes are limited first.
 const LATE_FRACTION: f64 = 0.6;
-/// Rank of the most important requests.
-const RANK_IMPORTANT: u32 = 0;
 /// Shortest remaining time in which a request is retried.
 const RETRY_TIME_MIN: Duration = Duration::from_millis(10);
 
@@ -240,38 +238,6 @@
         end.since(self.entry.options.clock.now())
     }
 
-    /// Returns the running request of the server on this host that this one is a call of, if any.
-    fn find_parent(&self, route: RouteKey) -> Option<CallParent> {
-        let call = CallArrival {
-            deadline: self.started + self.time_limit,
-            route,
-            connection: self.sender,
-        };
-        self.entry.gate().server().begin_call(call)
-    }
-
-    /// Returns the probability that the parent is a retry, 0 without one.
-    fn inherited_retry_share(&self) -> f64 {
-        self.parent.map_or(0.0, |parent| parent.request.retry_share)
-    }
-
-    fn may_retry(&self, target: &RequestTarget) -> bool {
-        let value = RetryValue {
-            is_important: self.rank(target) == RANK_IMPORTANT,
-            calls_answered: self.parent.map_or(0, |parent| parent.calls_answered),
-        };
-        let is_allowed = self.servers_reached < target.rule.servers_max;
-        let now = self.entry.options.clock.now();
-        let budget = &mut self.entry.lock().retry_budget;
-        is_allowed && budget.try_spend(&target.service, value, now)
-    }
-
-    /// Returns the rank of the request at the root of the call graph.
-    fn rank(&self, target: &RequestTarget) -> u32 {
-        let parent = self.parent.as_ref();
-        parent.map_or(target.rule.priority, |parent| parent.request.rank)
-    }
-
     /// Sends the request to `gate` and records the result.
     async fn try_gate(
         &mut self,
