Ask the nearest keepers for changes while there is no leader

After power was lost everywhere it would have learned of the others only once a leader was elected.

Change: of all keepers polled at once, the two nearest are asked for changes as well, with digest and position as always.

daemon_fetches_each_record_once now changes a record while no keeper has a leader: not learned within 10 s before, passes now.

--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -32,6 +32,9 @@
 /// Number of keepers to which a change of this daemon's record is sent at once.
 const PUBLISH_KEEPERS: usize = 2;
 
+/// Number of keepers that are asked for changes when all are polled at once.
+const CHANGES_KEEPERS: usize = 2;
+
 /// Options of a [`FleetSync`].
 #[derive(Clone, Debug)]
 pub struct SyncOptions {
@@ -85,6 +88,8 @@
 enum PollPurpose {
     /// All changes; the keeper may delay its reply until there is one.
     Changes,
+    /// The changes so far.
+    ChangesSoFar,
     /// Publishing the daemon's record, or whether the keeper is in contact with the leader.
     Contact,
 }
@@ -211,14 +216,22 @@
         }
     }
 
-    /// Polls all keepers at once; returns the first that replies and is in contact with the leader.
+    /// Polls all keepers at once, the nearest ones for changes as well, as there may be no leader for
+    /// long; returns the first that replies and is in contact with the leader.
     async fn poll_all(&self, keepers: &[KnownKeeper]) -> Option<KeeperName> {
-        let poll = |keeper| async move {
-            let polled = self.poll(keeper, PollPurpose::Contact);
-            let reply = timeout(POLL_ALL_TIMEOUT, polled).await.ok()??;
-            reply.is_current.then(|| keeper.name.clone())
+        let poll = |(idx, keeper): (usize, &KnownKeeper)| {
+            let keeper = keeper.clone();
+            let purpose = match idx < CHANGES_KEEPERS {
+                true => PollPurpose::ChangesSoFar,
+                false => PollPurpose::Contact,
+            };
+            async move {
+                let polled = self.poll(&keeper, purpose);
+                let reply = timeout(POLL_ALL_TIMEOUT, polled).await.ok()??;
+                reply.is_current.then(|| keeper.name.clone())
+            }
         };
-        let replies: FuturesUnordered<_> = keepers.iter().map(poll).collect();
+        let replies: FuturesUnordered<_> = keepers.iter().enumerate().map(poll).collect();
         // The next poll fetches what has changed.
         replies.filter_map(ready).next().await
     }
@@ -232,7 +245,7 @@
     async fn poll(&self, keeper: &KnownKeeper, purpose: PollPurpose) -> Option<SyncReply> {
         let wait = match purpose {
             PollPurpose::Changes => LONG_POLL_WAIT,
-            PollPurpose::Contact => Duration::ZERO,
+            PollPurpose::ChangesSoFar | PollPurpose::Contact => Duration::ZERO,
         };
         let position = self.position(&keeper.name);
         let version = self
@@ -244,7 +257,7 @@
         let request = SyncRequest {
             record: Some(self.record().clone()),
             config_after: version,
-            hosts: (purpose == PollPurpose::Changes).then(|| DirectoryQuery {
+            hosts: (purpose != PollPurpose::Contact).then(|| DirectoryQuery {
                 position: position.hosts,
                 digest: self.directory().digest(),
             }),
--- a/crates/fleet/tests/sync.rs
+++ b/crates/fleet/tests/sync.rs
@@ -238,17 +238,27 @@
         "{later} records after the first {first}"
     );
 
-    // Changes elsewhere still arrive.
-    for keeper in &keepers {
-        let mut directory = keeper.directory.lock().unwrap();
-        directory.merge(record(7, 2));
+    // Changes elsewhere still arrive, also while no keeper is in contact with a leader.
+    for (sequence, has_leader) in [(2, true), (3, false)] {
+        for keeper in &keepers {
+            keeper.is_current.store(has_leader, Ordering::SeqCst);
+        }
+        // Until the daemon polls as it does then.
+        let before = replies();
+        eventually("the daemon goes on", || {
+            replies() > before + 2 * keepers.len()
+        })
+        .await;
+        for keeper in &keepers {
+            let mut directory = keeper.directory.lock().unwrap();
+            directory.merge(record(7, sequence));
+        }
+        let has_change = || {
+            let records = sync.records();
+            let mut changed = records.iter().filter(|r| r.gate == record(7, 1).gate);
+            changed.any(|record| record.sequence == sequence)
+        };
+        eventually("the daemon learns of the change", has_change).await;
     }
-    let has_change = || {
-        let records = sync.records();
-        records
-            .iter()
-            .any(|r| r.gate == record(7, 2).gate && r.sequence == 2)
-    };
-    eventually("the daemon learns of the change", has_change).await;
     drop(listeners);
 }
