Count requests by rank, by call or root, and by target latency

Requests at entries and gates now carry the rank of their root and whether they are calls; entries count what ended within the route's target latency, and how long a refused request was held. Request lines have the rank and the target.

Cost on the request path: not measured apart yet; the labels are static strings.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -337,6 +337,8 @@
             service: target.map(|target| &target.service),
             content: self.content.map(|content| content.fingerprint),
             parent: self.parent.map(|parent| parent.evidence),
+            rank: target.map(|target| self.rank(target)),
+            target_latency: target.map(|target| target.rule.target_latency),
             gates_tried: &self.gates_tried,
             servers_reached: self.servers_reached + u32::from(outcome == "answered"),
             outcome,
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -3,7 +3,10 @@
 //! Each decision is one log line. Lines are rate limited; a line carries the number of lines
 //! suppressed since the one before. Metrics cover every decision.
 
-use crate::hop::{HopContext, HopOutcome};
+use crate::{
+    error::RelayError,
+    hop::{HopContext, HopOutcome},
+};
 use agatehill_decide::{
     call_parent::ParentEvidence,
     log_rate_limit::{LogDecision, LogRateLimiter},
@@ -37,6 +40,10 @@
     pub content: Option<RequestFingerprint>,
     /// What shows that it is a call of a running request; `None` for a caller's own request.
     pub parent: Option<ParentEvidence>,
+    /// Rank of the request at the root of the call graph, if a route matched; 0 is the most important.
+    pub rank: Option<u32>,
+    /// Target latency of the route, if one matched.
+    pub target_latency: Option<Duration>,
     /// Gates that the request was sent to, in order.
     pub gates_tried: &'a [SocketAddr],
     /// Number of backend servers that the request reached.
@@ -74,6 +81,14 @@
     pub elapsed: Duration,
 }
 
+impl EntryDecision<'_> {
+    /// Returns whether the request ended within the target latency of its route.
+    fn is_in_target(&self) -> bool {
+        let target = self.target_latency;
+        target.is_some_and(|target| self.elapsed <= target)
+    }
+}
+
 /// Writes the log lines and records the metrics.
 #[derive(Debug)]
 pub struct DecisionLog {
@@ -93,11 +108,21 @@
 
     /// Records the end of a request at an entry.
     pub fn record_entry(&self, decision: &EntryDecision<'_>, now: MonoTime) {
-        counter!("agatehill_entry_requests", "outcome" => decision.outcome.to_owned()).increment(1);
+        counter!(
+            "agatehill_entry_requests",
+            "outcome" => decision.outcome.to_owned(),
+            "rank" => rank_label(decision.rank),
+            "call" => bool_label(decision.parent.is_some()),
+            "in_target" => bool_label(decision.is_in_target())
+        )
+        .increment(1);
         if let Some(evidence) = decision.parent {
             counter!("agatehill_entry_calls", "parent" => evidence.as_str()).increment(1);
         }
         histogram!("agatehill_entry_seconds").record(decision.elapsed.as_secs_f64());
+        if decision.outcome == RelayError::BUSY {
+            histogram!("agatehill_entry_refused_seconds").record(decision.elapsed.as_secs_f64());
+        }
         let limiter = match decision.outcome {
             "answered" => &self.answered,
             _ => &self.failed,
@@ -117,6 +142,8 @@
             service = decision.service.map_or("", ServiceName::as_str),
             content = decision.content.map(|content| content.to_string()).unwrap_or_default(),
             parent = decision.parent.map_or("", ParentEvidence::as_str),
+            rank = rank_label(decision.rank),
+            target_ms = decision.target_latency.map_or(0, millis),
             gates = gates.join(" "),
             reached = decision.servers_reached,
             outcome = decision.outcome,
@@ -129,7 +156,13 @@
 
     /// Records the end of a request at a gate.
     pub fn record_gate(&self, decision: &GateDecision<'_>, now: MonoTime) {
-        counter!("agatehill_gate_requests", "reason" => decision.reason).increment(1);
+        counter!(
+            "agatehill_gate_requests",
+            "reason" => decision.reason,
+            "rank" => rank_label(Some(decision.hop.rank)),
+            "call" => bool_label(decision.hop.is_nested)
+        )
+        .increment(1);
         histogram!("agatehill_gate_wait_seconds").record(decision.waited.as_secs_f64());
         histogram!("agatehill_gate_seconds").record(decision.elapsed.as_secs_f64());
         let limiter = match decision.outcome {
@@ -181,6 +214,26 @@
     }
 }
 
+/// Returns the label of a rank, with one label for all beyond the ranks in common use, so that the number
+/// of time series stays bounded.
+fn rank_label(rank: Option<u32>) -> &'static str {
+    match rank {
+        None => "",
+        Some(0) => "0",
+        Some(1) => "1",
+        Some(2) => "2",
+        Some(3) => "3",
+        Some(_) => "4+",
+    }
+}
+
+fn bool_label(value: bool) -> &'static str {
+    match value {
+        true => "true",
+        false => "false",
+    }
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/relay/src/error.rs
+++ b/crates/relay/src/error.rs
@@ -42,6 +42,9 @@
 }
 
 impl RelayError {
+    /// Reason of [`RelayError::Unavailable`].
+    pub const BUSY: &'static str = "busy";
+
     /// Returns the HTTP status.
     pub fn status(self) -> StatusCode {
         match self {
@@ -67,7 +70,7 @@
             RelayError::BodyTooLarge => "too-large",
             RelayError::BodyTimeout => "slow-body",
             RelayError::BadRequest => "bad-request",
-            RelayError::Unavailable { .. } => "busy",
+            RelayError::Unavailable { .. } => RelayError::BUSY,
             RelayError::Quarantined { .. } => "quarantined",
             RelayError::Lost => "lost",
             RelayError::DeadlineExceeded => "late",
