Write the contracts of the process tests by one builder

Tests are as strict as before; bad_input expects its line number one line earlier, since the text no longer begins with an empty line.

--- a/tests/src/bed.rs
+++ b/tests/src/bed.rs
@@ -20,24 +20,6 @@
 /// First port that a test process assigns.
 const FIRST_PORT: u16 = 10_000;
 
-/// Contract of customer `dansk` with one idempotent operation of class critical.
-pub const CERTIFICATE_CONTRACT: &str = r#"
-customer = "dansk"
-revision = 1
-calls_per_second = 4000
-calls_in_flight = 1200
-retries_per_request = 2
-remember_hours = 48
-
-[[operation]]
-service = "techreg"
-method = "GET"
-path = "/certificates/{id}"
-class = "critical"
-idempotent = true
-deadline_ms = 10000
-"#;
-
 /// Region and availability zone of a process under test.
 #[derive(Clone, Copy, Debug)]
 pub struct TestZone {
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod bed;
 pub mod client;
+pub mod contract;
 pub mod member_simulation;
 pub mod process;
 pub mod tcp_proxy;
--- a/tests/tests/at_most_once.rs
+++ b/tests/tests/at_most_once.rs
@@ -4,6 +4,7 @@
 use agatehill_tests::{
     bed::{DaemonSpec, SETTLE_TIMEOUT, TestBed, ZONE},
     client::{TestClient, TestResponse, eventually},
+    contract::{TestOperation, contract_text},
     process::ProcessGuard,
 };
 use nix::sys::signal::Signal;
@@ -11,30 +12,22 @@
 use std::{net::SocketAddr, time::Duration};
 use tokio::{task::JoinSet, time::sleep};
 
-const CONTRACT: &str = r#"
-customer = "sutravan"
-revision = 1
-calls_per_second = 4000
-calls_in_flight = 1200
-retries_per_request = 2
-remember_hours = 48
-
-[[operation]]
-service = "till"
-method = "POST"
-path = "/payments/{kind}"
-class = "critical"
-idempotent = false
-deadline_ms = 8000
-
-[[operation]]
-service = "till"
-method = "GET"
-path = "/payments/{id}"
-class = "critical"
-idempotent = true
-deadline_ms = 8000
-"#;
+const OPERATIONS: [TestOperation; 2] = [
+    TestOperation {
+        request: "POST /payments/{kind}",
+        service: "till",
+        class: "critical",
+        idempotent: false,
+        deadline_ms: 8_000,
+    },
+    TestOperation {
+        request: "GET /payments/{id}",
+        service: "till",
+        class: "critical",
+        idempotent: true,
+        deadline_ms: 8_000,
+    },
+];
 
 /// Pause of a caller between two attempts.
 const RESEND_PAUSE: Duration = Duration::from_millis(100);
@@ -53,8 +46,12 @@
     async fn open(keepers: usize, backends: &[&[&str]]) -> TillBed {
         let mut bed = TestBed::open(&vec![ZONE; keepers]);
         let keepers = bed.start_keepers();
-        bed.put_contract(keepers[0].addr("operator"), "sutravan", CONTRACT)
-            .await;
+        bed.put_contract(
+            keepers[0].addr("operator"),
+            "sutravan",
+            &contract_text("sutravan", &OPERATIONS),
+        )
+        .await;
         let specs: Vec<_> = backends.iter().map(|_| bed.add_daemon(ZONE)).collect();
         let daemons: Vec<_> = specs.iter().map(|spec| bed.start_daemon(spec)).collect();
         let start =
--- a/tests/tests/bad_input.rs
+++ b/tests/tests/bad_input.rs
@@ -3,34 +3,27 @@
 use agatehill_tests::{
     bed::{SETTLE_TIMEOUT, TestBed, ZONE},
     client::{TestResponse, eventually},
+    contract::{TestOperation, contract_text},
     process::{ProcessGuard, binary},
 };
 use std::{fs, net::SocketAddr, process::Command};
 
-const CONTRACT: &str = r#"
-customer = "dansk"
-revision = 1
-calls_per_second = 4000
-calls_in_flight = 1200
-retries_per_request = 2
-remember_hours = 48
-
-[[operation]]
-service = "techreg"
-method = "GET"
-path = "/certificates/{id}"
-class = "critical"
-idempotent = true
-deadline_ms = 5000
-
-[[operation]]
-service = "techreg"
-method = "POST"
-path = "/certificates"
-class = "normal"
-idempotent = false
-deadline_ms = 5000
-"#;
+const OPERATIONS: [TestOperation; 2] = [
+    TestOperation {
+        request: "GET /certificates/{id}",
+        service: "techreg",
+        class: "critical",
+        idempotent: true,
+        deadline_ms: 5_000,
+    },
+    TestOperation {
+        request: "POST /certificates",
+        service: "techreg",
+        class: "normal",
+        idempotent: false,
+        deadline_ms: 5_000,
+    },
+];
 
 const GET: &str = "/call/techreg/certificates/7";
 const POST: &str = "/call/techreg/certificates";
@@ -73,7 +66,8 @@
         let mut bed = TestBed::open(&[ZONE]);
         let keepers = bed.start_keepers();
         let keeper = keepers[0].addr("operator");
-        bed.put_contract(keeper, "dansk", CONTRACT).await;
+        bed.put_contract(keeper, "dansk", &contract_text("dansk", &OPERATIONS))
+            .await;
         let spec = bed.add_daemon(ZONE);
         let limits = format!("[limits]\nbody_bytes_max = {BODY_BYTES_MAX}\n");
         let settings = fs::read_to_string(&spec.settings).unwrap();
@@ -223,15 +217,16 @@
     let put = |status, reason, body: &str| {
         with_body(invalid("PUT", "/contracts/dansk", &[], status, reason), body)
     };
-    let next = CONTRACT.replace("revision = 1", "revision = 2");
+    let contract = contract_text("dansk", &OPERATIONS);
+    let next = contract.replace("revision = 1", "revision = 2");
     vec![
-        put(400, "line 4: ", &next.replace("calls_per_second = ", "calls_per_second ")),
+        put(400, "line 3: ", &next.replace("calls_per_second = ", "calls_per_second ")),
         put(400, "key \"colour\": unknown field", &format!("colour = 1\n{next}")),
         put(400, "key \"customer\": missing field", &next.replace("customer = \"dansk\"", "")),
         put(400, "key \"operation[0].deadline_ms\"", &next.replacen("5000", "0", 1)),
         put(400, "\"sutravan\"", &next.replace("\"dansk\"", "\"sutravan\"")),
-        put(409, "the next revision", &CONTRACT.replace("revision = 1", "revision = 3")),
-        put(409, "with another text", &CONTRACT.replace("4000", "9000")),
+        put(409, "the next revision", &contract.replace("revision = 1", "revision = 3")),
+        put(409, "with another text", &contract.replace("4000", "9000")),
         put(413, "at most", &"#".repeat((1 << 20) + 1)),
         with_body(invalid("PUT", "/contracts/dansk", &[], 400, "not UTF-8"), vec![0xff, 0xfe]),
         with_body(invalid("PUT", "/contracts/da%20nsk", &[], 400, "must be 1 to 64"), next.as_str()),
--- a/tests/tests/end_to_end.rs
+++ b/tests/tests/end_to_end.rs
@@ -1,13 +1,20 @@
 //! One call through keeper, daemon and backend server as separate processes.
 
-use agatehill_tests::bed::{CERTIFICATE_CONTRACT, TestBed, ZONE};
+use agatehill_tests::{
+    bed::{TestBed, ZONE},
+    contract::certificate_contract,
+};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_reaches_the_backend_server_beside_its_daemon() {
     let mut bed = TestBed::open(&[ZONE]);
     let keepers = bed.start_keepers();
-    bed.put_contract(keepers[0].addr("operator"), "dansk", CERTIFICATE_CONTRACT)
-        .await;
+    bed.put_contract(
+        keepers[0].addr("operator"),
+        "dansk",
+        &certificate_contract(),
+    )
+    .await;
     let spec = bed.add_daemon(ZONE);
     let daemon = bed.start_daemon(&spec);
     let _backend = bed.start_backend(&daemon, "techreg", &[]);
--- a/tests/tests/graceful_stop.rs
+++ b/tests/tests/graceful_stop.rs
@@ -2,6 +2,7 @@
 
 use agatehill_tests::{
     bed::{TestBed, ZONE},
+    contract::{TestOperation, contract_text},
     process::{ProcessGuard, binary},
 };
 use nix::sys::signal::Signal;
@@ -20,30 +21,22 @@
 /// Memory target of a daemon, in KiB.
 const MEMORY_KIB_MAX: u64 = 256 * 1024;
 
-const CONTRACT: &str = r#"
-customer = "dansk"
-revision = 1
-calls_per_second = 4000
-calls_in_flight = 1200
-retries_per_request = 2
-remember_hours = 48
-
-[[operation]]
-service = "proevesal"
-method = "PUT"
-path = "/uploads/{id}"
-class = "normal"
-idempotent = true
-deadline_ms = 120000
-
-[[operation]]
-service = "proevesal"
-method = "GET"
-path = "/uploads/{id}"
-class = "normal"
-idempotent = true
-deadline_ms = 5000
-"#;
+const OPERATIONS: [TestOperation; 2] = [
+    TestOperation {
+        request: "PUT /uploads/{id}",
+        service: "proevesal",
+        class: "normal",
+        idempotent: true,
+        deadline_ms: 120_000,
+    },
+    TestOperation {
+        request: "GET /uploads/{id}",
+        service: "proevesal",
+        class: "normal",
+        idempotent: true,
+        deadline_ms: 5_000,
+    },
+];
 
 #[derive(Clone, Copy, Debug)]
 enum StoppedProcess {
@@ -81,8 +74,12 @@
 async fn a_stopping_process_finishes_an_upload_in_flight(#[case] stopped: StoppedProcess) {
     let mut bed = TestBed::open(&[ZONE]);
     let keepers = bed.start_keepers();
-    bed.put_contract(keepers[0].addr("operator"), "dansk", CONTRACT)
-        .await;
+    bed.put_contract(
+        keepers[0].addr("operator"),
+        "dansk",
+        &contract_text("dansk", &OPERATIONS),
+    )
+    .await;
     let spec = bed.add_daemon(ZONE);
     let mut daemon = bed.start_daemon(&spec);
     let mut backend = bed.start_backend(&daemon, "proevesal", &[]);
--- a/tests/tests/member_failures.rs
+++ b/tests/tests/member_failures.rs
@@ -1,8 +1,9 @@
 //! Membership over processes: killed, stopped and frozen daemons, and a zone that stops responding.
 
 use agatehill_tests::{
-    bed::{CERTIFICATE_CONTRACT, SETTLE_TIMEOUT, TestBed, TestZone, ZONE},
+    bed::{SETTLE_TIMEOUT, TestBed, TestZone, ZONE},
     client::eventually,
+    contract::certificate_contract,
     process::ProcessGuard,
 };
 use nix::sys::signal::Signal;
@@ -39,7 +40,7 @@
         let mut bed = TestBed::open(&[ZONE]);
         let keepers = bed.start_keepers();
         let operator = keepers[0].addr("operator");
-        bed.put_contract(operator, "dansk", CERTIFICATE_CONTRACT)
+        bed.put_contract(operator, "dansk", &certificate_contract())
             .await;
         let mut hosts = Vec::new();
         for zone in zones {
--- a/tests/tests/overload.rs
+++ b/tests/tests/overload.rs
@@ -4,6 +4,7 @@
 use agatehill_tests::{
     bed::{SETTLE_TIMEOUT, TestBed, ZONE},
     client::{TestResponse, eventually},
+    contract::{TestOperation, contract_text},
     process::ProcessGuard,
 };
 use std::{
@@ -11,38 +12,29 @@
     time::Duration,
 };
 
-const CONTRACT: &str = r#"
-customer = "dansk"
-revision = 1
-calls_per_second = 4000
-calls_in_flight = 1200
-retries_per_request = 2
-remember_hours = 48
-
-[[operation]]
-service = "techreg"
-method = "GET"
-path = "/certificates/{id}"
-class = "critical"
-idempotent = true
-deadline_ms = 5000
-
-[[operation]]
-service = "techreg"
-method = "GET"
-path = "/history/{id}"
-class = "background"
-idempotent = true
-deadline_ms = 5000
-
-[[operation]]
-service = "gasdata"
-method = "GET"
-path = "/records/{id}"
-class = "background"
-idempotent = true
-deadline_ms = 5000
-"#;
+const OPERATIONS: [TestOperation; 3] = [
+    TestOperation {
+        request: "GET /certificates/{id}",
+        service: "techreg",
+        class: "critical",
+        idempotent: true,
+        deadline_ms: 5_000,
+    },
+    TestOperation {
+        request: "GET /history/{id}",
+        service: "techreg",
+        class: "background",
+        idempotent: true,
+        deadline_ms: 5_000,
+    },
+    TestOperation {
+        request: "GET /records/{id}",
+        service: "gasdata",
+        class: "background",
+        idempotent: true,
+        deadline_ms: 5_000,
+    },
+];
 
 /// Time between two requests; the deepest server finishes one every 25 ms.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(4);
@@ -85,8 +77,12 @@
 async fn the_entry_sheds_background_requests_of_an_overloaded_service() {
     let mut bed = TestBed::open(&[ZONE]);
     let keepers = bed.start_keepers();
-    bed.put_contract(keepers[0].addr("operator"), "dansk", CONTRACT)
-        .await;
+    bed.put_contract(
+        keepers[0].addr("operator"),
+        "dansk",
+        &contract_text("dansk", &OPERATIONS),
+    )
+    .await;
     let spec = bed.add_daemon(ZONE);
     let daemon = bed.start_daemon(&spec);
     let call = ["--call", "gasdata:/records/1"];
--- a/tests/tests/quarantine_zone.rs
+++ b/tests/tests/quarantine_zone.rs
@@ -2,8 +2,9 @@
 //! and the requests that run beside it are answered.
 
 use agatehill_tests::{
-    bed::{CERTIFICATE_CONTRACT, SETTLE_TIMEOUT, TestBed, ZONE},
+    bed::{SETTLE_TIMEOUT, TestBed, ZONE},
     client::{TestClient, eventually},
+    contract::certificate_contract,
     process::ProcessGuard,
 };
 use std::{net::SocketAddr, time::Duration};
@@ -34,8 +35,12 @@
 async fn at_most_two_servers_crash_and_bystanders_are_answered() {
     let mut bed = TestBed::open(&[ZONE]);
     let keepers = bed.start_keepers();
-    bed.put_contract(keepers[0].addr("operator"), "dansk", CERTIFICATE_CONTRACT)
-        .await;
+    bed.put_contract(
+        keepers[0].addr("operator"),
+        "dansk",
+        &certificate_contract(),
+    )
+    .await;
     let specs: Vec<_> = (0..SERVERS).map(|_| bed.add_daemon(ZONE)).collect();
     let daemons: Vec<_> = specs.iter().map(|spec| bed.start_daemon(spec)).collect();
     let slow = ["--service-ms", "300"];
--- a/tests/tests/stalled_backend.rs
+++ b/tests/tests/stalled_backend.rs
@@ -4,35 +4,28 @@
 use agatehill_tests::{
     bed::{SETTLE_TIMEOUT, TestBed, ZONE},
     client::{TestClient, TestResponse, eventually},
+    contract::{TestOperation, contract_text},
     process::ProcessGuard,
 };
 use std::net::SocketAddr;
 use tokio::task::JoinSet;
 
-const CONTRACT: &str = r#"
-customer = "dansk"
-revision = 1
-calls_per_second = 4000
-calls_in_flight = 1200
-retries_per_request = 2
-remember_hours = 48
-
-[[operation]]
-service = "certdesk"
-method = "GET"
-path = "/certificates/{id}"
-class = "critical"
-idempotent = true
-deadline_ms = 6000
-
-[[operation]]
-service = "certdesk"
-method = "POST"
-path = "/certificates/{id}"
-class = "critical"
-idempotent = false
-deadline_ms = 5000
-"#;
+const OPERATIONS: [TestOperation; 2] = [
+    TestOperation {
+        request: "GET /certificates/{id}",
+        service: "certdesk",
+        class: "critical",
+        idempotent: true,
+        deadline_ms: 6_000,
+    },
+    TestOperation {
+        request: "POST /certificates/{id}",
+        service: "certdesk",
+        class: "critical",
+        idempotent: false,
+        deadline_ms: 5_000,
+    },
+];
 
 const CALLS: usize = 24;
 
@@ -72,8 +65,12 @@
 async fn stalled_connections_fail_no_idempotent_call_and_run_nothing_twice() {
     let mut bed = TestBed::open(&[ZONE]);
     let keepers = bed.start_keepers();
-    bed.put_contract(keepers[0].addr("operator"), "dansk", CONTRACT)
-        .await;
+    bed.put_contract(
+        keepers[0].addr("operator"),
+        "dansk",
+        &contract_text("dansk", &OPERATIONS),
+    )
+    .await;
     let specs = [bed.add_daemon(ZONE), bed.add_daemon(ZONE)];
     let daemons: Vec<_> = specs.iter().map(|spec| bed.start_daemon(spec)).collect();
     let slow = ["--service-ms", "20"];
