Tell a caller that can't be in time when there is room, also if little of its target is left

The floor of 0.1 s was applied outside the budget, so that the budget's own test did not see it.

Change: the floor belongs to LatencyBudget. If half of what is left is below it, the caller is told when there is room.

--- a/crates/decide/src/latency_budget.rs
+++ b/crates/decide/src/latency_budget.rs
@@ -18,6 +18,8 @@
 /// Share of what the target latency leaves besides serving the request after which its caller may come
 /// back; the rest is for the jitter and for another wait.
 const RETURN_SHARE: f64 = 0.5;
+/// Shortest retry-after, before jitter.
+pub const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 
 /// What one request may still spend of its target latency.
 #[derive(Clone, Copy, Debug)]
@@ -62,7 +64,7 @@
     ///
     /// `proposed` is when there is likely to be room, `elapsed` the age of the request and `latency` the
     /// time that serving it is expected to take. A caller that can't be served within its target latency
-    /// anyway is told `proposed`.
+    /// even if it comes back after [`RETRY_AFTER_MIN`] is told `proposed`.
     pub fn retry_after(
         &self,
         proposed: Duration,
@@ -70,9 +72,11 @@
         latency: Duration,
     ) -> Duration {
         let left = self.target.saturating_sub(elapsed + latency);
-        match left.is_zero() {
-            true => proposed,
-            false => proposed.min(left.mul_f64(RETURN_SHARE)),
-        }
+        let latest = left.mul_f64(RETURN_SHARE);
+        let delay = match latest >= RETRY_AFTER_MIN {
+            true => proposed.min(latest),
+            false => proposed,
+        };
+        delay.max(RETRY_AFTER_MIN)
     }
 }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -20,7 +20,7 @@
 use agatehill_decide::{
     call_parent::CallParent,
     gate_selection::RouteKey,
-    latency_budget::LatencyBudget,
+    latency_budget::{LatencyBudget, RETRY_AFTER_MIN},
     name::ServiceName,
     quarantine::RequestContent,
     service_config::{RouteRule, RouteTable},
@@ -40,8 +40,6 @@
 
 /// Largest request body that is buffered, so that it can be sent again, in bytes.
 pub(crate) const BUFFERED_REQUEST_MAX: usize = 256 * 1024;
-/// Shortest retry-after of a refusal, before jitter.
-pub(crate) const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 /// Time allowed for a request without a deadline header.
 const DEADLINE_DEFAULT: Duration = Duration::from_secs(5);
 /// Time that a caller waits beyond its route's timeout, for a response that is on its way.
@@ -255,8 +253,7 @@
         let now = options.clock.now();
         let selector = &self.entry.lock().selector;
         let latency = selector.expected_latency(&candidates, target.route, now);
-        let retry_after = budget.retry_after(proposed, now.since(self.started), latency);
-        unavailable(retry_after.max(RETRY_AFTER_MIN))
+        unavailable(budget.retry_after(proposed, now.since(self.started), latency))
     }
 
     fn remaining(&self) -> Duration {
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     body::{BodyLimits, read_body},
-    call::{BUFFERED_REQUEST_MAX, RETRY_AFTER_MIN, RequestCall},
+    call::{BUFFERED_REQUEST_MAX, RequestCall},
     decision_log::DecisionLog,
     error::RelayError,
     gate::{GateResult, RequestGate},
@@ -15,6 +15,7 @@
 };
 use agatehill_decide::{
     gate_selection::{GateSelector, RouteKey},
+    latency_budget::RETRY_AFTER_MIN,
     name::ServiceName,
     quarantine::CrashReport,
     service_config::{RouteRule, RouteTable},
