Ask callers for a key and keep the limits of client accounts over all daemons

Callers saw: any key was served, also one that was withdrawn; the key went on to the server, no account was named to it, and an account could send as much as it liked.

Cause: the configuration held no accounts, and nothing looked at keys.

Change: - ServiceConfig holds accounts (name, digests of keys, rank, limit) and public routes; a shared or empty key, a duplicate name and a limit that is no amount are refused with the account's name. Keys are kept as digests only, so that no dump, line or error can show one. - The entry answers 401 to a request without a known key on a route that is not public, removes the key, and names the account to the server. Servers have no key: what they call is public. A request with a key is never taken for a call. - Limits are divided between zones; in each zone one daemon, by rendezvous hashing, hands out an account's tokens, and takes some from other zones when it runs short. Tokens run out after 0.5 s on a clock that goes on in a suspension.

--- a/crates/decide/src/call_parent.rs
+++ b/crates/decide/src/call_parent.rs
@@ -10,7 +10,9 @@
 //! - Routes that servers call are learned from calls with the deadline of their parent and from requests
 //!   that follow each other so; connections that servers use are learned from the former.
 //!
-//! What is not told apart: a caller that sends one request right after the other on one connection, each
+//! - A request that carries a key is a caller's own: servers have none.
+//!
+//! What is not told apart without keys: a caller that sends one request right after the other on one connection, each
 //! with less time than requests that run on its host at every moment have left.
 //!
 //! Designed for overload of a service deep in the call graph: calls must keep the rank of their root at
@@ -59,6 +61,15 @@
     pub retry_share: f64,
 }
 
+/// What is known of a request's sender before its parent is sought.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallSender {
+    /// It may be a caller or the server on this host.
+    Unknown,
+    /// It is a caller: the request carries a key.
+    Caller,
+}
+
 /// A request that may be a call of the server on this host.
 #[derive(Clone, Copy, Debug)]
 pub struct CallArrival {
@@ -68,6 +79,8 @@
     pub route: RouteKey,
     /// Address of the sender's end of the connection.
     pub connection: SocketAddr,
+    /// What is known of its sender.
+    pub sender: CallSender,
 }
 
 /// What shows that a request is a call of its parent.
@@ -177,7 +190,8 @@
             false => LATE_MAX,
         };
         let latest = self.by_deadline.last_key_value();
-        let may_be_call = latest.is_some_and(|((at, _), _)| *at + late_max >= call.deadline);
+        let is_in_time = latest.is_some_and(|((at, _), _)| *at + late_max >= call.deadline);
+        let may_be_call = is_in_time && call.sender != CallSender::Caller;
         let counts = self.routes.entry(call.route).or_default();
         if !may_be_call {
             counts.record_own();
--- a/crates/decide/src/name.rs
+++ b/crates/decide/src/name.rs
@@ -1,7 +1,7 @@
 //! Validated names and identifiers.
 
 use serde::{Deserialize, Serialize};
-use std::{fmt, sync::Arc};
+use std::{borrow::Borrow, fmt, sync::Arc};
 
 /// Longest name or request id, in bytes.
 pub const NAME_BYTES_MAX: usize = 64;
@@ -39,6 +39,12 @@
             }
         }
 
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl TryFrom<&str> for $name {
             type Error = NameError;
 
@@ -77,6 +83,11 @@
     CustomerName,
     "customer"
 );
+checked_name!(
+    /// Names a client account of the service configuration.
+    AccountName,
+    "account"
+);
 checked_name!(
     /// Names a service, the unit that backend servers announce.
     ServiceName,
--- a/crates/decide/src/service_config.rs
+++ b/crates/decide/src/service_config.rs
@@ -1,16 +1,21 @@
 //! The versioned configuration for routing by host and path: which requests go to which service,
 //! how many backend servers they may reach and how long they may take.
 
+mod account;
 mod check;
 mod table;
 
-pub use self::{check::ConfigFault, table::RouteTable};
+pub use self::{
+    account::{ClientAccount, KeyDigest, RateLimit},
+    check::ConfigFault,
+    table::{KeyCheck, RouteTable},
+};
 use crate::name::ServiceName;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// One version of the configuration.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ServiceConfig {
     /// Its version; versions increase, not necessarily by 1.
     pub version: u64,
@@ -20,6 +25,8 @@
     pub limits: CallerLimits,
     /// The routes by virtual host.
     pub hosts: Vec<HostRoutes>,
+    /// The client accounts; without any, requests need no key.
+    pub accounts: Vec<ClientAccount>,
 }
 
 /// A service that routes may send requests to.
@@ -74,6 +81,8 @@
     pub weighted_services: Vec<WeightedService>,
     /// Largest number of backend servers that one attempt of a caller may reach.
     pub servers_max: u32,
+    /// Whether its requests need no key of a client account.
+    pub is_public: bool,
 }
 
 /// A service with its share of a route's requests.
--- /dev/null
+++ b/crates/decide/src/service_config/account.rs
@@ -0,0 +1,74 @@
+//! Client accounts: who may send requests, with which keys, at which rank and rate.
+
+use super::RouteRule;
+use crate::name::AccountName;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// BLAKE3 digest of an API key. Only the digest is kept, so that no dump, log line or error can show
+/// a key; comparing digests takes no time that depends on how much of a key is right.
+#[derive(Clone, Copy, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct KeyDigest([u8; 32]);
+
+/// Bytes of a digest that its fingerprint shows.
+const FINGERPRINT_BYTES: usize = 4;
+
+impl KeyDigest {
+    /// Returns the digest of `key`.
+    pub fn of(key: &str) -> KeyDigest {
+        KeyDigest(*blake3::hash(key.as_bytes()).as_bytes())
+    }
+}
+
+impl fmt::Display for KeyDigest {
+    /// Writes a fingerprint by which operators tell keys apart.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in &self.0[..FINGERPRINT_BYTES] {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "KeyDigest({self})")
+    }
+}
+
+/// A client account.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ClientAccount {
+    /// Its name, unique in the configuration.
+    pub name: AccountName,
+    /// Digests of its keys.
+    pub keys: Vec<KeyDigest>,
+    /// Rank of its requests, which takes precedence over that of their route; 0 is the most important.
+    pub rank: Option<u32>,
+    /// Limit on its requests; `None` for no limit.
+    pub limit: Option<RateLimit>,
+}
+
+/// A limit on the requests of an account over all daemons.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RateLimit {
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests beyond the rate that may be sent at once.
+    pub burst: f64,
+}
+
+impl RateLimit {
+    /// Returns whether rate and burst can be enforced.
+    pub(super) fn is_valid(self) -> bool {
+        let is_amount = |amount: f64| amount.is_finite() && amount >= 0.0;
+        is_amount(self.rate) && is_amount(self.burst)
+    }
+}
+
+impl ClientAccount {
+    /// Returns the rank of its requests on `route`.
+    pub fn rank_on(&self, route: &RouteRule) -> u32 {
+        self.rank.unwrap_or(route.priority)
+    }
+}
--- a/crates/decide/src/service_config/check.rs
+++ b/crates/decide/src/service_config/check.rs
@@ -1,7 +1,7 @@
 //! Validation of a configuration.
 
-use super::{RouteRule, ServiceConfig};
-use std::fmt;
+use super::{ClientAccount, RouteRule, ServiceConfig};
+use std::{collections::HashSet, fmt};
 
 /// Why a configuration is refused.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -35,6 +35,26 @@
         /// The prefix.
         prefix: String,
     },
+    /// Two accounts have the same name.
+    DuplicateAccount {
+        /// The account.
+        account: String,
+    },
+    /// An account has an empty key.
+    EmptyKey {
+        /// The account.
+        account: String,
+    },
+    /// An account has a key that is listed before, mostly for another account.
+    SharedKey {
+        /// The account.
+        account: String,
+    },
+    /// The rate or burst of an account is negative or not finite.
+    BadLimit {
+        /// The account.
+        account: String,
+    },
 }
 
 impl fmt::Display for ConfigFault {
@@ -54,6 +74,18 @@
                 f,
                 "route \"{route}\": prefix \"{prefix}\" doesn't begin and end with a slash"
             ),
+            ConfigFault::DuplicateAccount { account } => {
+                write!(f, "account \"{account}\": the name is listed twice")
+            }
+            ConfigFault::EmptyKey { account } => {
+                write!(f, "account \"{account}\": a key is empty")
+            }
+            ConfigFault::SharedKey { account } => {
+                write!(f, "account \"{account}\": a key is listed twice")
+            }
+            ConfigFault::BadLimit { account } => {
+                write!(f, "account \"{account}\": rate and burst must be 0 or more")
+            }
         }
     }
 }
@@ -71,6 +103,26 @@
         for route in routes {
             self.check_route(route)?;
         }
+        self.check_accounts()
+    }
+
+    fn check_accounts(&self) -> Result<(), ConfigFault> {
+        let mut names = HashSet::new();
+        let mut keys = HashSet::new();
+        let empty_key = super::KeyDigest::of("");
+        for account in &self.accounts {
+            let name = || account.name.to_string();
+            if !names.insert(&account.name) {
+                return Err(ConfigFault::DuplicateAccount { account: name() });
+            }
+            if account.keys.contains(&empty_key) {
+                return Err(ConfigFault::EmptyKey { account: name() });
+            }
+            if !account.keys.iter().all(|key| keys.insert(key)) {
+                return Err(ConfigFault::SharedKey { account: name() });
+            }
+            check_limit(account)?;
+        }
         Ok(())
     }
 
@@ -113,3 +165,12 @@
         Ok(())
     }
 }
+
+fn check_limit(account: &ClientAccount) -> Result<(), ConfigFault> {
+    match account.limit.is_none_or(super::RateLimit::is_valid) {
+        true => Ok(()),
+        false => Err(ConfigFault::BadLimit {
+            account: account.name.to_string(),
+        }),
+    }
+}
--- a/crates/decide/src/service_config/table.rs
+++ b/crates/decide/src/service_config/table.rs
@@ -1,7 +1,11 @@
-//! Lookup of the route that applies to a request.
+//! Lookup of the route that applies to a request, and of the account that a key belongs to.
 
-use super::{RouteRule, ServiceConfig};
-use std::{collections::HashMap, sync::Arc};
+use super::{ClientAccount, KeyDigest, RouteRule, ServiceConfig};
+use crate::name::AccountName;
+use std::{
+    collections::{HashMap, hash_map::Entry},
+    sync::Arc,
+};
 
 /// The routes of one configuration, indexed for lookups.
 #[derive(Clone, Debug)]
@@ -9,6 +13,18 @@
     config: ServiceConfig,
     /// Routes by host in lower case, the longest prefix first.
     hosts: HashMap<String, Vec<Arc<RouteRule>>>,
+    /// Accounts by key; `None` for a key that several accounts list, which identifies none of them.
+    keys: HashMap<KeyDigest, Option<Arc<ClientAccount>>>,
+    accounts: HashMap<AccountName, Arc<ClientAccount>>,
+}
+
+/// Whose key a request carries.
+#[derive(Clone, Debug, PartialEq)]
+pub enum KeyCheck {
+    /// The key belongs to this account.
+    Known(Arc<ClientAccount>),
+    /// No account has the key, or several have.
+    Unknown,
 }
 
 impl From<ServiceConfig> for RouteTable {
@@ -22,7 +38,14 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        RouteTable { config, hosts }
+        let mut table = RouteTable {
+            hosts,
+            keys: HashMap::new(),
+            accounts: HashMap::new(),
+            config,
+        };
+        table.index_accounts();
+        table
     }
 }
 
@@ -32,6 +55,36 @@
         &self.config
     }
 
+    /// Returns whether requests need a key, but for those on public routes.
+    pub fn requires_keys(&self) -> bool {
+        !self.config.accounts.is_empty()
+    }
+
+    /// Returns whose key `key` is. Costs one hash of the key, whatever the number of keys.
+    pub fn check_key(&self, key: &str) -> KeyCheck {
+        match self.keys.get(&KeyDigest::of(key)) {
+            Some(Some(account)) => KeyCheck::Known(account.clone()),
+            Some(None) | None => KeyCheck::Unknown,
+        }
+    }
+
+    /// Returns the account `name`.
+    pub fn account(&self, name: &str) -> Option<&Arc<ClientAccount>> {
+        self.accounts.get(name)
+    }
+
+    fn index_accounts(&mut self) {
+        for account in self.config.accounts.iter().cloned().map(Arc::new) {
+            for key in &account.keys {
+                match self.keys.entry(*key) {
+                    Entry::Vacant(entry) => drop(entry.insert(Some(account.clone()))),
+                    Entry::Occupied(mut entry) => drop(entry.insert(None)),
+                }
+            }
+            self.accounts.insert(account.name.clone(), account);
+        }
+    }
+
     /// Returns the route with the longest prefix of `path` at `host`, which may have a port.
     ///
     /// Costs up to one comparison per route of the host.
--- a/crates/decide/tests/call_parent.rs
+++ b/crates/decide/tests/call_parent.rs
@@ -1,7 +1,9 @@
 //! Finding the parent request of a call.
 
 use agatehill_decide::{
-    call_parent::{CallArrival, CallParent, ParentEvidence, ParentIndex, ParentKey, ParentRequest},
+    call_parent::{
+        CallArrival, CallParent, CallSender, ParentEvidence, ParentIndex, ParentKey, ParentRequest,
+    },
     gate_selection::RouteKey,
     time::MonoTime,
 };
@@ -37,6 +39,7 @@
         deadline: MonoTime::from_millis(deadline),
         route: CALLED,
         connection: connection(1),
+        sender: CallSender::Unknown,
     }
 }
 
@@ -169,6 +172,7 @@
         deadline: MonoTime::from_millis(deadline),
         route: OWN,
         connection: connection(port),
+        sender: CallSender::Unknown,
     };
     assert_eq!(begin(&mut index, own(5_000, 7), 0), None);
     assert_eq!(begin(&mut index, own(deadline, 8), 0), None);
@@ -358,6 +362,7 @@
             deadline: run.deadline.min(now + CALL_LIMIT) + transit,
             route: CALLED,
             connection: connection(port),
+            sender: CallSender::Unknown,
         };
         let expected = run.request;
         let arrived = now + transit;
@@ -406,6 +411,7 @@
             deadline: now + left,
             route: OWN,
             connection: connection(self.last_port),
+            sender: CallSender::Unknown,
         };
         let found = self.index.begin_call(own, now);
         let key = found.map(|found| found.key);
--- a/crates/decide/tests/service_config.rs
+++ b/crates/decide/tests/service_config.rs
@@ -1,10 +1,10 @@
 //! Validation of a service configuration, lookup of routes and distribution over weighted services.
 
 use agatehill_decide::{
-    name::ServiceName,
+    name::{AccountName, ServiceName},
     service_config::{
-        CallerLimits, ConfigFault, HostRoutes, RouteKind, RouteRule, RouteTable, ServiceConfig,
-        ServiceSpec, WeightedService,
+        CallerLimits, ClientAccount, ConfigFault, HostRoutes, KeyCheck, KeyDigest, RateLimit,
+        RouteKind, RouteRule, RouteTable, ServiceConfig, ServiceSpec, WeightedService,
     },
     weighted_round_robin::WeightedRoundRobin,
 };
@@ -32,6 +32,7 @@
         priority: 0,
         weighted_services: vec![weighted("techreg", 1)],
         servers_max: 2,
+        is_public: false,
     }
 }
 
@@ -54,6 +55,7 @@
             host: "a.example".to_owned(),
             routes,
         }],
+        accounts: Vec::new(),
     }
 }
 
@@ -70,6 +72,10 @@
         ConfigFault::NoTimeout { .. } => "timeout",
         ConfigFault::NoServers { .. } => "servers",
         ConfigFault::BadPrefix { .. } => "prefix",
+        ConfigFault::DuplicateAccount { .. } => "name",
+        ConfigFault::EmptyKey { .. } => "empty key",
+        ConfigFault::SharedKey { .. } => "shared key",
+        ConfigFault::BadLimit { .. } => "limit",
     }
 }
 
@@ -91,6 +97,86 @@
     assert_eq!(checked.as_ref().err().map(fault_name), fault);
 }
 
+fn account(name: &str, keys: &[&str]) -> ClientAccount {
+    ClientAccount {
+        name: AccountName::try_from(name).unwrap(),
+        keys: keys.iter().map(|key| KeyDigest::of(key)).collect(),
+        rank: None,
+        limit: None,
+    }
+}
+
+fn limited(rate: f64, burst: f64) -> ClientAccount {
+    ClientAccount {
+        limit: Some(RateLimit { rate, burst }),
+        ..account("b", &["k-2"])
+    }
+}
+
+#[rstest]
+#[case::valid(account("b", &["k-2", "k-3"]), None)]
+#[case::without_keys(account("b", &[]), None)]
+#[case::limited(limited(0.5, 0.0), None)]
+#[case::same_name(account("a", &["k-2"]), Some("name"))]
+#[case::key_of_another(account("b", &["k-2", "k-1"]), Some("shared key"))]
+#[case::key_twice(account("b", &["k-2", "k-2"]), Some("shared key"))]
+#[case::empty_key(account("b", &[""]), Some("empty key"))]
+#[case::negative_rate(limited(-1.0, 1.0), Some("limit"))]
+#[case::negative_burst(limited(1.0, -1.0), Some("limit"))]
+#[case::no_number(limited(f64::NAN, 1.0), Some("limit"))]
+#[case::no_end(limited(1.0, f64::INFINITY), Some("limit"))]
+fn an_invalid_account_is_refused(#[case] second: ClientAccount, #[case] fault: Option<&str>) {
+    let mut config = config(vec![rule("/a/")]);
+    let name = second.name.clone();
+    config.accounts = vec![account("a", &["k-1"]), second];
+    let checked = config.check();
+    assert_eq!(checked.as_ref().err().map(fault_name), fault);
+    if let Err(fault) = checked {
+        let text = format!("{fault} {fault:?}");
+        assert!(text.contains(name.as_str()), "{text}");
+        assert!(!text.contains("k-"), "{text}");
+    }
+}
+
+#[test]
+fn a_key_identifies_its_account() {
+    let mut config = config(vec![rule("/a/")]);
+    assert!(!RouteTable::from(config.clone()).requires_keys());
+    // An earlier build accepted documents in which two accounts share a key.
+    config.accounts = vec![
+        account("a", &["k-1", "k-shared"]),
+        account("b", &["k-2", "k-shared"]),
+    ];
+    let table = RouteTable::from(config);
+    assert!(table.requires_keys());
+    let owner = |key: &str| match table.check_key(key) {
+        KeyCheck::Known(account) => Some(account.name.to_string()),
+        KeyCheck::Unknown => None,
+    };
+    assert_eq!(owner("k-1").as_deref(), Some("a"));
+    assert_eq!(owner("k-2").as_deref(), Some("b"));
+    for unknown in ["", "k", "k-", "k-11", "K-1", "k-shared"] {
+        assert_eq!(owner(unknown), None, "{unknown}");
+    }
+    let shown = format!("{:?}", table.config());
+    assert!(!shown.contains("k-1"), "{shown}");
+}
+
+#[rstest]
+#[case::of_the_account(Some(1), 1)]
+#[case::of_the_route(None, 4)]
+fn the_rank_of_an_account_goes_before_that_of_the_route(
+    #[case] rank: Option<u32>,
+    #[case] expected: u32,
+) {
+    let account = ClientAccount {
+        rank,
+        ..account("a", &[])
+    };
+    let rule = changed(|rule| rule.priority = 4);
+    assert_eq!(account.rank_on(&rule), expected);
+}
+
 #[rstest]
 #[case::shortest("a.example", "/a/x", Some("/a/"))]
 #[case::longest("a.example", "/a/b/x", Some("/a/b/"))]
--- a/crates/process/src/clock.rs
+++ b/crates/process/src/clock.rs
@@ -1,6 +1,7 @@
-//! The monotonic clock of a process.
+//! The monotonic clocks of a process.
 
 use agatehill_decide::time::MonoTime;
+use nix::time::{ClockId, clock_gettime};
 use std::time::{Duration, Instant};
 
 /// Source of [`MonoTime`] for the state machines.
@@ -27,3 +28,16 @@
         self.start + Duration::from_micros(time.as_micros())
     }
 }
+
+/// Source of [`MonoTime`] for permissions that run out: unlike [`MonoClock`] it goes on while the host is
+/// suspended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BootClock;
+
+impl BootClock {
+    /// Returns the time since the host was started.
+    pub fn now(self) -> MonoTime {
+        let time = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("Linux has this clock");
+        MonoTime::ZERO + Duration::from(time)
+    }
+}
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -3,6 +3,7 @@
 //! Gates are tried one after the other until one returns the server's response, no further try is
 //! allowed or the deadline passes.
 
+mod identity;
 mod inheritance;
 mod pending;
 mod selection;
@@ -16,6 +17,7 @@
     headers::{head_bytes, parse_millis, strip_hop_by_hop},
     hop::{HopContext, HopOutcome},
     notice::NOTICE,
+    quota::QUOTA,
 };
 use agatehill_decide::{
     call_parent::CallParent,
@@ -23,7 +25,7 @@
     latency_budget::{LatencyBudget, RETRY_AFTER_MIN},
     name::ServiceName,
     quarantine::RequestContent,
-    service_config::{RouteRule, RouteTable},
+    service_config::{ClientAccount, RouteRule, RouteTable},
     time::MonoTime,
 };
 use agatehill_peer::{body::CallBody, crash_report::CRASH_REPORT_HEADER};
@@ -71,6 +73,8 @@
     table: Option<Arc<RouteTable>>,
     /// The request that the server on this host sends this one for, if any.
     parent: Option<CallParent>,
+    /// The client account whose key it carries.
+    account: Option<Arc<ClientAccount>>,
     /// Route and service, once a route has matched.
     target: Option<RequestTarget>,
     /// Identifies its content; known only once there are suspects.
@@ -114,6 +118,7 @@
             started,
             time_limit: deadline.unwrap_or(DEADLINE_DEFAULT),
             parent: None,
+            account: None,
             table: entry.table.load_full(),
             target: None,
             content: None,
@@ -147,19 +152,20 @@
         }
         let rule = find_rule(&table, &self.head).ok_or(RelayError::NoRoute)?;
         let route = route_key(rule);
+        self.identify(&table, rule, route)?;
         let target = RequestTarget {
             rule: rule.clone(),
             route,
             service: self.entry.pick_service(rule, route),
         };
         self.target = Some(target.clone());
-        self.parent = self.find_parent(route);
         let response_limit = self.time_limit.saturating_sub(RESPONSE_RESERVE);
         self.time_limit = response_limit.min(rule.timeout + TIMEOUT_GRACE);
         strip_hop_by_hop(&mut self.head.headers);
         // Only daemons send these.
         self.head.headers.remove(CRASH_REPORT_HEADER);
         self.head.headers.remove(NOTICE);
+        self.head.headers.remove(QUOTA);
         let limits = BodyLimits {
             buffered_max: BUFFERED_REQUEST_MAX,
             size_max: table.config().limits.body_bytes_max,
@@ -172,6 +178,10 @@
             Ok(Err(BodyError::Interrupted)) => return Err(RelayError::BadRequest),
             Err(_) => return Err(RelayError::BodyTimeout),
         };
+        // Right before the request is sent on, because a token is valid for a short time only.
+        if let Some(account) = self.account.clone() {
+            self.entry.quotas.take(&account).await?;
+        }
         match tokio::time::timeout(self.remaining(), self.try_gates(&target, body)).await {
             Ok(result) => result,
             Err(_) if self.is_in_flight || self.may_have_run => Err(RelayError::DeadlineExceeded),
@@ -357,6 +367,7 @@
             content: self.content.map(|content| content.fingerprint),
             parent: self.parent.map(|parent| parent.evidence),
             rank: target.map(|target| self.rank(target)),
+            account: self.account.as_ref().map(|account| &account.name),
             target_latency: target.map(|target| target.rule.target_latency),
             gates_tried: &self.gates_tried,
             servers_reached: self.servers_reached + u32::from(outcome == "answered"),
--- a/crates/relay/src/call/inheritance.rs
+++ b/crates/relay/src/call/inheritance.rs
@@ -2,7 +2,7 @@
 
 use super::{RequestCall, RequestTarget};
 use agatehill_decide::{
-    call_parent::{CallArrival, CallParent},
+    call_parent::{CallArrival, CallParent, CallSender},
     gate_selection::RouteKey,
     service_retry_budget::RetryValue,
 };
@@ -12,11 +12,12 @@
 
 impl RequestCall<'_> {
     /// Returns the running request of the server on this host that this one is a call of, if any.
-    pub(super) fn find_parent(&self, route: RouteKey) -> Option<CallParent> {
+    pub(super) fn find_parent(&self, route: RouteKey, sender: CallSender) -> Option<CallParent> {
         let call = CallArrival {
             deadline: self.started + self.time_limit,
             route,
             connection: self.sender,
+            sender,
         };
         self.entry.gate().server().begin_call(call)
     }
@@ -39,7 +40,10 @@
 
     /// Returns the rank of the request at the root of the call graph.
     pub(super) fn rank(&self, target: &RequestTarget) -> u32 {
-        let parent = self.parent.as_ref();
-        parent.map_or(target.rule.priority, |parent| parent.request.rank)
+        match (&self.parent, &self.account) {
+            (Some(parent), _) => parent.request.rank,
+            (None, Some(account)) => account.rank_on(&target.rule),
+            (None, None) => target.rule.priority,
+        }
     }
 }
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -10,7 +10,7 @@
 use agatehill_decide::{
     call_parent::ParentEvidence,
     log_rate_limit::{LogDecision, LogRateLimiter},
-    name::ServiceName,
+    name::{AccountName, ServiceName},
     quarantine::RequestFingerprint,
     time::MonoTime,
 };
@@ -42,6 +42,8 @@
     pub parent: Option<ParentEvidence>,
     /// Rank of the request at the root of the call graph, if a route matched; 0 is the most important.
     pub rank: Option<u32>,
+    /// The client account whose key it carries.
+    pub account: Option<&'a AccountName>,
     /// Target latency of the route, if one matched.
     pub target_latency: Option<Duration>,
     /// Gates that the request was sent to, in order.
@@ -143,6 +145,7 @@
             content = decision.content.map(|content| content.to_string()).unwrap_or_default(),
             parent = decision.parent.map_or("", ParentEvidence::as_str),
             rank = rank_label(decision.rank),
+            account = decision.account.map_or("", AccountName::as_str),
             target_ms = decision.target_latency.map_or(0, millis),
             gates = gates.join(" "),
             reached = decision.servers_reached,
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -12,11 +12,12 @@
     hop::{HopContext, HopOutcome},
     notice::{self, KnownNotices},
     pool::{ConnectionPool, PoolOptions, SendError},
+    quota::{AccountQuotas, QUOTA, QuotaOptions},
 };
 use agatehill_decide::{
     gate_selection::{GateSelector, RouteKey},
     latency_budget::RETRY_AFTER_MIN,
-    name::ServiceName,
+    name::{ServiceName, ZoneName},
     quarantine::CrashReport,
     service_config::{RouteRule, RouteTable},
     service_retry_budget::ServiceRetryBudget,
@@ -62,6 +63,10 @@
     pub gate: RequestGate,
     /// The gates of all hosts.
     pub gates: GateView,
+    /// All availability zones, between which limits of client accounts are divided.
+    pub zones: Vec<ZoneName>,
+    /// Requests that may be sent beyond the burst of an account's limit.
+    pub quota_extra: f64,
     /// Records the decisions.
     pub log: Arc<DecisionLog>,
     /// Clock of deadlines and measured times.
@@ -72,6 +77,7 @@
 pub struct RequestEntry {
     pub(crate) options: EntryOptions,
     pub(crate) pool: ConnectionPool,
+    pub(crate) quotas: AccountQuotas,
     pub(crate) table: ArcSwapOption<RouteTable>,
     state: Mutex<EntryState>,
     is_draining: AtomicBool,
@@ -89,8 +95,15 @@
 impl RequestEntry {
     /// Starts an entry without a configuration.
     pub fn spawn(options: EntryOptions) -> Arc<RequestEntry> {
+        let quotas = AccountQuotas::spawn(QuotaOptions {
+            zones: options.zones.clone(),
+            extra: options.quota_extra,
+            gate_addr: options.gate_addr,
+            gates: options.gates.clone(),
+        });
         let entry = Arc::new(RequestEntry {
             options,
+            quotas,
             pool: ConnectionPool::open(PoolOptions {
                 connect_timeout: CONNECT_TIMEOUT,
                 idle_timeout: IDLE_TIMEOUT,
@@ -119,8 +132,15 @@
         table.as_ref().map_or(0, |table| table.config().version)
     }
 
-    /// Sets `Connection: close` on every later response to callers.
+    /// Returns the number of client accounts whose tokens this host hands out.
+    pub fn quota_count(&self) -> usize {
+        self.quotas.account_count()
+    }
+
+    /// Sets `Connection: close` on every later response to callers, and leaves the limits of client
+    /// accounts to other hosts.
     pub fn set_draining(&self) {
+        self.quotas.set_draining();
         self.is_draining.store(true, Ordering::Relaxed);
     }
 
@@ -144,6 +164,9 @@
     /// Handles a request that the entry of another daemon forwards.
     pub async fn handle_forwarded(&self, req: Request<Body>) -> Response<CallBody> {
         let (mut head, body) = req.into_parts();
+        if head.headers.contains_key(QUOTA) {
+            return self.quotas.handle(&head.headers, &self.table).await;
+        }
         let Some(hop) = HopContext::take(&mut head.headers) else {
             return RelayError::BadRequest.response();
         };
--- a/crates/relay/src/error.rs
+++ b/crates/relay/src/error.rs
@@ -3,7 +3,7 @@
 use agatehill_peer::body::CallBody;
 use http::{
     HeaderValue, Response, StatusCode,
-    header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER},
+    header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE},
 };
 use std::time::Duration;
 
@@ -17,6 +17,18 @@
     NoConfig,
     /// No route matches the host and path. The request has not run.
     NoRoute,
+    /// The route needs a key, and the request carries none that is in force. The request has not run.
+    Unauthorized,
+    /// The client account has reached its limit. The request has not run.
+    OverLimit {
+        /// Time after which there is room for a request.
+        retry_after: Duration,
+    },
+    /// No host that hands out the account's limit can be reached. The request has not run.
+    QuotaUnknown {
+        /// Time after which a retry is likely to be accepted.
+        retry_after: Duration,
+    },
     /// The request head exceeds the configured limit. The request has not run.
     HeadTooLarge,
     /// The request body exceeds the configured limit. The request has not run.
@@ -49,8 +61,11 @@
     pub fn status(self) -> StatusCode {
         match self {
             RelayError::NoConfig
+            | RelayError::QuotaUnknown { .. }
             | RelayError::Unavailable { .. }
             | RelayError::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            RelayError::Unauthorized => StatusCode::UNAUTHORIZED,
+            RelayError::OverLimit { .. } => StatusCode::TOO_MANY_REQUESTS,
             RelayError::NoRoute => StatusCode::NOT_FOUND,
             RelayError::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             RelayError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -66,6 +81,9 @@
         match self {
             RelayError::NoConfig => "no-config",
             RelayError::NoRoute => "no-route",
+            RelayError::Unauthorized => "unauthorized",
+            RelayError::OverLimit { .. } => "over-limit",
+            RelayError::QuotaUnknown { .. } => "quota-unknown",
             RelayError::HeadTooLarge => "head-too-large",
             RelayError::BodyTooLarge => "too-large",
             RelayError::BodyTimeout => "slow-body",
@@ -86,9 +104,10 @@
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         let retry_after = match self {
             RelayError::NoConfig => Some(NO_CONFIG_RETRY_AFTER),
-            RelayError::Unavailable { retry_after } | RelayError::Quarantined { retry_after } => {
-                Some(retry_after)
-            }
+            RelayError::OverLimit { retry_after }
+            | RelayError::QuotaUnknown { retry_after }
+            | RelayError::Unavailable { retry_after }
+            | RelayError::Quarantined { retry_after } => Some(retry_after),
             _ => None,
         };
         if let Some(delay) = retry_after {
@@ -97,6 +116,9 @@
                 HeaderValue::try_from(text).expect("a formatted number is a valid header value");
             headers.insert(RETRY_AFTER, value);
         }
+        if self == RelayError::Unauthorized {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+        }
         let has_unread_bytes = matches!(
             self,
             RelayError::BodyTimeout | RelayError::BodyTooLarge | RelayError::HeadTooLarge
--- a/crates/relay/src/gate_view.rs
+++ b/crates/relay/src/gate_view.rs
@@ -6,7 +6,7 @@
     name::{RegionName, ServiceName, ZoneName},
 };
 use arc_swap::ArcSwap;
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 /// The gates of all services; reads take no lock, and clones share the content.
 #[derive(Clone, Debug)]
@@ -14,6 +14,7 @@
     region: RegionName,
     zone: ZoneName,
     gates: Arc<ArcSwap<HashMap<ServiceName, Arc<Vec<GateCandidate>>>>>,
+    zone_gates: Arc<ArcSwap<HashMap<ZoneName, Vec<SocketAddr>>>>,
 }
 
 impl GateView {
@@ -23,6 +24,7 @@
             region,
             zone,
             gates: Arc::default(),
+            zone_gates: Arc::default(),
         }
     }
 
@@ -31,9 +33,21 @@
         self.gates.load().get(service).cloned().unwrap_or_default()
     }
 
+    /// Returns the availability zone of this daemon.
+    pub fn zone(&self) -> &ZoneName {
+        &self.zone
+    }
+
+    /// Returns the gates in `zone`, whatever their service.
+    pub fn in_zone(&self, zone: &ZoneName) -> Vec<SocketAddr> {
+        let zones = self.zone_gates.load();
+        zones.get(zone).cloned().unwrap_or_default()
+    }
+
     /// Replaces all gates by those of the hosts in `records`.
     pub fn set(&self, records: &[HostRecord]) {
         let mut gates: HashMap<ServiceName, Vec<GateCandidate>> = HashMap::new();
+        let mut zones: HashMap<ZoneName, Vec<SocketAddr>> = HashMap::new();
         for record in records {
             let Some(server) = &record.server else {
                 continue;
@@ -43,6 +57,8 @@
                 distance: self.distance(record),
                 slots: server.slots,
             };
+            let zone = zones.entry(record.zone.clone());
+            zone.or_default().push(record.gate);
             gates
                 .entry(server.service.clone())
                 .or_default()
@@ -50,6 +66,7 @@
         }
         let gates = gates.into_iter().map(|(name, list)| (name, Arc::new(list)));
         self.gates.store(Arc::new(gates.collect()));
+        self.zone_gates.store(Arc::new(zones));
     }
 
     fn distance(&self, record: &HostRecord) -> GateDistance {
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -18,6 +18,8 @@
     pub request_id: HeaderName,
     /// Time that the sender will wait for the response, in milliseconds.
     pub deadline_ms: HeaderName,
+    /// Name of the client account whose key the caller sent.
+    pub account: HeaderName,
     /// The service on whose host the request originates.
     pub caller_service: HeaderName,
     /// Identity of the only server that may run the request.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod body;
 mod call;
 mod content;
+mod credentials;
 pub mod decision_log;
 pub mod entry;
 pub mod error;
@@ -15,3 +16,4 @@
 pub mod host_server;
 mod notice;
 pub mod pool;
+pub mod quota;
--- a/crates/relay/tests/faults/main.rs
+++ b/crates/relay/tests/faults/main.rs
@@ -1,5 +1,6 @@
 //! Daemons in this process with backend servers that fail in ways that the test selects.
 
+mod accounts;
 mod endless;
 mod server_faults;
 mod support;
--- a/crates/relay/tests/faults/support/mod.rs
+++ b/crates/relay/tests/faults/support/mod.rs
@@ -7,7 +7,8 @@
     host_directory::{HostRecord, ServerRecord},
     name::{DaemonName, Incarnation, RegionName, ServiceName, ZoneName},
     service_config::{
-        CallerLimits, HostRoutes, RouteKind, RouteRule, ServiceConfig, ServiceSpec, WeightedService,
+        CallerLimits, ClientAccount, HostRoutes, RouteKind, RouteRule, ServiceConfig, ServiceSpec,
+        WeightedService,
     },
 };
 use agatehill_peer::handler::{client_addr, respond};
@@ -89,6 +90,8 @@
             service: ServiceName::try_from("front").unwrap(),
             gate_addr: daemons.local_addr(),
             gates: gates.clone(),
+            zones: vec![zone()],
+            quota_extra: 0.0,
             clock,
         });
         *entry_cell.lock().unwrap() = Some(entry.clone());
@@ -158,6 +161,27 @@
     daemon
 }
 
+/// Returns two daemons that know each other, with these client accounts and one public route.
+pub(crate) async fn two_daemons_with(accounts: Vec<ClientAccount>) -> [TestDaemon; 2] {
+    let daemons = two_daemons().await;
+    let config = config_with(accounts);
+    for daemon in &daemons {
+        daemon.entry.set_table(config.clone().into());
+    }
+    daemons
+}
+
+/// Returns a configuration with these client accounts and one public route.
+pub(crate) fn config_with(accounts: Vec<ClientAccount>) -> ServiceConfig {
+    let mut config = config();
+    config.accounts = accounts;
+    config.hosts[0].routes.push(RouteRule {
+        is_public: true,
+        ..rule("/open/", RouteKind::Idempotent)
+    });
+    config
+}
+
 /// Returns a daemon without a configuration.
 pub(crate) async fn unconfigured_daemon() -> TestDaemon {
     TestDaemon::spawn("s-1").await
@@ -262,6 +286,7 @@
     HeaderNames {
         request_id: HeaderName::from_static("x-id"),
         deadline_ms: HeaderName::from_static("x-deadline"),
+        account: HeaderName::from_static("x-account"),
         caller_service: HeaderName::from_static("x-caller"),
         expected_server: HeaderName::from_static("x-expected"),
         response_seal: HeaderName::from_static("x-seal"),
@@ -283,8 +308,8 @@
     ZoneName::try_from("herning-1").unwrap()
 }
 
-fn config() -> ServiceConfig {
-    let rule = |prefix: &str, kind| RouteRule {
+fn rule(prefix: &str, kind: RouteKind) -> RouteRule {
+    RouteRule {
         name: prefix.to_owned(),
         path_prefix: prefix.to_owned(),
         kind,
@@ -296,7 +321,11 @@
             weight: 1,
         }],
         servers_max: 2,
-    };
+        is_public: false,
+    }
+}
+
+fn config() -> ServiceConfig {
     ServiceConfig {
         version: 1,
         services: vec![ServiceSpec {
@@ -318,5 +347,6 @@
                 rule("/upload/", RouteKind::Upload),
             ],
         }],
+        accounts: Vec::new(),
     }
 }
