Create the keepers' files so that others can't read them

A test over real processes looks at all files and failed on the lock file first. Files of an earlier build keep their mode until they are replaced.

--- a/crates/store/src/file.rs
+++ b/crates/store/src/file.rs
@@ -1,10 +1,21 @@
 //! The file operations of a log, as a trait so that tests can inject disk errors.
 
 use std::{
-    fs::File,
+    fs::{File, OpenOptions},
     io::{self, Write},
+    os::unix::fs::OpenOptionsExt,
 };
 
+/// Permissions of new files: the state holds keys of client accounts, which nobody else may read.
+const FILE_MODE: u32 = 0o600;
+
+/// Returns options that create files which only this user may read.
+pub(crate) fn private_options() -> OpenOptions {
+    let mut options = OpenOptions::new();
+    options.mode(FILE_MODE);
+    options
+}
+
 /// An append-only file.
 pub trait LogFile {
     /// Appends `buf`. On an error, any part of it may have been written.
--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     StoreError,
+    file::private_options,
     record_file::{RecordFile, read_record, replace_record},
 };
 use agatehill_decide::name::KeeperName;
@@ -89,7 +90,9 @@
 
 fn lock_folder(path: &Path) -> Result<File, StoreError> {
     let file = path.join("lock");
-    let lock = File::create(&file).map_err(StoreError::io(&file))?;
+    let mut options = private_options();
+    options.create(true).write(true).truncate(true);
+    let lock = options.open(&file).map_err(StoreError::io(&file))?;
     match lock.try_lock() {
         Ok(()) => Ok(lock),
         Err(TryLockError::WouldBlock) => Err(StoreError::Locked {
--- a/crates/store/src/group.rs
+++ b/crates/store/src/group.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     DiskFile, LogFile, StoreError,
+    file::private_options,
     frame::push_record,
     record_file::{read_record, replace_bytes, replace_record, sync_folder},
     recover::{LogRecord, recover},
@@ -11,7 +12,7 @@
     replica::{HardState, LogEntry, PersistBatch, RecoveredState, ReplicaSnapshot},
 };
 use std::{
-    fs::{self, File, OpenOptions},
+    fs::{self, File},
     io,
     path::{Path, PathBuf},
 };
@@ -174,7 +175,7 @@
 }
 
 fn open_log(path: &Path) -> Result<File, StoreError> {
-    let mut options = OpenOptions::new();
+    let mut options = private_options();
     options.create(true).append(true);
     options.open(path).map_err(StoreError::io(path))
 }
--- a/crates/store/src/record_file.rs
+++ b/crates/store/src/record_file.rs
@@ -2,12 +2,13 @@
 
 use crate::{
     StoreError,
+    file::private_options,
     frame::{ScanEnd, push_record, scan_records},
 };
 use serde::{Serialize, de::DeserializeOwned};
 use std::{
     fs::{self, File},
-    io,
+    io::{self, Write},
     path::{Path, PathBuf},
 };
 
@@ -71,9 +72,12 @@
 
 pub(crate) fn replace_bytes(path: &Path, buf: &[u8]) -> Result<(), StoreError> {
     let new = path.with_extension("new");
+    let mut options = private_options();
+    options.create(true).write(true).truncate(true);
     let write = || {
-        fs::write(&new, buf)?;
-        File::open(&new)?.sync_all()?;
+        let mut file = options.open(&new)?;
+        file.write_all(buf)?;
+        file.sync_all()?;
         fs::rename(&new, path)
     };
     write().map_err(StoreError::io(&new))?;
