Give accounts their burst where an owner has long been the same, and a part of the tolerated excess

Callers saw: after the start, and in a burst at the limit, requests below an account's limit got 429: each bucket began with one token, and tokens lay in one zone while another had none.

Change: a bucket begins with what it would have gained since its host became the account's owner; tokens come in 1.05 times faster than the rate where the platform tolerates an excess of 0.1, and run out after 0.2 s instead of 0.5 s, so that the sum in a window stays the same. Held in virtual time against the platform's bound, as before.

--- a/crates/decide/src/quota/ledger.rs
+++ b/crates/decide/src/quota/ledger.rs
@@ -7,9 +7,10 @@
 //!
 //! Sum over all zones in a window of length W, for an account of rate R and burst B:
 //!
-//! - the buckets fill by R x W, since each zone's fills at its share of R;
+//! - the buckets fill by R x W x `rate_factor`, since each zone's fills at its share of R;
 //! - they hold B + `extra` at the start of the window; a token that is lent leaves one bucket before it
-//!   enters the other, and a bucket that begins anew holds one token;
+//!   enters the other, and a bucket that begins anew holds what it would have gained since its host became
+//!   the owner;
 //! - a token is valid for [`TOKEN_LIFETIME`], so that up to R x [`TOKEN_LIFETIME`] tokens that were
 //!   handed out before the window are spent in it.
 
@@ -17,7 +18,7 @@
 use std::{collections::HashMap, time::Duration};
 
 /// Time for which a token may be spent.
-pub const TOKEN_LIFETIME: Duration = Duration::from_millis(500);
+pub const TOKEN_LIFETIME: Duration = Duration::from_millis(200);
 /// Longest time that a request waits for its token.
 pub const WAIT_MAX: Duration = Duration::from_millis(400);
 /// Time constant of the measured demand.
@@ -47,6 +48,9 @@
     pub zones: u32,
     /// Requests that the buckets of all zones may hold beyond the account's burst.
     pub extra: f64,
+    /// Factor by which the buckets fill faster than the account's rate, 1 or a little more: it makes up
+    /// for tokens that lie in one zone while another has none.
+    pub rate_factor: f64,
 }
 
 /// The reply to a request for a token.
@@ -104,11 +108,29 @@
     }
 
     /// Takes a token of `account`, whose limit is `limit`.
-    pub fn take(&mut self, account: &AccountName, limit: RateLimit, now: MonoTime) -> QuotaReply {
+    ///
+    /// `owned_since` is the time since when this host has been the first to be asked, for all that it
+    /// knows; `now` if it isn't.
+    pub fn take(
+        &mut self,
+        account: &AccountName,
+        limit: RateLimit,
+        owned_since: MonoTime,
+        now: MonoTime,
+    ) -> QuotaReply {
+        if !self.buckets.contains_key(account) {
+            let bucket = TokenBucket::new(owned_since);
+            self.buckets.insert(account.clone(), bucket);
+        }
         self.bucket(account, limit, now).record_demand(now);
         self.take_again(account, limit, now)
     }
 
+    /// Returns whether there is a bucket of `account`.
+    pub fn has_bucket(&self, account: &AccountName) -> bool {
+        self.buckets.contains_key(account)
+    }
+
     /// Takes a token for a request that has been denied one, once other zones may have lent some.
     pub fn take_again(
         &mut self,
@@ -233,7 +255,7 @@
 
     /// Returns this zone's share of a rate, in tokens a second.
     fn rate(&self, limit: RateLimit) -> f64 {
-        limit.rate / f64::from(self.options.zones)
+        limit.rate * self.options.rate_factor / f64::from(self.options.zones)
     }
 
     fn capacity(&self, limit: RateLimit) -> f64 {
--- a/crates/decide/tests/quota.rs
+++ b/crates/decide/tests/quota.rs
@@ -18,6 +18,7 @@
     let options = LedgerOptions {
         zones: 1,
         extra: 0.0,
+        rate_factor: 1.0,
     };
     let account = AccountName::try_from("a").unwrap();
     let limit = RateLimit {
@@ -25,7 +26,10 @@
         burst: 10.0,
     };
     let mut ledger = QuotaLedger::new(options, MonoTime::ZERO);
-    let mut take = |at: u64| ledger.take(&account, limit, MonoTime::from_millis(at));
+    let mut take = |at: u64| {
+        let now = MonoTime::from_millis(at);
+        ledger.take(&account, limit, now, now)
+    };
     let granted = |millis| QuotaReply::Granted {
         wait: Duration::from_millis(millis),
     };
--- a/crates/decide/tests/quota_ledger.rs
+++ b/crates/decide/tests/quota_ledger.rs
@@ -17,6 +17,8 @@
 const SLACK: f64 = 20.0;
 /// Part of the slack that the buckets may use, as the daemons are set.
 const EXTRA: f64 = 12.0;
+/// Factor by which the buckets fill faster, as the daemons are set.
+const RATE_FACTOR: f64 = 1.05;
 const WINDOW_MS: u64 = 5_000;
 /// Time after which a request that waits for the tokens of other zones asks again.
 const RETRY_MS: u64 = 25;
@@ -63,6 +65,7 @@
     let options = LedgerOptions {
         zones: ZONES as u32,
         extra: EXTRA,
+        rate_factor: RATE_FACTOR,
     };
     QuotaLedger::new(options, ms(now))
 }
@@ -98,7 +101,7 @@
     }
 
     fn request(&mut self, idx: usize, now: u64) {
-        let reply = self.ledgers[idx].take(&self.account, self.limit, ms(now));
+        let reply = self.ledgers[idx].take(&self.account, self.limit, ms(now), ms(now));
         self.borrow(idx, now);
         self.end_or_retry(idx, reply, now);
     }
@@ -299,20 +302,41 @@
     let account = AccountName::try_from("pulo780").unwrap();
     let mut ledger = ledger(0);
     for now in (0..5_000).step_by(200) {
-        ledger.take(&account, limit, ms(now));
+        ledger.take(&account, limit, ms(now), ms(now));
         ledger.settle(ms(now));
     }
     // 10 a second of this zone, of which another owner hands out those of the pause.
     let later = 25_000;
     let granted = (0..200)
         .filter(|_| {
-            let reply = ledger.take(&account, limit, ms(later));
+            let reply = ledger.take(&account, limit, ms(later), ms(later));
             matches!(reply, QuotaReply::Granted { wait } if wait.is_zero())
         })
         .count();
     assert_eq!(granted, 0);
 }
 
+#[test]
+fn a_host_that_has_long_been_the_owner_has_a_burst_at_once() {
+    let limit = RateLimit {
+        rate: 60.0,
+        burst: 48.0,
+    };
+    let account = AccountName::try_from("pulo780").unwrap();
+    let mut ledger = ledger(0);
+    for now in (0..8_000).step_by(200) {
+        ledger.settle(ms(now));
+    }
+    let granted = (0..60)
+        .filter(|_| {
+            let reply = ledger.take(&account, limit, ms(0), ms(8_000));
+            matches!(reply, QuotaReply::Granted { wait } if wait.is_zero())
+        })
+        .count();
+    // Its part of the burst and of the excess: (48 + 12) / 6.
+    assert_eq!(granted, 10);
+}
+
 #[test]
 fn a_lowered_limit_binds_the_next_window() {
     let mut model = AccountModel::new(250.0, 4);
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -67,6 +67,8 @@
     pub zones: Vec<ZoneName>,
     /// Requests that may be sent beyond the burst of an account's limit.
     pub quota_extra: f64,
+    /// Factor by which an account's tokens come in faster than its rate.
+    pub quota_rate_factor: f64,
     /// Records the decisions.
     pub log: Arc<DecisionLog>,
     /// Clock of deadlines and measured times.
@@ -98,6 +100,7 @@
         let quotas = AccountQuotas::spawn(QuotaOptions {
             zones: options.zones.clone(),
             extra: options.quota_extra,
+            rate_factor: options.quota_rate_factor,
             gate_addr: options.gate_addr,
             gates: options.gates.clone(),
         });
--- a/crates/relay/src/quota.rs
+++ b/crates/relay/src/quota.rs
@@ -56,6 +56,8 @@
     pub zones: Vec<ZoneName>,
     /// Requests that all zones together may send beyond an account's burst.
     pub extra: f64,
+    /// Factor by which the accounts' tokens come in faster than their rate.
+    pub rate_factor: f64,
     /// Address of the gate on this host.
     pub gate_addr: SocketAddr,
     /// The gates of all hosts.
@@ -79,6 +81,9 @@
 
 struct QuotaState {
     ledger: QuotaLedger,
+    /// The hosts of this zone, and since when they have been the same.
+    hosts: Vec<SocketAddr>,
+    hosts_since: MonoTime,
     backoff: OwnerBackoff,
 }
 
@@ -89,6 +94,7 @@
         let ledger_options = LedgerOptions {
             zones: u32::try_from(options.zones.len().max(1)).unwrap_or(u32::MAX),
             extra: options.extra,
+            rate_factor: options.rate_factor,
         };
         let quotas = AccountQuotas {
             shared: Arc::new(QuotaShared {
@@ -101,6 +107,8 @@
                 is_draining: AtomicBool::new(false),
                 state: Mutex::new(QuotaState {
                     ledger: QuotaLedger::new(ledger_options, clock.now()),
+                    hosts: Vec::new(),
+                    hosts_since: clock.now(),
                     backoff: OwnerBackoff::default(),
                 }),
             }),
@@ -196,7 +204,11 @@
             return None;
         }
         let started = self.shared.clock.now();
-        let mut reply = self.lock().ledger.take(account, limit, started);
+        let owned_since = self.owned_since(account, started);
+        let mut reply = self
+            .lock()
+            .ledger
+            .take(account, limit, owned_since, started);
         self.borrow(account, limit);
         while matches!(reply, QuotaReply::Denied { .. }) && self.is_loan_due(account, started) {
             tokio::time::sleep(LOAN_CHECK_INTERVAL).await;
@@ -206,6 +218,20 @@
         Some(reply)
     }
 
+    /// Returns since when this host has been the first of its zone to be asked for `account`, as far as a
+    /// new bucket needs it.
+    fn owned_since(&self, account: &AccountName, now: MonoTime) -> MonoTime {
+        let state = self.lock();
+        if state.ledger.has_bucket(account) {
+            return now;
+        }
+        let first = owner_order(account, &state.hosts).first().copied();
+        match first == Some(self.shared.options.gate_addr) {
+            true => state.hosts_since,
+            false => now,
+        }
+    }
+
     /// Returns whether a request that came at `started` waits for tokens that are on their way.
     fn is_loan_due(&self, account: &AccountName, started: MonoTime) -> bool {
         let now = self.shared.clock.now();
@@ -323,11 +349,23 @@
         loop {
             tokio::time::sleep(SETTLE_INTERVAL).await;
             let now = self.shared.clock.now();
+            self.note_hosts(now);
             self.lock().ledger.settle(now);
             self.shared.pool.close_expired();
         }
     }
 
+    fn note_hosts(&self, now: MonoTime) {
+        let options = &self.shared.options;
+        let mut hosts = options.gates.in_zone(options.gates.zone());
+        hosts.sort_unstable();
+        let mut state = self.lock();
+        if state.hosts != hosts {
+            state.hosts = hosts;
+            state.hosts_since = now;
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, QuotaState> {
         let state = self.shared.state.lock();
         state.expect("no thread panics while it holds the state")
--- a/crates/relay/tests/faults/support/mod.rs
+++ b/crates/relay/tests/faults/support/mod.rs
@@ -92,6 +92,7 @@
             gates: gates.clone(),
             zones: vec![zone()],
             quota_extra: 0.0,
+            quota_rate_factor: 1.0,
             clock,
         });
         *entry_cell.lock().unwrap() = Some(entry.clone());
