--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -30,6 +30,17 @@
     }
 }
 
+/// Decodes a message that takes up all of `src`.
+pub(crate) fn decode_all<T: DeserializeOwned>(src: &[u8]) -> io::Result<T> {
+    let invalid = |text: String| io::Error::new(io::ErrorKind::InvalidData, text);
+    let (message, rest) =
+        postcard::take_from_bytes(src).map_err(|error| invalid(error.to_string()))?;
+    match rest.len() {
+        0 => Ok(message),
+        len => Err(invalid(format!("{len} bytes follow the message"))),
+    }
+}
+
 /// Returns the codec that frames tarpc messages on a byte stream by a length prefix.
 pub fn message_framing() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -1,8 +1,11 @@
 //! The service of a keeper in a deployment that discovers its hosts: directory of hosts, service
 //! configuration and replication messages.
 
+mod codec;
+mod first_format;
+
 use crate::{
-    link::{LinkClient, PeerLink, postcard_transport},
+    link::{LinkClient, MessageFormat, PeerLink, codec_transport},
     listener::{PeerListener, run_calls},
 };
 use agatehill_decide::{
@@ -22,6 +25,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 pub use control::FleetControlClient;
+use codec::{CallerCodec, KeeperCodec};
 use control::{FleetControl, FleetControlRequest, FleetControlResponse};
 
 /// Time without a request after which a connection is closed.
@@ -211,8 +215,9 @@
 }
 
 impl LinkClient for FleetControlClient {
-    fn spawn(stream: TcpStream) -> FleetControlClient {
-        FleetControlClient::new(Config::default(), postcard_transport(stream)).spawn()
+    fn spawn(stream: TcpStream, format: MessageFormat) -> FleetControlClient {
+        let transport = codec_transport(stream, CallerCodec { format });
+        FleetControlClient::new(Config::default(), transport).spawn()
     }
 }
 
@@ -241,10 +246,11 @@
 }
 
 async fn serve<S: FleetService>(stream: TcpStream, service: S) {
-    let transport = postcard_transport::<
+    let transport = codec_transport::<
         tarpc::ClientMessage<FleetControlRequest>,
         tarpc::Response<FleetControlResponse>,
-    >(stream);
+        KeeperCodec,
+    >(stream, KeeperCodec::new());
     let channel = BaseChannel::with_defaults(transport);
     run_calls(
         channel.execute(ControlAdapter(service).serve()),
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -6,12 +6,14 @@
 };
 use socket2::{SockRef, TcpKeepalive};
 use std::{
+    fmt,
     future::Future,
     net::SocketAddr,
     time::{Duration, Instant},
 };
 use tarpc::{client::RpcError, context::Context};
 use tokio::{net::TcpStream, sync::Mutex, time};
+use tokio_serde::{Deserializer, Serializer};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// Idle time after which the kernel sends the first keep-alive probe.
@@ -19,10 +21,38 @@
 /// Time between two keep-alive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// A format of messages; builds write different ones.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MessageFormat {
+    /// That of the builds up to 248d2bd.
+    First,
+    /// That of this build, and of those from e60a975 on.
+    Present,
+}
+
+impl fmt::Display for MessageFormat {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            MessageFormat::First => "1",
+            MessageFormat::Present => "2",
+        })
+    }
+}
+
+impl MessageFormat {
+    /// Returns the format to try if the other end can't read this one.
+    fn other(self) -> MessageFormat {
+        match self {
+            MessageFormat::First => MessageFormat::Present,
+            MessageFormat::Present => MessageFormat::First,
+        }
+    }
+}
+
 /// A client of a tarpc service, as `tarpc::service` generates it.
 pub trait LinkClient: Clone + Send + 'static {
-    /// Starts a client on `stream`.
-    fn spawn(stream: TcpStream) -> Self;
+    /// Starts a client on `stream` that writes and reads `format`, if its service has several.
+    fn spawn(stream: TcpStream, format: MessageFormat) -> Self;
 }
 
 /// Returns a tarpc transport over `stream` with messages in postcard.
@@ -32,6 +62,19 @@
 where
     In: serde::de::DeserializeOwned,
     Out: serde::Serialize,
+{
+    codec_transport(stream, PostcardCodec)
+}
+
+/// Returns a tarpc transport over `stream` with messages in `codec`.
+pub(crate) fn codec_transport<In, Out, C>(
+    stream: TcpStream,
+    codec: C,
+) -> tarpc::serde_transport::Transport<TcpStream, In, Out, C>
+where
+    In: serde::de::DeserializeOwned,
+    Out: serde::Serialize,
+    C: Deserializer<In> + Serializer<Out>,
 {
     // Otherwise small messages wait for the peer's delayed acknowledgement.
     let _ = stream.set_nodelay(true);
@@ -41,7 +84,7 @@
     // An error is ignored: without probes, the time limits of requests detect a dead connection.
     let _ = SockRef::from(&stream).set_tcp_keepalive(&keepalive);
     let frames: Framed<TcpStream, LengthDelimitedCodec> = Framed::new(stream, message_framing());
-    tarpc::serde_transport::new(frames, PostcardCodec)
+    tarpc::serde_transport::new(frames, codec)
 }
 
 /// Why a request over a link has no reply.
@@ -63,6 +106,7 @@
 #[derive(Debug)]
 struct LinkState<C> {
     client: Option<C>,
+    format: MessageFormat,
     /// Counts connections, so that a late failure of an old one doesn't close a newer one.
     generation: u64,
 }
@@ -74,6 +118,7 @@
             addr,
             state: Mutex::new(LinkState {
                 client: None,
+                format: MessageFormat::Present,
                 generation: 0,
             }),
         }
@@ -97,12 +142,18 @@
         let (client, generation) = self.connect().await.ok_or(LinkError::Unreachable)?;
         let mut ctx = tarpc::context::current();
         ctx.deadline = Instant::now() + limit;
-        if let Ok(Ok(reply)) = time::timeout(limit, request(client, ctx)).await {
+        let result = time::timeout(limit, request(client, ctx)).await;
+        // A process ends the connection when it can't read a message.
+        let is_ended = matches!(result, Ok(Err(RpcError::Shutdown | RpcError::Channel(_))));
+        if let Ok(Ok(reply)) = result {
             return Ok(reply);
         }
         let mut state = self.state.lock().await;
         if state.generation == generation {
             state.client = None;
+            if is_ended {
+                state.format = state.format.other();
+            }
         }
         Err(LinkError::NoResponse)
     }
@@ -111,7 +162,7 @@
         let mut state = self.state.lock().await;
         if state.client.is_none() {
             let stream = dial(|| TcpStream::connect(self.addr)).await?;
-            state.client = Some(C::spawn(stream));
+            state.client = Some(C::spawn(stream, state.format));
             state.generation += 1;
         }
         Some((state.client.clone()?, state.generation))
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -50,7 +50,7 @@
     /// Writes the context into `headers`.
     pub fn write(&self, headers: &mut HeaderMap) {
         let text = format!(
-            "{} {} {:x} {} {} {} {} {} {:.2}",
+            "{} {} {:x} {} {} {} {} {} {}",
             self.service,
             self.caller,
             self.route.0,
@@ -59,7 +59,7 @@
             self.wait_max.as_millis(),
             self.late_after.as_millis(),
             u8::from(self.is_nested),
-            self.retry_share
+            format_share(self.retry_share)
         );
         let value =
             HeaderValue::try_from(text).expect("names and numbers are valid in a header value");
@@ -119,6 +119,14 @@
     Some(Duration::from_millis(fields.next()?.parse().ok()?))
 }
 
+/// Formats a probability. Certainty is written as a flag, which is what the first builds read.
+fn format_share(share: f64) -> String {
+    if share == 0.0 || share == 1.0 {
+        return u8::from(share == 1.0).to_string();
+    }
+    format!("{share:.2}")
+}
+
 fn parse_share<'a>(fields: &mut impl Iterator<Item = &'a str>) -> Option<f64> {
     let share = fields.next()?.parse().ok()?;
     (0.0..=1.0).contains(&share).then_some(share)
--- a/crates/relay/tests/hop.rs
+++ b/crates/relay/tests/hop.rs
@@ -31,6 +31,27 @@
     );
 }
 
+/// The text that the builds 248d2bd, e60a975 and b8548e2 write for the same request, and that this build
+/// writes; the first ends with a flag, the others with a probability.
+#[rstest]
+#[case::flag_of_248d2bd(0.0, "gasdata techreg fffffffffffffff8 3 1234 500 700 1 0")]
+#[case::retry_of_248d2bd(1.0, "gasdata techreg fffffffffffffff8 3 1234 500 700 1 1")]
+#[case::share_of_b8548e2(0.0, "gasdata techreg fffffffffffffff8 3 1234 500 700 1 0.00")]
+#[case::retry_of_b8548e2(1.0, "gasdata techreg fffffffffffffff8 3 1234 500 700 1 1.00")]
+#[case::likely_of_b8548e2(0.25, "gasdata techreg fffffffffffffff8 3 1234 500 700 1 0.25")]
+fn context_of_an_earlier_build_is_read(#[case] retry_share: f64, #[case] text: &str) {
+    let mut headers = HeaderMap::new();
+    headers.insert("agatehill-hop", text.parse().unwrap());
+    let context = HopContext::take(&mut headers).unwrap();
+    assert_eq!(context.retry_share, retry_share);
+    context.write(&mut headers);
+    let written = headers["agatehill-hop"].to_str().unwrap();
+    // The first builds read a flag: anything but "1" is no retry.
+    let flag = written.rsplit(' ').next().unwrap();
+    assert_eq!(flag == "1", retry_share == 1.0, "{written}");
+    assert_eq!(HopContext::take(&mut headers), Some(context));
+}
+
 #[rstest]
 #[case::empty("")]
 #[case::truncated("gasdata techreg ff 3 1234 500")]
