--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -24,8 +24,8 @@
 };
 use tokio::net::{TcpListener, TcpStream};
 
-pub use control::FleetControlClient;
 use codec::{CallerCodec, KeeperCodec};
+pub use control::FleetControlClient;
 use control::{FleetControl, FleetControlRequest, FleetControlResponse};
 
 /// Time without a request after which a connection is closed.
--- a/crates/peer/src/fleet/codec.rs
+++ b/crates/peer/src/fleet/codec.rs
@@ -61,15 +61,16 @@
 impl Serializer<Response<FleetControlResponse>> for KeeperCodec {
     type Error = io::Error;
 
-    fn serialize(
-        self: Pin<&mut Self>,
-        item: &Response<FleetControlResponse>,
-    ) -> io::Result<Bytes> {
+    fn serialize(self: Pin<&mut Self>, item: &Response<FleetControlResponse>) -> io::Result<Bytes> {
         match self.format {
             MessageFormat::Present => encode(item),
             MessageFormat::First => encode(&Response {
                 request_id: item.request_id,
-                message: item.message.as_ref().map(FirstResponse::from).map_err(Clone::clone),
+                message: item
+                    .message
+                    .as_ref()
+                    .map(FirstResponse::from)
+                    .map_err(Clone::clone),
             }),
         }
     }
--- a/crates/peer/src/fleet/first_format.rs
+++ b/crates/peer/src/fleet/first_format.rs
@@ -126,11 +126,9 @@
             FleetControlRequest::Deliver { envelopes } => FirstRequest::Deliver {
                 envelopes: envelopes.clone(),
             },
-            FleetControlRequest::ShareCrashReports { reports } => {
-                FirstRequest::ShareCrashReports {
-                    reports: reports.clone(),
-                }
-            }
+            FleetControlRequest::ShareCrashReports { reports } => FirstRequest::ShareCrashReports {
+                reports: reports.clone(),
+            },
         }
     }
 }
