Send a request that may run once only to a gate that reads it

Cause: a frozen process accepts connections and bytes, and may run the request when it wakes, so that the entry could neither send it elsewhere nor say that it had not run.

Change: for requests that may run once, the body (also an empty one, in chunks) is held back until the gate says with 100 Continue that it reads it, which a gate does only when it handles the request. If it does not within 0.2 s, or the connection ends before, the request has not run and never will: it goes to the next gate, or is refused as not run. A gate announces that it can do so in its responses, so that one of an earlier build gets requests as before.

Ways weighed: a second message that lets the gate begin (a round trip for every request, 0.2 ms in a zone); a time to begin by that the receiver checks (needs to know how long the bytes waited in its socket); 100 Continue, which takes the same round trip, uses what the HTTP library does anyway and is understood by earlier builds. Three of the four tests fail on the code before with 504.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -303,7 +303,10 @@
         let result = if gate == options.gate_addr {
             options.gate.run(&hop, req).await
         } else {
-            entry.send(gate, &hop, &self.strikes(), req).await
+            let is_idempotent = target.rule.kind.is_idempotent();
+            entry
+                .send(gate, &hop, is_idempotent, &self.strikes(), req)
+                .await
         };
         self.is_in_flight = false;
         pending.has_result = true;
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -9,6 +9,7 @@
     gate::{GateResult, RequestGate},
     gate_view::GateView,
     headers::HeaderNames,
+    held_body::{BodyHold, HeldEnd},
     hop::{HopContext, HopOutcome},
     notice::{self, KnownNotices},
     pool::{ConnectionPool, PoolOptions, SendError},
@@ -31,11 +32,11 @@
 use arc_swap::ArcSwapOption;
 use gotham::helpers::http::Body;
 use http::{
-    HeaderMap, HeaderValue, Request, Response,
-    header::{CONNECTION, RETRY_AFTER},
+    HeaderMap, HeaderName, HeaderValue, Request, Response,
+    header::{CONNECTION, EXPECT, RETRY_AFTER, TRANSFER_ENCODING},
 };
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
@@ -50,6 +51,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time between two removals of expired connections.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+/// In the response of a gate that reads a request's body only when it begins to handle it.
+const HOLDS: HeaderName = HeaderName::from_static("agatehill-holds");
 
 /// Options of an entry.
 pub struct EntryOptions {
@@ -91,6 +94,8 @@
     pub(crate) selector: GateSelector,
     pub(crate) retry_budget: ServiceRetryBudget,
     pub(crate) notices: KnownNotices,
+    /// Gates that run no request before they have its whole body, and say when they begin to read it.
+    holding_gates: HashSet<SocketAddr>,
     round_robins: HashMap<RouteKey, WeightedRoundRobin>,
 }
 
@@ -167,6 +172,9 @@
     /// Handles a request that the entry of another daemon forwards.
     pub async fn handle_forwarded(&self, req: Request<Body>) -> Response<CallBody> {
         let (mut head, body) = req.into_parts();
+        // They concern this connection only.
+        head.headers.remove(EXPECT);
+        head.headers.remove(TRANSFER_ENCODING);
         if head.headers.contains_key(QUOTA) {
             return self.quotas.handle(&head.headers, &self.table).await;
         }
@@ -203,6 +211,7 @@
             notice::write(&notice, headers);
         }
         result.outcome.write(headers);
+        headers.insert(HOLDS, HeaderValue::from_static("1"));
         if !result.strikes.is_empty() {
             headers.insert(CRASH_REPORT_HEADER, crash_report_value(&result.strikes));
         }
@@ -223,11 +232,13 @@
         headers.remove(CRASH_REPORT_HEADER);
     }
 
-    /// Sends a request to the gate of another daemon.
+    /// Sends a request to the gate of another daemon. Unless it `is_idempotent`, its body is held back until
+    /// the gate reads it.
     pub(crate) async fn send(
         &self,
         gate: SocketAddr,
         hop: &HopContext,
+        is_idempotent: bool,
         strikes: &[CrashReport],
         mut req: Request<CallBody>,
     ) -> GateResult {
@@ -240,19 +251,27 @@
             notice::write(known, req.headers_mut());
         }
         let sent_at = self.options.clock.now();
-        let response = match self.pool.send(gate, req).await {
-            Ok(response) => response,
-            Err(SendError::NotSent) => {
-                self.lock()
-                    .selector
-                    .record_failure(gate, self.options.clock.now());
-                return GateResult::refused("gate-unreachable", RETRY_AFTER_MIN);
+        let is_held = !is_idempotent && self.lock().holding_gates.contains(&gate);
+        let hold = is_held.then(|| BodyHold::begin(&mut req));
+        let sent = self.pool.send(gate, req);
+        let end = match hold {
+            Some(hold) => hold.watch(sent).await,
+            None => HeldEnd::Sent(sent.await),
+        };
+        let response = match end {
+            HeldEnd::Sent(Ok(response)) => response,
+            HeldEnd::Sent(Err(SendError::NotSent)) => {
+                return self.refuse_unread(gate, "gate-unreachable");
             }
-            Err(SendError::Lost) => return GateResult::lost("gate-lost"),
+            HeldEnd::Unread => return self.refuse_unread(gate, "gate-silent"),
+            HeldEnd::Sent(Err(SendError::Lost)) => return GateResult::lost("gate-lost"),
         };
         let Ok((mut head, body)) = response.read((), None).await else {
             return GateResult::lost("answer-broken");
         };
+        if head.headers.remove(HOLDS).is_some() {
+            self.lock().holding_gates.insert(gate);
+        }
         let outcome = HopOutcome::take(&mut head.headers).unwrap_or(HopOutcome::Lost);
         if let Some(notice) = notice::take(&mut head.headers) {
             let now = self.options.clock.now();
@@ -280,6 +299,18 @@
         }
     }
 
+    /// Returns the result of a request that `gate` has not read, and avoids the gate for a while.
+    fn refuse_unread(&self, gate: SocketAddr, reason: &'static str) -> GateResult {
+        let now = self.options.clock.now();
+        let mut state = self.lock();
+        state.selector.record_failure(gate, now);
+        // Its next process may be of an earlier build.
+        state.holding_gates.remove(&gate);
+        drop(state);
+        self.pool.close_idle(gate);
+        GateResult::refused(reason, RETRY_AFTER_MIN)
+    }
+
     /// Returns the service that the next request of `rule` goes to.
     pub(crate) fn pick_service(&self, rule: &RouteRule, route: RouteKey) -> ServiceName {
         let mut state = self.lock();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod gate;
 pub mod gate_view;
 pub mod headers;
+mod held_body;
 pub mod hop;
 pub mod host_server;
 mod notice;
--- a/crates/relay/tests/faults/main.rs
+++ b/crates/relay/tests/faults/main.rs
@@ -3,4 +3,5 @@
 mod accounts;
 mod endless;
 mod server_faults;
+mod silent_gate;
 mod support;
--- a/crates/relay/tests/faults/support/mod.rs
+++ b/crates/relay/tests/faults/support/mod.rs
@@ -46,7 +46,7 @@
     pub(crate) server: TestServer,
     pub(crate) local: HostServer,
     pub(crate) entry: Arc<RequestEntry>,
-    gates: GateView,
+    pub(crate) gates: GateView,
     callers: HttpServer,
     daemons: HttpServer,
 }
@@ -123,7 +123,7 @@
         self.callers.local_addr()
     }
 
-    fn record(&self) -> HostRecord {
+    pub(crate) fn record(&self) -> HostRecord {
         HostRecord {
             gate: self.daemons.local_addr(),
             run: Incarnation(1),
