Let the rank of the route decide among accounts of equal rank

Callers saw: nearly all accounts of the shifted site have the same rank, which replaced that of the route, so that a logbook entry waited like any look-up.

Change: the account's rank goes first, then the route's. Where there are no accounts, ranks are as before.

--- a/crates/decide/src/service_config.rs
+++ b/crates/decide/src/service_config.rs
@@ -6,7 +6,7 @@
 mod table;
 
 pub use self::{
-    account::{ClientAccount, KeyDigest, RateLimit},
+    account::{ClientAccount, KeyDigest, RateLimit, is_most_urgent_route, rank_among_accounts},
     check::ConfigFault,
     table::{KeyCheck, RouteTable},
 };
--- a/crates/decide/src/service_config/account.rs
+++ b/crates/decide/src/service_config/account.rs
@@ -66,9 +66,22 @@
     }
 }
 
-impl ClientAccount {
-    /// Returns the rank of its requests on `route`.
-    pub fn rank_on(&self, route: &RouteRule) -> u32 {
-        self.rank.unwrap_or(route.priority)
-    }
+/// Ranks of routes that are told apart within one rank of accounts.
+const ROUTE_RANKS: u32 = 4;
+
+/// Returns the rank of a request on `route` where there are accounts: that of its account goes first, or
+/// that of the route without one; among equals, that of the route decides.
+///
+/// Under overload the operator's most urgent routes are the last to be shed for each account.
+pub fn rank_among_accounts(account: Option<&ClientAccount>, route: &RouteRule) -> u32 {
+    let first = account
+        .and_then(|account| account.rank)
+        .unwrap_or(route.priority);
+    let second = route.priority.min(ROUTE_RANKS - 1);
+    first.saturating_mul(ROUTE_RANKS).saturating_add(second)
+}
+
+/// Returns whether a root of `rank`, as [`rank_among_accounts`] returns it, is of the most urgent routes.
+pub fn is_most_urgent_route(rank: u32) -> bool {
+    rank.is_multiple_of(ROUTE_RANKS)
 }
--- a/crates/relay/src/call/inheritance.rs
+++ b/crates/relay/src/call/inheritance.rs
@@ -4,6 +4,7 @@
 use agatehill_decide::{
     call_parent::{CallArrival, CallParent, CallSender},
     gate_selection::RouteKey,
+    service_config::{is_most_urgent_route, rank_among_accounts},
     service_retry_budget::RetryValue,
 };
 
@@ -29,7 +30,7 @@
 
     pub(super) fn may_retry(&self, target: &RequestTarget) -> bool {
         let value = RetryValue {
-            is_important: self.rank(target) == RANK_IMPORTANT,
+            is_important: self.is_important(target),
             calls_answered: self.parent.map_or(0, |parent| parent.calls_answered),
         };
         let is_allowed = self.servers_reached < target.rule.servers_max;
@@ -40,10 +41,26 @@
 
     /// Returns the rank of the request at the root of the call graph.
     pub(super) fn rank(&self, target: &RequestTarget) -> u32 {
-        match (&self.parent, &self.account) {
-            (Some(parent), _) => parent.request.rank,
-            (None, Some(account)) => account.rank_on(&target.rule),
-            (None, None) => target.rule.priority,
+        if let Some(parent) = &self.parent {
+            return parent.request.rank;
         }
+        match self.has_accounts() {
+            true => rank_among_accounts(self.account.as_deref(), &target.rule),
+            false => target.rule.priority,
+        }
+    }
+
+    /// Returns whether its root is on a route of the most important rank.
+    fn is_important(&self, target: &RequestTarget) -> bool {
+        let rank = self.rank(target);
+        match self.has_accounts() {
+            true => is_most_urgent_route(rank),
+            false => rank == RANK_IMPORTANT,
+        }
+    }
+
+    fn has_accounts(&self) -> bool {
+        let table = self.table.as_ref();
+        table.is_some_and(|table| table.requires_keys())
     }
 }
