Count the requests of the largest accounts, and show accounts with fingerprints of their keys

Operators see who is refused: the 15 accounts with the largest limits have counters of their own, all others one. The dump of a daemon lists accounts, their limits and fingerprints of their keys. Ranks up to 11 have labels, since the rank of an account and of a route make one.

--- a/crates/decide/src/service_config/table.rs
+++ b/crates/decide/src/service_config/table.rs
@@ -3,7 +3,7 @@
 use super::{ClientAccount, KeyDigest, RouteRule, ServiceConfig};
 use crate::name::AccountName;
 use std::{
-    collections::{HashMap, hash_map::Entry},
+    collections::{HashMap, HashSet, hash_map::Entry},
     sync::Arc,
 };
 
@@ -16,8 +16,15 @@
     /// Accounts by key; `None` for a key that several accounts list, which identifies none of them.
     keys: HashMap<KeyDigest, Option<Arc<ClientAccount>>>,
     accounts: HashMap<AccountName, Arc<ClientAccount>>,
+    /// The accounts with the largest limits, which have counters of their own.
+    counted: HashSet<AccountName>,
 }
 
+/// Most accounts with counters of their own.
+const COUNTED_ACCOUNTS_MAX: usize = 15;
+/// Label of all other accounts.
+const OTHER_ACCOUNTS: &str = "other";
+
 /// Whose key a request carries.
 #[derive(Clone, Debug, PartialEq)]
 pub enum KeyCheck {
@@ -42,6 +49,7 @@
             hosts,
             keys: HashMap::new(),
             accounts: HashMap::new(),
+            counted: HashSet::new(),
             config,
         };
         table.index_accounts();
@@ -73,6 +81,14 @@
         self.accounts.get(name)
     }
 
+    /// Returns the label of the counters of `account`: its name if it is among the largest.
+    pub fn account_label<'a>(&self, account: &'a AccountName) -> &'a str {
+        match self.counted.contains(account) {
+            true => account.as_str(),
+            false => OTHER_ACCOUNTS,
+        }
+    }
+
     fn index_accounts(&mut self) {
         for account in self.config.accounts.iter().cloned().map(Arc::new) {
             for key in &account.keys {
@@ -83,6 +99,15 @@
             }
             self.accounts.insert(account.name.clone(), account);
         }
+        self.counted = self.largest_accounts();
+    }
+
+    fn largest_accounts(&self) -> HashSet<AccountName> {
+        let rate = |account: &&ClientAccount| account.limit.map_or(f64::INFINITY, |l| l.rate);
+        let mut accounts: Vec<_> = self.config.accounts.iter().collect();
+        accounts.sort_by(|a, b| rate(b).total_cmp(&rate(a)));
+        let largest = accounts.into_iter().take(COUNTED_ACCOUNTS_MAX);
+        largest.map(|account| account.name.clone()).collect()
     }
 
     /// Returns the route with the longest prefix of `path` at `host`, which may have a port.
--- a/crates/decide/tests/service_config.rs
+++ b/crates/decide/tests/service_config.rs
@@ -5,6 +5,7 @@
     service_config::{
         CallerLimits, ClientAccount, ConfigFault, HostRoutes, KeyCheck, KeyDigest, RateLimit,
         RouteKind, RouteRule, RouteTable, ServiceConfig, ServiceSpec, WeightedService,
+        is_most_urgent_route, rank_among_accounts,
     },
     weighted_round_robin::WeightedRoundRobin,
 };
@@ -162,19 +163,46 @@
     assert!(!shown.contains("k-1"), "{shown}");
 }
 
-#[rstest]
-#[case::of_the_account(Some(1), 1)]
-#[case::of_the_route(None, 4)]
-fn the_rank_of_an_account_goes_before_that_of_the_route(
-    #[case] rank: Option<u32>,
-    #[case] expected: u32,
-) {
-    let account = ClientAccount {
-        rank,
+#[test]
+fn only_the_largest_accounts_have_counters_of_their_own() {
+    let mut config = config(vec![rule("/a/")]);
+    config.accounts = (0..100)
+        .map(|idx| ClientAccount {
+            limit: Some(RateLimit {
+                rate: f64::from(idx),
+                burst: 1.0,
+            }),
+            ..account(&format!("a{idx}"), &[])
+        })
+        .collect();
+    let table = RouteTable::from(config.clone());
+    let labels = config.accounts.iter();
+    let labels: Vec<_> = labels.map(|a| table.account_label(&a.name)).collect();
+    assert_eq!(labels[84], "other");
+    assert_eq!(labels[85], "a85");
+    let distinct: std::collections::HashSet<_> = labels.into_iter().collect();
+    assert_eq!(distinct.len(), 16);
+}
+
+#[test]
+fn the_rank_of_an_account_goes_before_that_of_the_route() {
+    let route = |priority| changed(|rule| rule.priority = priority);
+    let ranked = |rank| ClientAccount {
+        rank: Some(rank),
         ..account("a", &[])
     };
-    let rule = changed(|rule| rule.priority = 4);
-    assert_eq!(account.rank_on(&rule), expected);
+    let rank =
+        |account: u32, priority| rank_among_accounts(Some(&ranked(account)), &route(priority));
+    assert!(rank(0, 9) < rank(1, 0));
+    assert!(rank(1, 0) < rank(1, 1));
+    assert!(rank(1, 3) < rank(2, 0));
+    assert_eq!(rank_among_accounts(None, &route(2)), rank(2, 2));
+    assert_eq!(
+        rank_among_accounts(Some(&account("a", &[])), &route(2)),
+        rank(2, 2)
+    );
+    assert!(is_most_urgent_route(rank(1, 0)));
+    assert!(!is_most_urgent_route(rank(0, 1)));
 }
 
 #[rstest]
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -371,6 +371,7 @@
             parent: self.parent.map(|parent| parent.evidence),
             rank: target.map(|target| self.rank(target)),
             account: self.account.as_ref().map(|account| &account.name),
+            account_label: self.account_label(),
             target_latency: target.map(|target| target.rule.target_latency),
             gates_tried: &self.gates_tried,
             servers_reached: self.servers_reached + u32::from(outcome == "answered"),
--- a/crates/relay/src/call/identity.rs
+++ b/crates/relay/src/call/identity.rs
@@ -59,6 +59,13 @@
         }
     }
 
+    /// Returns the label of the counters of the request's account.
+    pub(super) fn account_label(&self) -> Option<&str> {
+        let account = self.account.as_ref()?;
+        let table = self.table.as_ref()?;
+        Some(table.account_label(&account.name))
+    }
+
     fn name_account(&mut self) {
         let Some(account) = &self.account else {
             return;
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -44,6 +44,8 @@
     pub rank: Option<u32>,
     /// The client account whose key it carries.
     pub account: Option<&'a AccountName>,
+    /// Label of the account's counters.
+    pub account_label: Option<&'a str>,
     /// Target latency of the route, if one matched.
     pub target_latency: Option<Duration>,
     /// Gates that the request was sent to, in order.
@@ -121,6 +123,14 @@
         if let Some(evidence) = decision.parent {
             counter!("agatehill_entry_calls", "parent" => evidence.as_str()).increment(1);
         }
+        if let Some(account) = decision.account_label {
+            counter!(
+                "agatehill_account_requests",
+                "account" => account.to_owned(),
+                "outcome" => decision.outcome.to_owned()
+            )
+            .increment(1);
+        }
         histogram!("agatehill_entry_seconds").record(decision.elapsed.as_secs_f64());
         if decision.outcome == RelayError::BUSY {
             histogram!("agatehill_entry_refused_seconds").record(decision.elapsed.as_secs_f64());
@@ -217,17 +227,19 @@
     }
 }
 
+/// Labels of the ranks in common use: three ranks of accounts with four of routes each.
+const RANK_LABELS: [&str; 12] = ["0", "1", "2", "3", "4", "5", "6", "7", "8", "9", "10", "11"];
+
 /// Returns the label of a rank, with one label for all beyond the ranks in common use, so that the number
 /// of time series stays bounded.
 fn rank_label(rank: Option<u32>) -> &'static str {
-    match rank {
-        None => "",
-        Some(0) => "0",
-        Some(1) => "1",
-        Some(2) => "2",
-        Some(3) => "3",
-        Some(_) => "4+",
-    }
+    let Some(rank) = rank else {
+        return "";
+    };
+    let label = usize::try_from(rank)
+        .ok()
+        .and_then(|rank| RANK_LABELS.get(rank));
+    label.copied().unwrap_or("12+")
 }
 
 fn bool_label(value: bool) -> &'static str {
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -20,7 +20,7 @@
     latency_budget::RETRY_AFTER_MIN,
     name::{ServiceName, ZoneName},
     quarantine::CrashReport,
-    service_config::{RouteRule, RouteTable},
+    service_config::{ClientAccount, RouteRule, RouteTable},
     service_retry_budget::ServiceRetryBudget,
     weighted_round_robin::WeightedRoundRobin,
 };
@@ -140,6 +140,13 @@
         table.as_ref().map_or(0, |table| table.config().version)
     }
 
+    /// Returns the client accounts of the configuration in force; their keys are digests.
+    pub fn accounts(&self) -> Vec<ClientAccount> {
+        let table = self.table.load();
+        let accounts = table.as_ref().map(|table| table.config().accounts.clone());
+        accounts.unwrap_or_default()
+    }
+
     /// Returns the number of client accounts whose tokens this host hands out.
     pub fn quota_count(&self) -> usize {
         self.quotas.account_count()
