Show that a late copy of an answer reaches no other caller

Asked by operators of similar systems: can a second copy of an answer, late, on a connection in use again, go to the next caller? Here it can't: servers echo the id, and the connection is dropped. Passed at once; the id check is what holds it.

--- a/crates/relay/tests/faults/server_faults.rs
+++ b/crates/relay/tests/faults/server_faults.rs
@@ -239,3 +239,19 @@
     assert_eq!(send_request(&daemon, GET, "r-2").await.status, 503);
     assert_eq!(daemon.server.runs(), 1);
 }
+
+/// The copy arrives where the response to the next request is expected.
+#[rstest]
+#[tokio::test]
+async fn a_late_copy_of_a_response_reaches_no_other_caller(#[values(GET, POST)] line: &str) {
+    let daemon = one_daemon().await;
+    assert_eq!(send_request(&daemon, line, "r-1").await.status, 200);
+    daemon.server.set_behavior(ServerBehavior::LateCopy);
+    let response = send_request(&daemon, line, "r-2").await;
+    assert_eq!(response.status, 502, "{response:?}");
+    assert_eq!(header(&response.head, "x-seal"), None);
+    daemon.server.set_behavior(ServerBehavior::Respond);
+    let response = send_request(&daemon, line, "r-3").await;
+    assert_eq!(response.status, 200);
+    assert_eq!(header(&response.head, "x-seal").as_deref(), Some("s-r-3"));
+}
--- a/crates/relay/tests/faults/support/server.rs
+++ b/crates/relay/tests/faults/support/server.rs
@@ -43,6 +43,8 @@
     Encoded,
     /// Runs it and sends a second response after the first.
     ExtraResponse,
+    /// Runs it and sends a second copy of the connection's last response, then its own.
+    LateCopy,
     /// Runs it and responds without a content length.
     Unframed,
     /// Runs it, responds without a content length and resets the connection in the middle of the
@@ -193,6 +195,7 @@
     bodies: Arc<Mutex<Vec<Vec<u8>>>>,
 ) -> ServeEnd {
     let mut buf = Vec::new();
+    let mut last_id = None;
     while let Some(head) = read_head(&mut stream, &mut buf).await {
         let behavior = *behavior.lock().unwrap();
         let id = header(&head, "x-id").unwrap_or_default();
@@ -221,9 +224,13 @@
             bytes.send(&mut stream, &id).await;
             return ServeEnd::Cancelled;
         }
+        if let Some(last_id) = last_id.as_deref().filter(|_| behavior == ServerBehavior::LateCopy) {
+            send_response(&mut stream, ServerBehavior::Respond, last_id).await;
+        }
         if !send_response(&mut stream, behavior, &id).await {
             return ServeEnd::Closed;
         }
+        last_id = Some(id);
     }
     ServeEnd::Closed
 }
@@ -245,7 +252,7 @@
         )
     };
     let text = match behavior {
-        ServerBehavior::Respond => complete(id, "200 OK", ""),
+        ServerBehavior::Respond | ServerBehavior::LateCopy => complete(id, "200 OK", ""),
         ServerBehavior::Fail => complete(id, "500 x", ""),
         ServerBehavior::Shed => {
             format!("HTTP/1.1 503 x\r\nx-id: {id}\r\nx-unrun: 1\r\ncontent-length: 0\r\n\r\n")
