--- a/crates/decide/src/config_history.rs
+++ b/crates/decide/src/config_history.rs
@@ -47,6 +47,18 @@
     Current(Option<AcceptedConfig>),
 }
 
+impl ConfigReply {
+    /// Returns the name for log lines.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            ConfigReply::Accepted => "accepted",
+            ConfigReply::Stale { .. } => "stale",
+            ConfigReply::NotAbove { .. } => "not-above",
+            ConfigReply::Current(_) => "current",
+        }
+    }
+}
+
 /// An accepted document.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AcceptedConfig {
--- a/crates/decide/src/quota.rs
+++ b/crates/decide/src/quota.rs
@@ -7,6 +7,6 @@
 mod owner;
 
 pub use self::{
-    ledger::{LedgerOptions, QuotaLedger, QuotaReply, TOKEN_LIFETIME, WAIT_MAX},
+    ledger::{LedgerOptions, QuotaLedger, QuotaReply, QuotaTolerance, TOKEN_LIFETIME, WAIT_MAX},
     owner::{OwnerBackoff, owner_order},
 };
--- a/crates/decide/src/quota/ledger.rs
+++ b/crates/decide/src/quota/ledger.rs
@@ -46,13 +46,28 @@
 pub struct LedgerOptions {
     /// Number of zones that the limits are divided between.
     pub zones: u32,
+    /// What may be sent beyond the limits.
+    pub tolerance: QuotaTolerance,
+}
+
+/// By how much an account may exceed its limit. It makes up for tokens that lie in one zone while another
+/// has none.
+#[derive(Clone, Copy, Debug)]
+pub struct QuotaTolerance {
     /// Requests that the buckets of all zones may hold beyond the account's burst.
     pub extra: f64,
-    /// Factor by which the buckets fill faster than the account's rate, 1 or a little more: it makes up
-    /// for tokens that lie in one zone while another has none.
+    /// Factor by which the buckets fill faster than the account's rate, 1 or a little more.
     pub rate_factor: f64,
 }
 
+impl QuotaTolerance {
+    /// Nothing may be sent beyond a limit.
+    pub const NONE: QuotaTolerance = QuotaTolerance {
+        extra: 0.0,
+        rate_factor: 1.0,
+    };
+}
+
 /// The reply to a request for a token.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum QuotaReply {
@@ -255,11 +270,11 @@
 
     /// Returns this zone's share of a rate, in tokens a second.
     fn rate(&self, limit: RateLimit) -> f64 {
-        limit.rate * self.options.rate_factor / f64::from(self.options.zones)
+        limit.rate * self.options.tolerance.rate_factor / f64::from(self.options.zones)
     }
 
     fn capacity(&self, limit: RateLimit) -> f64 {
-        let all = limit.burst + self.options.extra;
+        let all = limit.burst + self.options.tolerance.extra;
         (all / f64::from(self.options.zones)).max(START_TOKENS)
     }
 }
--- a/crates/decide/tests/quota.rs
+++ b/crates/decide/tests/quota.rs
@@ -3,7 +3,7 @@
 use agatehill_decide::{
     deadline::{CallDeadline, HOP_MARGIN},
     name::AccountName,
-    quota::{LedgerOptions, QuotaLedger, QuotaReply},
+    quota::{LedgerOptions, QuotaLedger, QuotaReply, QuotaTolerance},
     service_config::RateLimit,
     time::MonoTime,
 };
@@ -17,8 +17,7 @@
 fn ledger_limits_burst_and_rate(#[case] idle: u64, #[case] burst: usize) {
     let options = LedgerOptions {
         zones: 1,
-        extra: 0.0,
-        rate_factor: 1.0,
+        tolerance: QuotaTolerance::NONE,
     };
     let account = AccountName::try_from("a").unwrap();
     let limit = RateLimit {
--- a/crates/decide/tests/quota_ledger.rs
+++ b/crates/decide/tests/quota_ledger.rs
@@ -3,7 +3,10 @@
 
 use agatehill_decide::{
     name::AccountName,
-    quota::{LedgerOptions, OwnerBackoff, QuotaLedger, QuotaReply, TOKEN_LIFETIME, owner_order},
+    quota::{
+        LedgerOptions, OwnerBackoff, QuotaLedger, QuotaReply, QuotaTolerance, TOKEN_LIFETIME,
+        owner_order,
+    },
     service_config::RateLimit,
     time::MonoTime,
 };
@@ -64,8 +67,10 @@
 fn ledger(now: u64) -> QuotaLedger {
     let options = LedgerOptions {
         zones: ZONES as u32,
-        extra: EXTRA,
-        rate_factor: RATE_FACTOR,
+        tolerance: QuotaTolerance {
+            extra: EXTRA,
+            rate_factor: RATE_FACTOR,
+        },
     };
     QuotaLedger::new(options, ms(now))
 }
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -127,6 +127,16 @@
     Unknown,
 }
 
+impl CommandError {
+    /// Returns the name for log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            CommandError::NotLeader => "no-leader",
+            CommandError::Unknown => "unknown",
+        }
+    }
+}
+
 /// Handles requests of daemons and other keepers.
 pub trait FleetService: Clone + Send + Sync + 'static {
     /// Merges a daemon's record and returns what is newer than the daemon's state.
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -20,6 +20,7 @@
     latency_budget::RETRY_AFTER_MIN,
     name::{ServiceName, ZoneName},
     quarantine::CrashReport,
+    quota::QuotaTolerance,
     service_config::{ClientAccount, RouteRule, RouteTable},
     service_retry_budget::ServiceRetryBudget,
     weighted_round_robin::WeightedRoundRobin,
@@ -68,10 +69,8 @@
     pub gates: GateView,
     /// All availability zones, between which limits of client accounts are divided.
     pub zones: Vec<ZoneName>,
-    /// Requests that may be sent beyond the burst of an account's limit.
-    pub quota_extra: f64,
-    /// Factor by which an account's tokens come in faster than its rate.
-    pub quota_rate_factor: f64,
+    /// What client accounts may send beyond their limits.
+    pub quota_tolerance: QuotaTolerance,
     /// Records the decisions.
     pub log: Arc<DecisionLog>,
     /// Clock of deadlines and measured times.
@@ -104,8 +103,7 @@
     pub fn spawn(options: EntryOptions) -> Arc<RequestEntry> {
         let quotas = AccountQuotas::spawn(QuotaOptions {
             zones: options.zones.clone(),
-            extra: options.quota_extra,
-            rate_factor: options.quota_rate_factor,
+            tolerance: options.quota_tolerance,
             gate_addr: options.gate_addr,
             gates: options.gates.clone(),
         });
--- a/crates/relay/src/quota.rs
+++ b/crates/relay/src/quota.rs
@@ -10,7 +10,10 @@
 };
 use agatehill_decide::{
     name::{AccountName, ZoneName},
-    quota::{LedgerOptions, OwnerBackoff, QuotaLedger, QuotaReply, TOKEN_LIFETIME, owner_order},
+    quota::{
+        LedgerOptions, OwnerBackoff, QuotaLedger, QuotaReply, QuotaTolerance, TOKEN_LIFETIME,
+        owner_order,
+    },
     service_config::{ClientAccount, RateLimit, RouteTable},
     time::MonoTime,
 };
@@ -54,10 +57,8 @@
 pub struct QuotaOptions {
     /// All availability zones that the limits are divided between, the own one included.
     pub zones: Vec<ZoneName>,
-    /// Requests that all zones together may send beyond an account's burst.
-    pub extra: f64,
-    /// Factor by which the accounts' tokens come in faster than their rate.
-    pub rate_factor: f64,
+    /// What accounts may send beyond their limits.
+    pub tolerance: QuotaTolerance,
     /// Address of the gate on this host.
     pub gate_addr: SocketAddr,
     /// The gates of all hosts.
@@ -93,8 +94,7 @@
         let clock = BootClock;
         let ledger_options = LedgerOptions {
             zones: u32::try_from(options.zones.len().max(1)).unwrap_or(u32::MAX),
-            extra: options.extra,
-            rate_factor: options.rate_factor,
+            tolerance: options.tolerance,
         };
         let quotas = AccountQuotas {
             shared: Arc::new(QuotaShared {
--- a/crates/relay/tests/faults/support/mod.rs
+++ b/crates/relay/tests/faults/support/mod.rs
@@ -6,6 +6,7 @@
 use agatehill_decide::{
     host_directory::{HostRecord, ServerRecord},
     name::{DaemonName, Incarnation, RegionName, ServiceName, ZoneName},
+    quota::QuotaTolerance,
     service_config::{
         CallerLimits, ClientAccount, HostRoutes, RouteKind, RouteRule, ServiceConfig, ServiceSpec,
         WeightedService,
@@ -91,8 +92,7 @@
             gate_addr: daemons.local_addr(),
             gates: gates.clone(),
             zones: vec![zone()],
-            quota_extra: 0.0,
-            quota_rate_factor: 1.0,
+            quota_tolerance: QuotaTolerance::NONE,
             clock,
         });
         *entry_cell.lock().unwrap() = Some(entry.clone());
--- a/crates/relay/tests/faults/support/server.rs
+++ b/crates/relay/tests/faults/support/server.rs
@@ -224,7 +224,10 @@
             bytes.send(&mut stream, &id).await;
             return ServeEnd::Cancelled;
         }
-        if let Some(last_id) = last_id.as_deref().filter(|_| behavior == ServerBehavior::LateCopy) {
+        if let Some(last_id) = last_id
+            .as_deref()
+            .filter(|_| behavior == ServerBehavior::LateCopy)
+        {
             send_response(&mut stream, ServerBehavior::Respond, last_id).await;
         }
         if !send_response(&mut stream, behavior, &id).await {
