Hold back the end of a GET that may run once, too

Cause: the HTTP client sends a GET of unknown length without a body unless its encoding is named, so that the gate had the whole request at once and ran it, while the entry took it for unread after 0.2 s.

Change: the encoding is named. Three cases of silent_gate failed before, with GET: a request that a gate has read is sent nowhere else, and one that it has not read runs elsewhere.

--- a/crates/relay/src/held_body.rs
+++ b/crates/relay/src/held_body.rs
@@ -10,7 +10,7 @@
 use futures_util::task::AtomicWaker;
 use http::{
     HeaderValue, Request, StatusCode,
-    header::{CONTENT_LENGTH, EXPECT},
+    header::{CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING},
 };
 use http_body::{Body, Frame};
 use std::{
@@ -70,8 +70,10 @@
             state: hold.state.clone(),
         });
         let headers = req.headers_mut();
-        // In chunks, so that also an empty body has an end that can be held back.
+        // In chunks, so that also an empty body has an end that can be held back; named, because the
+        // client sends a GET without a body otherwise.
         headers.remove(CONTENT_LENGTH);
+        headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
         headers.insert(EXPECT, HeaderValue::from_static("100-continue"));
         let reader = hold.clone();
         hyper::ext::on_informational(req, move |response| {
--- a/crates/relay/tests/faults/silent_gate.rs
+++ b/crates/relay/tests/faults/silent_gate.rs
@@ -1,6 +1,6 @@
 //! Gates that accept requests and do not read them, as frozen daemons do.
 
-use crate::support::{one_daemon, send};
+use crate::support::{ServerBehavior, one_daemon, send, two_daemons};
 use agatehill_decide::host_directory::HostRecord;
 use rstest::rstest;
 use std::{
@@ -93,7 +93,10 @@
 #[case::without_body(b"")]
 #[case::with_body(b"an entry")]
 #[tokio::test]
-async fn a_request_that_a_frozen_gate_has_not_read_runs_elsewhere(#[case] body: &[u8]) {
+async fn a_request_that_a_frozen_gate_has_not_read_runs_elsewhere(
+    #[case] body: &[u8],
+    #[values("GET /once/x", "POST /once/x")] line: &str,
+) {
     let daemon = one_daemon().await;
     let gate = TestGate::spawn(true).await;
     let own = daemon.record();
@@ -101,7 +104,7 @@
     let headers = [("x-id", "r-1"), ("x-deadline", "5000")];
     // Until the other gate has announced that it holds.
     while gate.runs.load(Ordering::SeqCst) < 2 {
-        let response = send(daemon.addr(), "POST /once/x", &headers, body).await;
+        let response = send(daemon.addr(), line, &headers, body).await;
         assert_eq!(response.unwrap().status, 200);
     }
     daemon.gates.set(&[gate.record(&own)]);
@@ -114,9 +117,7 @@
     });
     let before = (gate.runs.load(Ordering::SeqCst), daemon.server.runs());
     let started = Instant::now();
-    let response = send(daemon.addr(), "POST /once/x", &headers, body)
-        .await
-        .unwrap();
+    let response = send(daemon.addr(), line, &headers, body).await.unwrap();
     assert_eq!(response.status, 200, "{response:?}");
     assert!(started.elapsed() < Duration::from_millis(550));
     assert_eq!(daemon.server.runs(), before.1 + 1);
@@ -126,6 +127,29 @@
     assert_eq!(gate.runs.load(Ordering::SeqCst), before.0);
 }
 
+/// A gate that is slow to answer, but has read the request, runs it: nothing else may.
+#[rstest]
+#[tokio::test]
+async fn a_request_that_a_gate_has_read_is_sent_nowhere_else(
+    #[values("GET /once/slow", "POST /once/slow")] line: &str,
+) {
+    let [first, second] = two_daemons().await;
+    let headers = [("x-id", "r-1"), ("x-deadline", "5000")];
+    let runs = || first.server.runs() + second.server.runs();
+    // Until each has announced that it holds.
+    for _ in 0..40 {
+        send(first.addr(), "POST /once/x", &headers, b"")
+            .await
+            .unwrap();
+    }
+    first.gates.set(&[second.record()]);
+    second.server.set_behavior(ServerBehavior::Silent);
+    let before = runs();
+    let response = send(first.addr(), line, &headers, b"").await.unwrap();
+    assert_eq!(response.status, 504, "{response:?}");
+    assert_eq!(runs(), before + 1);
+}
+
 #[tokio::test]
 async fn a_request_that_only_a_frozen_gate_could_take_has_not_run() {
     let daemon = one_daemon().await;
