--- a/review/harness/src/config.rs
+++ b/review/harness/src/config.rs
@@ -2,8 +2,8 @@
 
 /// A route of the host `a.example`.
 #[derive(Clone, Copy)]
-pub struct Route {
-    pub prefix: &'static str,
+pub struct Route<'a> {
+    pub prefix: &'a str,
     pub kind: &'static str,
     pub timeout_s: f64,
     pub priority: u32,
@@ -11,7 +11,7 @@
 }
 
 /// Returns the document of `version`, built on `base`.
-pub fn document(base: u64, version: u64, routes: &[Route]) -> String {
+pub fn document(base: u64, version: u64, routes: &[Route<'_>]) -> String {
     let paths: Vec<_> = routes
         .iter()
         .map(|route| {
