Show that daemons of a zone without servers each hand out its tokens

While three of twenty servers, those of one zone, are down for 4 s, a tenant with a limit of 60 a second gets 80 a second through.

--- a/review/harness/src/cases/mod.rs
+++ b/review/harness/src/cases/mod.rs
@@ -5,6 +5,7 @@
 pub mod founder;
 pub mod kill_all;
 pub mod low_priority;
+pub mod quota;
 pub mod read_back;
 pub mod start_hup;
 pub mod stops;
--- a/review/harness/src/client.rs
+++ b/review/harness/src/client.rs
@@ -26,6 +26,8 @@
     stream: Option<(TcpStream, Vec<u8>)>,
     /// Whether the last request went over a connection that had carried one before.
     pub was_kept: bool,
+    /// Further header lines.
+    pub headers: &'static str,
     record: Arc<Record>,
 }
 
@@ -35,6 +37,7 @@
             addr,
             stream: None,
             was_kept: false,
+            headers: "",
             record,
         }
     }
@@ -60,8 +63,9 @@
         let _ =
             stream.set_read_timeout(Some(Duration::from_millis(u64::from(deadline_ms) + 1_000)));
         let request = format!(
-            "{line} HTTP/1.1\r\nHost: a.example\r\nX-Agatehill-Request-Id: {id}\r\nX-Agatehill-Deadline-Ms: {deadline_ms}\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
+            "{line} HTTP/1.1\r\nHost: a.example\r\nX-Agatehill-Request-Id: {id}\r\nX-Agatehill-Deadline-Ms: {deadline_ms}\r\nContent-Length: {}\r\n{}\r\n{body}",
+            body.len(),
+            self.headers
         );
         if stream.write_all(request.as_bytes()).is_err() {
             return Outcome::NotSent;
--- a/review/harness/src/deployment.rs
+++ b/review/harness/src/deployment.rs
@@ -37,6 +37,9 @@
 
 /// The bounds of the site file.
 const BOUNDS: &str = r#"["seedLagS=3","reuseAfterS=2","connectivityWindowS=3","ackS=4","catchUpS=4","drainS=2.5","graceS=6","lossSlackS=0.2","configApplyS=2.5","rollbackSlackS=0.25","maxStretchS=5","budgetRatio=0.2","budgetWindowS=10","budgetExtra=49","recoveryS=15"]"#;
+/// The further bounds of a site with tenants.
+const QUOTA_BOUNDS: &str =
+    r#","strictRevoke=false","revokeS=5","quotaWindowS=5","quotaExcess=0.1","quotaSlack=20"]"#;
 
 /// Ids of the processes that the case has started and that run.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
@@ -78,6 +81,8 @@
     net: u8,
     root: PathBuf,
     dir: PathBuf,
+    /// Whether the site has tenants.
+    pub has_tenants: bool,
     pub hosts: Vec<Host>,
 }
 
@@ -96,6 +101,7 @@
             net,
             root,
             dir,
+            has_tenants: false,
             hosts: Vec::new(),
         }
     }
@@ -163,6 +169,10 @@
             .map(|seed| format!("\"{}\"", self.addr(*seed, CONTROL)))
             .collect();
         let addr = |port| self.addr(idx, port);
+        let bounds = match self.has_tenants {
+            true => BOUNDS.trim_end_matches(']').to_owned() + QUOTA_BOUNDS,
+            false => BOUNDS.to_owned(),
+        };
         let own = if role == "keeper" {
             let data = self.dir.join(format!("data-{idx}"));
             fs::create_dir_all(&data).expect("create the data folder");
@@ -182,7 +192,7 @@
             )
         };
         let text = format!(
-            r#"{{"node":"host-{idx}","role":"{role}","ip":"{}","zone":"{zone}","region":"{region}","zones":{{{}}},"portRange":[{INNER_FIRST},{INNER_LAST}],"seeds":[{}],"bootstrap":{is_first_start},"limits":{{"cpuShare":0.4,"cores":1,"memoryMb":260,"maxFds":4100,"linkMbps":1000.0,"diskMb":256}},"discovery":"static","entry":"static","heartbeatS":1.5,"contracts":["base","drain","config","cost","retry","recover","pressure"],"tolerate":{{"machines":2,"zones":0,"regions":0}},"bounds":{BOUNDS},{own}}}"#,
+            r#"{{"node":"host-{idx}","role":"{role}","ip":"{}","zone":"{zone}","region":"{region}","zones":{{{}}},"portRange":[{INNER_FIRST},{INNER_LAST}],"seeds":[{}],"bootstrap":{is_first_start},"limits":{{"cpuShare":0.4,"cores":1,"memoryMb":260,"maxFds":4100,"linkMbps":1000.0,"diskMb":256}},"discovery":"static","entry":"static","heartbeatS":1.5,"contracts":["base","drain","config","cost","retry","recover","pressure"],"tolerate":{{"machines":2,"zones":0,"regions":0}},"bounds":{bounds},{own}}}"#,
             self.ip(idx),
             zones.join(","),
             seeds.join(",")
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -28,6 +28,7 @@
         "config-torture" => cases::config_torture::run(&record, has_trouble),
         "stops" => cases::stops::run(&record, has_trouble),
         "read-back" => cases::read_back::run(&record, has_trouble),
+        "quota" => cases::quota::run(&record, has_trouble),
         "founder" => cases::founder::run(&record, has_trouble),
         _ => panic!("unknown case {name:?}"),
     });
