--- a/review/harness/src/cases/mod.rs
+++ b/review/harness/src/cases/mod.rs
@@ -2,11 +2,13 @@
 
 pub mod config_torture;
 pub mod early_leave;
+pub mod formation;
 pub mod founder;
 pub mod kill_all;
 pub mod low_priority;
 pub mod quota;
 pub mod read_back;
+pub mod resume;
 pub mod start_hup;
 pub mod stops;
 pub mod torture;
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -29,6 +29,8 @@
         "stops" => cases::stops::run(&record, has_trouble),
         "read-back" => cases::read_back::run(&record, has_trouble),
         "quota" => cases::quota::run(&record, has_trouble),
+        "formation" => cases::formation::run(&record, has_trouble),
+        "resume" => cases::resume::run(&record, has_trouble),
         "founder" => cases::founder::run(&record, has_trouble),
         _ => panic!("unknown case {name:?}"),
     });
