Keep requests of the lowest rank from ending a daemon

Callers saw connections close without an answer at every daemon whose server was full, as soon as a route of priority was in force: the daemon aborted, with requests that had run and may not be repeated.

The rank at the gate is priority * 2 + 1 in 32 bits, which is u32::MAX for this priority, and the queue looked up a rank as the range up to rank + 1. The end of that range lay before its start; BTreeMap::range panicked under the lock of the server's state, and a guard that took the lock while the stack unwound panicked again, which aborts.

The rank at the gate now has 64 bits, and ranges include their ends, so no rank has a number without a successor. Ranks among client accounts stop growing where the order of routes would be lost.

--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -23,7 +23,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct AdmissionRequest {
     /// Importance; 0 is the most important.
-    pub rank: u32,
+    pub rank: u64,
     /// Latest time at which it is still useful to start.
     pub start_by: MonoTime,
 }
@@ -58,7 +58,7 @@
     next_order: u64,
     waiting: SlotMap<WaitKey, QueuedRequest>,
     /// Keys of `waiting` by rank and order of arrival; the first entry starts next.
-    queue: BTreeMap<(u32, u64), WaitKey>,
+    queue: BTreeMap<(u64, u64), WaitKey>,
 }
 
 impl SlotAdmission {
@@ -95,7 +95,7 @@
             self.running += 1;
             return Admission::Run;
         }
-        let ahead = self.queue.range(..(request.rank + 1, 0)).count();
+        let ahead = self.queue.range(..=(request.rank, u64::MAX)).count();
         let wait = self
             .expected_wait(ahead)
             .max(self.oldest_wait(request.rank, now));
@@ -163,8 +163,8 @@
     ///
     /// While more important requests keep arriving, this is a better estimate than the number of
     /// requests ahead.
-    fn oldest_wait(&self, rank: u32, now: MonoTime) -> Duration {
-        let mut same_rank = self.queue.range((rank, 0)..(rank + 1, 0));
+    fn oldest_wait(&self, rank: u64, now: MonoTime) -> Duration {
+        let mut same_rank = self.queue.range((rank, 0)..=(rank, u64::MAX));
         let oldest = same_rank.next().and_then(|(_, key)| self.waiting.get(*key));
         oldest.map_or(Duration::ZERO, |waiting| now.since(waiting.since))
     }
--- a/crates/decide/src/service_config/account.rs
+++ b/crates/decide/src/service_config/account.rs
@@ -68,6 +68,8 @@
 
 /// Ranks of routes that are told apart within one rank of accounts.
 const ROUTE_RANKS: u32 = 4;
+/// Rank of accounts from which on all are equal; the largest that leaves room for the ranks of routes.
+const ACCOUNT_RANK_MAX: u32 = u32::MAX / ROUTE_RANKS;
 
 /// Returns the rank of a request on `route` where there are accounts: that of its account goes first, or
 /// that of the route without one; among equals, that of the route decides.
@@ -78,7 +80,7 @@
         .and_then(|account| account.rank)
         .unwrap_or(route.priority);
     let second = route.priority.min(ROUTE_RANKS - 1);
-    first.saturating_mul(ROUTE_RANKS).saturating_add(second)
+    first.min(ACCOUNT_RANK_MAX) * ROUTE_RANKS + second
 }
 
 /// Returns whether a root of `rank`, as [`rank_among_accounts`] returns it, is of the most urgent routes.
--- a/crates/decide/tests/admission.rs
+++ b/crates/decide/tests/admission.rs
@@ -8,7 +8,7 @@
 
 const HOLD: Duration = Duration::from_millis(100);
 
-fn request(rank: u32, start_by_millis: u64) -> AdmissionRequest {
+fn request(rank: u64, start_by_millis: u64) -> AdmissionRequest {
     AdmissionRequest {
         rank,
         start_by: MonoTime::from_millis(start_by_millis),
@@ -45,6 +45,20 @@
     assert_eq!(slots.running(), 2);
 }
 
+/// Guards against the panic on the rank after which no other follows.
+#[test]
+fn requests_of_the_lowest_rank_wait_for_all_others() {
+    let mut slots = busy_server();
+    let last = wait(&mut slots, request(u64::MAX, 9_000));
+    let behind = wait(&mut slots, request(u64::MAX, 9_000));
+    let first = wait(&mut slots, request(u64::MAX - 1, 9_000));
+    let mut started = Vec::new();
+    for _ in 0..3 {
+        started.extend(slots.release(Some(HOLD), MonoTime::ZERO).started);
+    }
+    assert_eq!(started, [first, last, behind]);
+}
+
 #[test]
 fn starts_queued_requests_by_rank_then_by_arrival() {
     let mut slots = busy_server();
--- a/crates/decide/tests/service_config.rs
+++ b/crates/decide/tests/service_config.rs
@@ -202,6 +202,9 @@
         rank(2, 2)
     );
     assert!(is_most_urgent_route(rank(1, 0)));
+    assert!(is_most_urgent_route(rank(u32::MAX, 0)));
+    assert!(rank(u32::MAX, 0) < rank(u32::MAX, 1));
+    assert!(rank(1, u32::MAX) < rank(u32::MAX, 0));
     assert!(!is_most_urgent_route(rank(0, 1)));
 }
 
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -229,8 +229,8 @@
 
 /// Returns the rank at which a request waits for a slot. Of equal rank, nested requests go first,
 /// because work has already been done for them.
-fn slot_rank(hop: &HopContext) -> u32 {
-    hop.rank * 2 + u32::from(!hop.is_nested)
+fn slot_rank(hop: &HopContext) -> u64 {
+    u64::from(hop.rank) * 2 + u64::from(!hop.is_nested)
 }
 
 /// Returns how urgent a request is where the server takes fewer than it is sent.
