Let a panic end one request, not the process

A panic under the lock of the server's state poisoned it. Guards that take the lock on drop then panicked while the stack unwound, which aborts the process; without such a guard every later request failed at the lock. So any panic on the request path could end all requests of a host, as the route of the lowest rank did.

Locks of the request path and of the keepers' directory are parking_lot's, which don't poison (already among the dependencies of tokio's users; no new package). What they hold is counts, caches and copies; what has run and what was acknowledged is decided elsewhere. A panic is now an error line and counts in agatehill_process_panics; before, only standard error had it.

Replicas still end the process when a group's thread panics: without it the group would stand still unnoticed.

Ruled out: catching panics around each lock's holder, which leaves the poison to every new lock.

--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -35,10 +35,11 @@
 };
 use eyre::WrapErr;
 use gotham::router::{Router, build_simple_router};
+use parking_lot::Mutex;
 use std::{
     net::SocketAddr,
     path::PathBuf,
-    sync::{Arc, Mutex},
+    sync::Arc,
     time::{Duration, SystemTime},
 };
 use tokio::{sync::watch, time::timeout};
--- a/crates/config/src/log.rs
+++ b/crates/config/src/log.rs
@@ -9,7 +9,13 @@
     sink::{AsyncPoolSink, FileSink, OverflowPolicy, Sink, StdStreamSink},
     terminal_style::StyleMode,
 };
-use std::{fmt, path::PathBuf, str::FromStr, sync::Arc};
+use std::{
+    fmt,
+    panic::{self, PanicHookInfo},
+    path::PathBuf,
+    str::FromStr,
+    sync::Arc,
+};
 
 /// Target that stands for the standard error stream.
 pub const STDERR_TARGET: &str = "stderr";
@@ -108,7 +114,7 @@
     }
 }
 
-/// Sets the process's default logger according to `settings`.
+/// Sets the process's default logger according to `settings`. A panic is logged and counted from then on.
 ///
 /// # Errors
 ///
@@ -126,9 +132,24 @@
         .build_arc()
         .map_err(fail)?;
     spdlog::set_default_logger(logger);
+    log_panics();
     Ok(())
 }
 
+/// Logs and counts every panic, before the present hook runs.
+fn log_panics() {
+    let next = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        log_panic(info);
+        next(info);
+    }));
+}
+
+fn log_panic(info: &PanicHookInfo<'_>) {
+    counter!("agatehill_process_panics").increment(1);
+    spdlog::error!("panic", kv: { error = info.to_string() });
+}
+
 fn open_sink(settings: &LogSettings) -> Result<Arc<dyn Sink>, spdlog::Error> {
     match settings.format {
         LogFormat::Json => open_formatted(settings, JsonFormatter::new()),
