Clamp times and counts that come from outside

Found while looking for what else ends a request or a process by a number:

- Heartbeats with 2^28 slots or more: products of slots overflow, so that the release build computes a wrong limit of occupancy.

Times from documents, settings, heartbeats and headers are a year at most, so that sums and small multiples fit; counts stop at the largest number.

--- a/crates/decide/src/occupancy.rs
+++ b/crates/decide/src/occupancy.rs
@@ -100,7 +100,10 @@
     pub fn record(&mut self, route: RouteKey, running: u32, held: Duration, now: MonoTime) {
         let samples = self.samples();
         let time = self.times.entry(route).or_default();
-        time.add(held.as_secs_f64(), samples * ROUTE_MEAN_LENGTH);
+        time.add(
+            held.as_secs_f64(),
+            samples.saturating_mul(ROUTE_MEAN_LENGTH),
+        );
         let sample = held.as_secs_f64() / time.mean.max(f64::MIN_POSITIVE);
         let level = self.level(running);
         let estimate = &mut self.levels[level];
@@ -112,9 +115,10 @@
         if estimate.skipped < self.slots {
             estimate.skipped += 1;
         } else {
-            estimate
-                .slowdown
-                .add(sample.min(SAMPLE_MAX), samples * LEVEL_MEAN_LENGTH);
+            estimate.slowdown.add(
+                sample.min(SAMPLE_MAX),
+                samples.saturating_mul(LEVEL_MEAN_LENGTH),
+            );
         }
         if running >= self.limit() {
             self.adjust(now);
@@ -162,7 +166,7 @@
 
     /// Returns the number of samples that an estimate needs.
     fn samples(&self) -> u32 {
-        SAMPLES_BASE + SAMPLES_PER_SLOT * self.slots
+        SAMPLES_BASE.saturating_add(SAMPLES_PER_SLOT.saturating_mul(self.slots))
     }
 
     /// Returns the occupancy level of a server with `running` running requests.
@@ -173,7 +177,9 @@
 
     fn limit_at(&self, level: usize) -> u32 {
         let level = u32::try_from(level).unwrap_or(u32::MAX);
-        let part = self.slots * (LEVELS_PER_SERVER - level) / LEVELS_PER_SERVER;
+        let parts = u64::from(LEVELS_PER_SERVER - level);
+        let part = u64::from(self.slots) * parts / u64::from(LEVELS_PER_SERVER);
+        let part = u32::try_from(part).unwrap_or(self.slots);
         part.min(self.slots.saturating_sub(level)).max(1)
     }
 }
--- a/crates/decide/src/time.rs
+++ b/crates/decide/src/time.rs
@@ -6,6 +6,18 @@
     time::Duration,
 };
 
+/// Longest time span that is taken from outside, a year. Sums and small multiples of such spans don't
+/// overflow.
+pub const SPAN_MAX: Duration = Duration::from_secs(365 * 24 * 3_600);
+
+/// Returns a time span of `seconds`, [`SPAN_MAX`] at most; `None` if that is negative or no number.
+pub fn span_from_seconds(seconds: f64) -> Option<Duration> {
+    if seconds >= SPAN_MAX.as_secs_f64() {
+        return Some(SPAN_MAX);
+    }
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// A point in time on the driver's monotonic clock, in microseconds since the driver started.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -168,7 +168,7 @@
                     zone: options.zone.clone(),
                 },
                 run: rand::random(),
-                voters_min: 2 * options.disk_losses_max + 1,
+                voters_min: voter_count(options),
                 keepers: KeeperMap::open(&options.seeds, options.port),
                 group,
                 outbox,
@@ -357,6 +357,12 @@
     }
 }
 
+/// Returns the number of voters of which a majority holds every acknowledged change after the tolerated
+/// loss of disks.
+fn voter_count(options: &KeeperOptions) -> usize {
+    options.disk_losses_max.saturating_mul(2).saturating_add(1)
+}
+
 fn replica_settings(options: &KeeperOptions, name: &KeeperName) -> ReplicaSettings {
     let founders = match options.is_first_start {
         true => options.seeds.iter().copied().map(keeper_name).collect(),
@@ -372,7 +378,7 @@
         keepers: vec![name.clone()],
         voter_policy: VoterPolicy::Discovered {
             founders,
-            voter_count: 2 * options.disk_losses_max + 1,
+            voter_count: voter_count(options),
             replace_after: REPLACE_VOTER_AFTER,
         },
         heartbeat_interval: HEARTBEAT_INTERVAL,
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -23,6 +23,7 @@
     quota::QuotaTolerance,
     service_config::{ClientAccount, RouteRule, RouteTable},
     service_retry_budget::ServiceRetryBudget,
+    time::span_from_seconds,
     weighted_round_robin::WeightedRoundRobin,
 };
 use agatehill_peer::{
@@ -291,8 +292,7 @@
                 outcome,
                 reason: outcome.as_str(),
                 response: None,
-                retry_after: Duration::try_from_secs_f64(seconds.unwrap_or(0.0))
-                    .unwrap_or_default(),
+                retry_after: span_from_seconds(seconds.unwrap_or(0.0)).unwrap_or_default(),
                 strikes: Vec::new(),
             };
         }
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -1,6 +1,7 @@
 //! Header names of the protocol with callers and backend servers, and helpers for reading, writing
 //! and filtering headers.
 
+use agatehill_decide::time::span_from_seconds;
 use http::{
     HeaderMap, HeaderName, HeaderValue,
     header::{
@@ -78,7 +79,7 @@
 pub fn parse_millis(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
     let value = headers.get(name)?.to_str().ok()?;
     let millis: f64 = value.trim().parse().ok()?;
-    Duration::try_from_secs_f64(millis / 1e3).ok()
+    span_from_seconds(millis / 1e3)
 }
 
 /// Formats `duration` as a header value in whole milliseconds, at least 1.
--- a/crates/relay/src/hop.rs
+++ b/crates/relay/src/hop.rs
@@ -1,7 +1,7 @@
 //! Headers between daemons: the context that an entry sends with a request, and the outcome that
 //! the gate returns with the response.
 
-use agatehill_decide::{gate_selection::RouteKey, name::ServiceName};
+use agatehill_decide::{gate_selection::RouteKey, name::ServiceName, time::SPAN_MAX};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use std::time::Duration;
 
@@ -116,7 +116,8 @@
 }
 
 fn parse_millis<'a>(fields: &mut impl Iterator<Item = &'a str>) -> Option<Duration> {
-    Some(Duration::from_millis(fields.next()?.parse().ok()?))
+    let millis: u64 = fields.next()?.parse().ok()?;
+    Some(Duration::from_millis(millis).min(SPAN_MAX))
 }
 
 /// Formats a probability. Certainty is written as a flag, which is what the first builds read.
