Remember the leave of a server that was not heard yet

Callers' requests reached a server that had left, 2.5 s to 9 s after its leave was acknowledged: it had crashed, started again and left before its first heartbeat arrived.

The tracker still held the incarnation that had crashed; a leave with another start was dropped, and acknowledged all the same. The late heartbeat then started the new incarnation. Now every leave is remembered, and that of a later start ends the current server, which must have crashed.

Related: a leave of another id, an earlier leave that arrives after a later one and replaced it, and a server whose clock was set back, which was ignored until its daemon started again. It is heard once the later incarnation has been silent for the longest delay of a heartbeat.

--- a/crates/decide/src/server_tracker.rs
+++ b/crates/decide/src/server_tracker.rs
@@ -2,14 +2,19 @@
 //! it accepts work.
 //!
 //! Heartbeats may be delayed, duplicated or reordered, and may come from an incarnation that has
-//! ended. A server that announced that it leaves never accepts work again in that incarnation.
+//! ended. A server that announced that it leaves never accepts work again in that incarnation, also if
+//! none of its heartbeats has arrived yet.
+
+mod left;
 
 use crate::{name::ServiceName, time::MonoTime};
+use left::LeftServers;
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
 
-/// Maximum delay of a heartbeat. If a server left before any of its heartbeats arrived, heartbeats
-/// with its identity are ignored for this long: a delayed one looks like one of a new start.
+/// Maximum delay of a heartbeat. An incarnation with an earlier start than one that was heard, or has left,
+/// is ignored for this long: its heartbeats may be delayed. Later it counts as a new one of a server whose
+/// clock was set back.
 const HEARTBEAT_DELAY_MAX: Duration = Duration::from_secs(10);
 
 /// Identifies one incarnation of a backend server.
@@ -21,6 +26,17 @@
     pub started_ms: u64,
 }
 
+impl ServerIdentity {
+    /// Returns the incarnation that started last.
+    pub fn latest(
+        first: Option<ServerIdentity>,
+        second: Option<ServerIdentity>,
+    ) -> Option<ServerIdentity> {
+        let identities = second.into_iter().chain(first);
+        identities.max_by_key(|identity| identity.started_ms)
+    }
+}
+
 /// A heartbeat of a backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServerHeartbeat {
@@ -65,6 +81,17 @@
     Ignored,
 }
 
+/// Which incarnation a leave ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LeaveEffect {
+    /// The current one.
+    Current,
+    /// One that started after the current one and was not heard yet; the current one has ended before.
+    Successor,
+    /// One that is not current. Its heartbeats are ignored from now on.
+    Other,
+}
+
 /// The current incarnation.
 #[derive(Clone, Debug)]
 struct CurrentServer {
@@ -79,9 +106,9 @@
 pub struct ServerTracker {
     heartbeat_timeout: Duration,
     current: Option<CurrentServer>,
-    /// The incarnation that ended last.
-    ended: Option<ServerIdentity>,
-    /// Identity of a server that left while none was known, and the time at which it left.
+    left: LeftServers,
+    /// Identity of a server that left while another one or none was known, without its start, and the time
+    /// at which it left.
     left_unseen: Option<(String, MonoTime)>,
 }
 
@@ -92,7 +119,7 @@
         ServerTracker {
             heartbeat_timeout,
             current: None,
-            ended: None,
+            left: LeftServers::default(),
             left_unseen: None,
         }
     }
@@ -103,14 +130,10 @@
         mut heartbeat: ServerHeartbeat,
         now: MonoTime,
     ) -> HeartbeatEffect {
-        let is_ended = |ended: &ServerIdentity| {
-            heartbeat.started_ms < ended.started_ms
-                || (heartbeat.started_ms == ended.started_ms && heartbeat.id == ended.id)
-        };
         let has_left = |(id, at): &(String, MonoTime)| {
             *id == heartbeat.id && now.since(*at) < HEARTBEAT_DELAY_MAX
         };
-        if self.ended.as_ref().is_some_and(is_ended)
+        if self.left.excludes(&heartbeat.identity(), now)
             || self.left_unseen.as_ref().is_some_and(has_left)
         {
             return HeartbeatEffect::Ignored;
@@ -119,13 +142,15 @@
             return self.start(heartbeat, now);
         };
         let old = &current.heartbeat;
-        if heartbeat.started_ms > old.started_ms {
-            return self.start(heartbeat, now);
+        if heartbeat.identity() != old.identity() {
+            let silence = now.since(current.received_at);
+            let is_silent = silence >= self.heartbeat_timeout.max(HEARTBEAT_DELAY_MAX);
+            return match heartbeat.started_ms > old.started_ms || is_silent {
+                true => self.start(heartbeat, now),
+                false => HeartbeatEffect::Ignored,
+            };
         }
-        if heartbeat.started_ms < old.started_ms
-            || heartbeat.id != old.id
-            || heartbeat.sequence <= old.sequence
-        {
+        if heartbeat.sequence <= old.sequence {
             return HeartbeatEffect::Ignored;
         }
         heartbeat.is_leaving |= old.is_leaving;
@@ -147,51 +172,56 @@
     }
 
     /// Records that the incarnation of `id` that started at `started_ms` leaves; `None` stands for
-    /// the current one. Returns whether it was the current one.
-    pub fn record_leave(&mut self, id: &str, started_ms: Option<u64>, now: MonoTime) -> bool {
-        let matches = |heartbeat: &ServerHeartbeat| {
-            heartbeat.id == id && started_ms.is_none_or(|start| start == heartbeat.started_ms)
+    /// the current one, or for the next one that is heard with that identity.
+    pub fn record_leave(
+        &mut self,
+        id: &str,
+        started_ms: Option<u64>,
+        now: MonoTime,
+    ) -> LeaveEffect {
+        let current = self.current().map(ServerHeartbeat::identity);
+        let started_ms = match (started_ms, &current) {
+            (None, Some(current)) if current.id == id => Some(current.started_ms),
+            _ => started_ms,
         };
-        match &self.current {
-            Some(current) if matches(&current.heartbeat) => {
-                self.ended = Some(current.heartbeat.identity());
-                self.current = None;
-                true
-            }
-            Some(_) => false,
-            // The daemon restarted and has received no heartbeat yet.
-            None => {
-                match started_ms {
-                    Some(started_ms) => {
-                        self.ended = Some(ServerIdentity {
-                            id: id.to_owned(),
-                            started_ms,
-                        });
-                    }
-                    None => self.left_unseen = Some((id.to_owned(), now)),
-                }
-                false
-            }
-        }
+        let Some(started_ms) = started_ms else {
+            self.left_unseen = Some((id.to_owned(), now));
+            return LeaveEffect::Other;
+        };
+        let left = ServerIdentity {
+            id: id.to_owned(),
+            started_ms,
+        };
+        let effect = match &current {
+            Some(current) if *current == left => LeaveEffect::Current,
+            Some(current) if current.started_ms < started_ms => LeaveEffect::Successor,
+            _ => LeaveEffect::Other,
+        };
+        self.end(left, now);
+        effect
     }
 
     /// Takes over from an earlier run of the daemon that `left` accepts no new work.
-    pub fn adopt_left(&mut self, left: &ServerIdentity) {
-        if self.ended.is_some() {
-            return;
-        }
-        self.ended = Some(left.clone());
-        let has_left = |current: &CurrentServer| current.heartbeat.identity() == *left;
-        if self.current.as_ref().is_some_and(has_left) {
-            self.current = None;
-        }
+    pub fn adopt_left(&mut self, left: &ServerIdentity, now: MonoTime) {
+        self.end(left.clone(), now);
+    }
+
+    /// Records that `left` accepts no work from now on. A current incarnation that started before has
+    /// ended: a host has one server.
+    fn end(&mut self, left: ServerIdentity, now: MonoTime) {
+        let is_ended = |current: &CurrentServer| {
+            let current = current.heartbeat.identity();
+            current == left || current.started_ms < left.started_ms
+        };
+        self.current.take_if(|current| is_ended(current));
+        self.left.insert(left, now);
     }
 
-    /// Returns the last incarnation that is known to accept no new work.
+    /// Returns the incarnation that started last of those that are known to accept no new work.
     pub fn left(&self) -> Option<ServerIdentity> {
         let leaving = self.current().filter(|heartbeat| heartbeat.is_leaving);
         let leaving = leaving.map(ServerHeartbeat::identity);
-        leaving.or_else(|| self.ended.clone())
+        ServerIdentity::latest(leaving, self.left.latest().cloned())
     }
 
     /// Records that the current incarnation has said that it accepts no new work.
--- a/crates/decide/tests/server_tracker.rs
+++ b/crates/decide/tests/server_tracker.rs
@@ -2,7 +2,7 @@
 
 use agatehill_decide::{
     name::ServiceName,
-    server_tracker::{HeartbeatEffect, ServerHeartbeat, ServerTracker},
+    server_tracker::{HeartbeatEffect, LeaveEffect, ServerHeartbeat, ServerTracker},
     time::MonoTime,
 };
 use rstest::rstest;
@@ -78,16 +78,81 @@
 #[case::new_incarnation_with_same_id(heartbeat("a", 11, 1), HeartbeatEffect::Started)]
 fn ended_incarnation_stays_ended(#[case] next: ServerHeartbeat, #[case] effect: HeartbeatEffect) {
     let mut tracker = tracker(&[heartbeat("a", 10, 1)]);
-    assert!(tracker.record_leave("a", None, MonoTime::ZERO));
+    let left = tracker.record_leave("a", None, MonoTime::ZERO);
+    assert_eq!(left, LeaveEffect::Current);
     assert!(tracker.serving(MonoTime::ZERO).is_none());
     assert_eq!(tracker.record_heartbeat(next, MonoTime::ZERO), effect);
 }
 
+/// Guards against the leave of a server that has started again under its id, and was not heard yet, that is
+/// acknowledged and dropped.
+#[rstest]
+#[case::same_id("a", Some(20))]
+#[case::other_id("b", Some(20))]
+#[case::other_id_without_start("b", None)]
+fn a_leave_before_the_first_heartbeat_outlasts_it(
+    #[case] id: &str,
+    #[case] started_ms: Option<u64>,
+) {
+    let mut tracker = tracker(&[heartbeat("a", 10, 9)]);
+    tracker.record_leave(id, started_ms, MonoTime::ZERO);
+    let late = MonoTime::from_millis(3_000);
+    let effect = tracker.record_heartbeat(heartbeat(id, 20, 1), late);
+    assert_eq!(effect, HeartbeatEffect::Ignored);
+    assert!(tracker.serving(late).is_none_or(|server| server.id == "a"));
+}
+
+/// Guards against requests to an incarnation that has ended, as one that started later has left.
+#[test]
+fn the_leave_of_a_successor_ends_the_current_server() {
+    let mut tracker = tracker(&[heartbeat("a", 10, 9)]);
+    let effect = tracker.record_leave("a", Some(20), MonoTime::ZERO);
+    assert_eq!(effect, LeaveEffect::Successor);
+    assert!(tracker.serving(MonoTime::ZERO).is_none());
+    assert_eq!(tracker.left().unwrap().started_ms, 20);
+}
+
+/// Guards against a leave that arrives late and is forgotten, or that replaces one of a later start.
+#[test]
+fn every_incarnation_that_has_left_stays_ended() {
+    let mut tracker = ServerTracker::new(HEARTBEAT_TIMEOUT);
+    for started_ms in [20, 10, 30] {
+        tracker.record_leave("a", Some(started_ms), MonoTime::ZERO);
+    }
+    tracker.record_leave("a", Some(15), MonoTime::ZERO);
+    assert_eq!(tracker.left().unwrap().started_ms, 30);
+    let later = MonoTime::from_millis(60_000);
+    for started_ms in [10, 15, 20, 30] {
+        let effect = tracker.record_heartbeat(heartbeat("a", started_ms, 9), later);
+        assert_eq!(effect, HeartbeatEffect::Ignored);
+    }
+}
+
+/// Guards against a server whose clock was set back, and which is ignored as an earlier incarnation until
+/// its daemon starts again.
+#[rstest]
+#[case::while_heartbeats_may_be_late(9_999, HeartbeatEffect::Ignored)]
+#[case::afterwards(10_000, HeartbeatEffect::Started)]
+fn a_server_with_an_earlier_start_is_heard_once_the_later_one_is_silent(
+    #[case] millis: u64,
+    #[case] effect: HeartbeatEffect,
+    #[values(false, true)] has_left: bool,
+) {
+    let mut tracker = tracker(&[heartbeat("a", 20, 9)]);
+    if has_left {
+        tracker.record_leave("a", Some(20), MonoTime::ZERO);
+    }
+    let now = MonoTime::from_millis(millis);
+    assert_eq!(tracker.record_heartbeat(heartbeat("b", 10, 1), now), effect);
+}
+
 #[test]
 fn leave_of_another_incarnation_is_ignored() {
     let mut tracker = tracker(&[heartbeat("a", 20, 1)]);
-    assert!(!tracker.record_leave("a", Some(10), MonoTime::ZERO));
-    assert!(!tracker.record_leave("b", None, MonoTime::ZERO));
+    for (id, started_ms) in [("a", Some(10)), ("b", Some(20)), ("b", None)] {
+        let effect = tracker.record_leave(id, started_ms, MonoTime::ZERO);
+        assert_eq!(effect, LeaveEffect::Other);
+    }
     assert!(tracker.serving(MonoTime::ZERO).is_some());
 }
 
@@ -103,7 +168,8 @@
     #[case] effect: HeartbeatEffect,
 ) {
     let mut tracker = ServerTracker::new(HEARTBEAT_TIMEOUT);
-    assert!(!tracker.record_leave("a", None, MonoTime::ZERO));
+    let left = tracker.record_leave("a", None, MonoTime::ZERO);
+    assert_eq!(left, LeaveEffect::Other);
     let now = MonoTime::from_millis(millis);
     assert_eq!(tracker.record_heartbeat(heartbeat(id, 10, 23), now), effect);
 }
@@ -146,10 +212,10 @@
     let late = heartbeat("i-1", 1_000, 3);
     let left = late.identity();
     if is_told_first {
-        tracker.adopt_left(&left);
+        tracker.adopt_left(&left, MonoTime::ZERO);
     }
     tracker.record_heartbeat(late, MonoTime::ZERO);
-    tracker.adopt_left(&left);
+    tracker.adopt_left(&left, MonoTime::ZERO);
     assert_eq!(tracker.serving(MonoTime::ZERO), None);
     tracker.record_heartbeat(heartbeat("i-1", 2_000, 1), MonoTime::ZERO);
     assert!(tracker.serving(MonoTime::ZERO).is_some());
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -16,7 +16,7 @@
 use agatehill_decide::{
     admission::AdmissionRequest,
     server_notice::RequestUrgency,
-    server_tracker::{HeartbeatEffect, ServerHeartbeat},
+    server_tracker::{HeartbeatEffect, LeaveEffect, ServerHeartbeat},
 };
 use agatehill_peer::body::CallBody;
 use agatehill_process::clock::MonoClock;
@@ -107,18 +107,24 @@
         effect
     }
 
-    /// Records that the server `id`, of the incarnation `started_ms` if given, leaves; returns
-    /// whether it was the present one.
-    pub fn record_leave(&self, id: &str, started_ms: Option<u64>) -> bool {
+    /// Records that the server `id`, of the incarnation `started_ms` if given, leaves. A server that
+    /// another one follows without having announced that it leaves has crashed.
+    pub fn record_leave(&self, id: &str, started_ms: Option<u64>) -> LeaveEffect {
         let before = self.server.current();
-        let was_present = self.server.record_leave(id, started_ms);
-        if let Some(before) = before
-            && was_present
-        {
-            let quarantine = self.quarantine.clone();
-            tokio::spawn(async move { quarantine.record_leave(before.address).await });
-        }
-        was_present
+        let effect = self.server.record_leave(id, started_ms);
+        let Some(before) = before else {
+            return effect;
+        };
+        let quarantine = self.quarantine.clone();
+        tokio::spawn(async move {
+            match effect {
+                LeaveEffect::Current => quarantine.record_leave(before.address).await,
+                LeaveEffect::Successor if before.is_leaving => {}
+                LeaveEffect::Successor => quarantine.record_restart(before.address).await,
+                LeaveEffect::Other => {}
+            }
+        });
+        effect
     }
 
     /// Runs `req` on the server. Dropping the future cancels the request.
--- a/crates/relay/src/host_server.rs
+++ b/crates/relay/src/host_server.rs
@@ -11,7 +11,9 @@
     occupancy::OccupancyLimit,
     route_limit::RouteLimit,
     server_notice::NoticeTracker,
-    server_tracker::{HeartbeatEffect, ServerHeartbeat, ServerIdentity, ServerTracker},
+    server_tracker::{
+        HeartbeatEffect, LeaveEffect, ServerHeartbeat, ServerIdentity, ServerTracker,
+    },
     time::MonoTime,
 };
 use agatehill_process::clock::MonoClock;
@@ -132,18 +134,18 @@
         effect
     }
 
-    /// Records that the server `id`, of the incarnation `started_ms` if given, leaves; returns
-    /// whether it was the present one.
-    pub fn record_leave(&self, id: &str, started_ms: Option<u64>) -> bool {
+    /// Records that the server `id`, of the incarnation `started_ms` if given, leaves.
+    pub fn record_leave(&self, id: &str, started_ms: Option<u64>) -> LeaveEffect {
         let now = self.shared.clock.now();
-        let was_present = self.lock().tracker.record_leave(id, started_ms, now);
+        let effect = self.lock().tracker.record_leave(id, started_ms, now);
         self.refresh();
-        was_present
+        effect
     }
 
     /// Takes over from an earlier run of the daemon that `left` accepts no new work.
     pub fn adopt_left(&self, left: &ServerIdentity) {
-        self.lock().tracker.adopt_left(left);
+        let now = self.shared.clock.now();
+        self.lock().tracker.adopt_left(left, now);
         self.refresh();
     }
 
