Acknowledge a leave once keepers have saved it

Callers' requests reached a server that had left: its leave was acknowledged, all processes were killed half a second later, and a late heartbeat brought the server back.

The leave was in memory only, in the daemon and soon after in the keepers' directory.

So that a daemon that starts hears of it: the later leave of two records of a host is held, whichever is newer; a keeper that starts is in touch only once it has exchanged with the others, for 2 s at most; and the daemon adopts the leave before it publishes its server.

Also, an exchange of keepers that makes no progress ends. The review suspected that two that use the first format would repeat it without a pause from 256 hosts on; not shown by a run.

--- a/crates/decide/src/host_directory.rs
+++ b/crates/decide/src/host_directory.rs
@@ -35,6 +35,21 @@
     pub left: Option<ServerIdentity>,
 }
 
+impl HostRecord {
+    /// Returns the newer of both records, with the later one of the servers that have left.
+    fn joined(&self, other: &HostRecord) -> HostRecord {
+        let order = |record: &HostRecord| (record.run, record.sequence);
+        let (newer, older) = match order(other) > order(self) {
+            true => (other, self),
+            false => (self, other),
+        };
+        HostRecord {
+            left: ServerIdentity::latest(newer.left.clone(), older.left.clone()),
+            ..newer.clone()
+        }
+    }
+}
+
 /// A backend server that accepts work.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct ServerRecord {
@@ -98,18 +113,24 @@
 }
 
 impl HostDirectory {
-    /// Merges `record` if it is newer than the one held; returns whether it was. A run of a daemon that
-    /// knows of no server that has left keeps what the one before knew.
-    pub fn merge(&mut self, mut record: HostRecord) -> bool {
-        let order = |record: &HostRecord| (record.run, record.sequence);
-        let held = self.hosts.get(&record.gate);
-        if held.is_some_and(|held| order(&held.record) >= order(&record)) {
+    /// Merges `record`; returns whether that changed what is held. The newer record of a host counts, but for
+    /// the server that has left: of two records, the one with the later start is held, so that no daemon
+    /// or keeper that starts again can make it forgotten.
+    pub fn merge(&mut self, record: HostRecord) -> bool {
+        let held = self.hosts.get(&record.gate).map(|entry| &entry.record);
+        let merged = match held {
+            Some(held) => held.joined(&record),
+            None => record,
+        };
+        if held == Some(&merged) {
             return false;
         }
-        if record.left.is_none() {
-            record.left = held.and_then(|held| held.record.left.clone());
-        }
-        if let Some(held) = held {
+        self.replace(merged);
+        true
+    }
+
+    fn replace(&mut self, record: HostRecord) {
+        if let Some(held) = self.hosts.get(&record.gate) {
             self.digest ^= record_digest(&held.record);
             self.changed.remove(&held.change);
         }
@@ -119,7 +140,6 @@
         self.changed.insert(change, record.gate);
         self.hosts
             .insert(record.gate, DirectoryEntry { record, change });
-        true
     }
 
     /// Returns the number of changes so far.
@@ -192,5 +212,8 @@
 fn record_digest(record: &HostRecord) -> u64 {
     let mut hasher = DefaultHasher::new();
     (record.gate, record.run, record.sequence).hash(&mut hasher);
+    if let Some(left) = &record.left {
+        left.hash(&mut hasher);
+    }
     hasher.finish()
 }
--- a/crates/decide/src/server_tracker.rs
+++ b/crates/decide/src/server_tracker.rs
@@ -27,7 +27,7 @@
 }
 
 impl ServerIdentity {
-    /// Returns the incarnation that started last.
+    /// Returns the incarnation that started last, the first one if both started at the same time.
     pub fn latest(
         first: Option<ServerIdentity>,
         second: Option<ServerIdentity>,
--- a/crates/decide/tests/host_directory.rs
+++ b/crates/decide/tests/host_directory.rs
@@ -82,3 +82,27 @@
     directory.merge(with_left(6, 1, "i-2"));
     assert_eq!(held(&directory), left("i-2"));
 }
+
+/// Guards against a leave that is forgotten where the record of a daemon's next run arrives before it.
+#[test]
+fn an_older_record_completes_a_newer_one_with_the_server_that_has_left() {
+    let left = Some(ServerIdentity {
+        id: "i-1".to_owned(),
+        started_ms: 1,
+    });
+    let before = HostRecord {
+        left: left.clone(),
+        ..record(1, 5, 1)
+    };
+    let mut first = HostDirectory::default();
+    let mut second = HostDirectory::default();
+    assert!(first.merge(before.clone()));
+    assert!(first.merge(record(1, 6, 0)));
+    assert!(second.merge(record(1, 6, 0)));
+    assert_ne!(first.digest(), second.digest());
+    assert!(second.merge(before.clone()));
+    assert!(!second.merge(before));
+    let held = second.get(record(1, 0, 0).gate).unwrap();
+    assert_eq!((held.run, &held.left), (Incarnation(6), &left));
+    assert_eq!(first.digest(), second.digest());
+}
--- a/crates/fleet/src/anti_entropy.rs
+++ b/crates/fleet/src/anti_entropy.rs
@@ -16,13 +16,14 @@
 /// Timeout of an exchange.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Runs exchanges with other keepers at intervals: with all of them until this keeper belongs to a group.
+/// Runs exchanges with other keepers at intervals: with all of them until this keeper belongs to a group and
+/// has caught up.
 pub(crate) async fn run_anti_entropy(keeper: FleetKeeper) {
     let mut round = 0;
     loop {
         keeper.add_voters();
         keeper.shared.crash_log.remove_expired();
-        let is_forming = keeper.status().role == "forming";
+        let is_forming = keeper.status().role == "forming" || !keeper.has_caught_up();
         let others = keeper.others();
         let names: Vec<_> = others.iter().map(|other| other.name.clone()).collect();
         let own_name = &keeper.shared.own_record.name;
@@ -60,6 +61,7 @@
         // An exchange that fails is repeated in a later round.
         let Ok(reply) = sent.await else { return };
         if !apply(&keeper, &other.name, reply) {
+            keeper.shared.catch_up.record_exchange(&other.name);
             return;
         }
     }
@@ -70,7 +72,9 @@
     if !reply.keepers.is_empty() {
         keeper.update_records(&reply.keepers);
     }
-    let may_have_more = reply.hosts.is_full();
+    // The first format has no positions: without progress, the same records would come again.
+    let has_advanced = keeper.position(other) != reply.hosts.position;
+    let may_have_more = reply.hosts.is_full() && has_advanced;
     keeper.merge(reply.hosts.records);
     keeper.set_position(other, reply.hosts.position);
     keeper.shared.crash_log.merge(&reply.crash_reports);
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -4,9 +4,11 @@
 
 use crate::{
     anti_entropy,
+    catch_up::CatchUp,
     crash_log::CrashLog,
     host_sharing::{self, ShareQueue},
     keeper_map::{KeeperMap, KnownKeeper, keeper_name},
+    leave_log::LeaveLog,
 };
 use agatehill_decide::{
     config_history::{ConfigCommand, ConfigHistory, ConfigReply},
@@ -126,6 +128,8 @@
     /// Number of directory changes.
     directory_changes: watch::Sender<u64>,
     pub(crate) crash_log: CrashLog,
+    pub(crate) leave_log: LeaveLog,
+    pub(crate) catch_up: CatchUp,
     _folder: DataFolder,
 }
 
@@ -146,6 +150,8 @@
         tokio::spawn(host_sharing::share_new_hosts(keeper.clone()));
         let saving = keeper.clone();
         tokio::spawn(async move { saving.shared.crash_log.save_changes().await });
+        let saving = keeper.clone();
+        tokio::spawn(async move { saving.shared.leave_log.save_changes().await });
         Ok((keeper, server))
     }
 
@@ -177,6 +183,8 @@
                 share_queue: ShareQueue::default(),
                 directory_changes: watch::channel(0).0,
                 crash_log: CrashLog::open(clock, folder.strike_file()),
+                leave_log: LeaveLog::open(folder.leave_file()),
+                catch_up: CatchUp::begin(),
                 _folder: folder,
             }),
         };
@@ -185,6 +193,7 @@
             .keepers
             .update_records(std::slice::from_ref(&keeper.shared.own_record));
         keeper.link_keepers();
+        keeper.merge(keeper.shared.leave_log.read_saved());
         Ok(keeper)
     }
 
@@ -234,6 +243,18 @@
         self.shared.group.status()
     }
 
+    /// Returns whether the keeper is in contact with the leader, so that no newer configuration is in force,
+    /// and has what other keepers held when it started.
+    pub(crate) fn is_current(&self) -> bool {
+        self.status().current && self.has_caught_up()
+    }
+
+    /// Returns whether the keeper has what other keepers held when it started.
+    pub(crate) fn has_caught_up(&self) -> bool {
+        let names = || self.others().into_iter().map(|other| other.name).collect();
+        self.shared.catch_up.is_done(names)
+    }
+
     /// Returns the state for the dump.
     pub fn dump(&self) -> serde_json::Value {
         let keepers = self.shared.keepers.list();
@@ -241,6 +262,7 @@
         json!({
             "keeper": self.shared.own_record.name,
             "replica": self.status(),
+            "caught_up": self.has_caught_up(),
             "config_version": self.shared.group.read(ConfigHistory::version),
             "keepers": keepers.iter().map(|k| k.name.as_str()).collect::<Vec<_>>(),
             "hosts": hosts,
@@ -265,12 +287,18 @@
         }
     }
 
-    /// Merges host records into the directory; returns those that were new.
+    /// Merges host records into the directory; returns those that changed, as they are held now.
     pub(crate) fn merge(&self, records: Vec<HostRecord>) -> Vec<HostRecord> {
         let mut directory = self.directory();
-        let is_new = |record: &HostRecord| directory.merge(record.clone());
-        let new: Vec<_> = records.into_iter().filter(is_new).collect();
+        let mut new = Vec::new();
+        for record in records {
+            let gate = record.gate;
+            if directory.merge(record) {
+                new.extend(directory.get(gate).cloned());
+            }
+        }
         if !new.is_empty() {
+            self.shared.leave_log.record(&new);
             self.shared
                 .directory_changes
                 .send_replace(directory.change_count());
--- a/crates/fleet/src/keeper/service.rs
+++ b/crates/fleet/src/keeper/service.rs
@@ -40,7 +40,7 @@
 
     fn sync_reply(&self, request: &SyncRequest) -> SyncReply {
         // Read before the state: changes applied in between only make the reply newer.
-        let is_current = self.status().current;
+        let is_current = self.is_current();
         let newer = |history: &ConfigHistory| {
             let config = history.current()?;
             (config.version > request.config_after).then(|| config.clone())
@@ -79,7 +79,7 @@
         let mut reported = self.shared.crash_log.subscribe();
         let mut end = end;
         let mut has_new_hosts = false;
-        while Instant::now() < end && self.status().current && !self.has_urgent_changes(request) {
+        while Instant::now() < end && self.is_current() && !self.has_urgent_changes(request) {
             if !has_new_hosts && self.has_new_hosts(request) {
                 has_new_hosts = true;
                 end = end.min(Instant::now() + HOSTS_BATCH_DELAY);
@@ -98,8 +98,11 @@
 impl FleetService for FleetKeeper {
     async fn sync(&self, request: SyncRequest) -> SyncReply {
         if let Some(record) = request.record.clone() {
+            let gate = record.gate;
             let new = self.merge(vec![record]);
             self.shared.share_queue.add(new, ShareScope::All);
+            // The reply tells the daemon that the server that has left its host is saved.
+            self.shared.leave_log.wait_saved(gate).await;
         }
         let wait = Duration::from_millis(request.wait_ms.into()).min(SYNC_WAIT_MAX);
         self.wait_changes(&request, Instant::now() + wait).await;
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -36,6 +36,10 @@
 /// Number of keepers that are asked for changes when all are polled at once.
 const CHANGES_KEEPERS: usize = 2;
 
+/// Longest wait for the keepers that a leave is stored at; below the second for which a server waits for its
+/// acknowledgement.
+const STORE_TIMEOUT: Duration = Duration::from_millis(850);
+
 /// Options of a [`FleetSync`].
 #[derive(Clone, Debug)]
 pub struct SyncOptions {
@@ -51,6 +55,8 @@
     pub zone: ZoneName,
     /// The strikes against requests that crash servers.
     pub quarantine: FleetQuarantine,
+    /// Number of keepers that must have saved a leave before it is acknowledged.
+    pub leave_copies: usize,
 }
 
 /// The daemon's copy of the configuration and of the directory; clones share it.
@@ -70,6 +76,8 @@
     directory_changes: watch::Sender<u64>,
     /// The server that had left this host, as an earlier run of the daemon told the keepers.
     left_before: watch::Sender<Option<ServerIdentity>>,
+    /// The last server that has left this host and is stored at enough keepers.
+    left_stored: Mutex<Option<ServerIdentity>>,
     /// Whether a keeper in contact with the leader has replied since the start.
     has_synced: watch::Sender<bool>,
     pub(crate) strike_mismatch: StrikeMismatch,
@@ -93,6 +101,14 @@
     ChangesSoFar,
     /// Publishing the daemon's record, or whether the keeper is in contact with the leader.
     Contact,
+    /// Storing the server that has left, with the daemon's record.
+    Store,
+}
+
+impl PollPurpose {
+    fn asks_for_hosts(self) -> bool {
+        matches!(self, PollPurpose::Changes | PollPurpose::ChangesSoFar)
+    }
 }
 
 impl FleetSync {
@@ -117,6 +133,7 @@
                 config: watch::channel(None).0,
                 directory_changes: watch::channel(0).0,
                 left_before: watch::channel(None).0,
+                left_stored: Mutex::default(),
                 has_synced: watch::channel(false).0,
                 strike_mismatch: StrikeMismatch::default(),
             }),
@@ -165,7 +182,7 @@
     /// publishes a change to the keepers.
     pub fn set_server(&self, server: Option<ServerRecord>, left: Option<ServerIdentity>) {
         let mut record = self.record();
-        let left = left.or_else(|| record.left.clone());
+        let left = ServerIdentity::latest(left, record.left.clone());
         if record.server == server && record.left == left {
             return;
         }
@@ -179,6 +196,46 @@
         self.publish();
     }
 
+    /// Stores at the keepers that `left` accepts no new work. Returns whether enough of them have saved it, so
+    /// that no restart of daemons and keepers makes it forgotten; the others get it too.
+    pub async fn store_left(&self, left: ServerIdentity) -> bool {
+        let left = self.add_left(left);
+        if self.shared.left_stored.lock().as_ref() == Some(&left) {
+            return true;
+        }
+        let stored = timeout(STORE_TIMEOUT, self.publish_to_all()).await;
+        let is_stored = stored.is_ok_and(|copies| copies >= self.shared.options.leave_copies);
+        if is_stored {
+            *self.shared.left_stored.lock() = Some(left);
+        }
+        is_stored
+    }
+
+    /// Adds a server that has left to this daemon's record; returns the one that the record names.
+    fn add_left(&self, left: ServerIdentity) -> ServerIdentity {
+        let mut record = self.record();
+        let latest = ServerIdentity::latest(Some(left.clone()), record.left.clone());
+        let latest = latest.unwrap_or(left);
+        if record.left.as_ref() != Some(&latest) {
+            record.left = Some(latest.clone());
+            record.sequence += 1;
+        }
+        latest
+    }
+
+    /// Sends this daemon's record to all keepers; returns the number of replies, as soon as a leave needs no
+    /// more of them.
+    async fn publish_to_all(&self) -> usize {
+        let publish = |keeper: KnownKeeper| {
+            let sync = self.clone();
+            tokio::spawn(async move { sync.poll(&keeper, PollPurpose::Store).await })
+        };
+        let keepers = self.shared.keepers.list().into_iter();
+        let polls: FuturesUnordered<_> = keepers.map(publish).collect();
+        let replies = polls.filter(|polled| ready(matches!(polled, Ok(Some(_)))));
+        replies.take(self.shared.options.leave_copies).count().await
+    }
+
     /// Sends this daemon's record to the nearest keepers without waiting for their replies.
     fn publish(&self) {
         for keeper in self.nearest().into_iter().take(PUBLISH_KEEPERS) {
@@ -246,7 +303,7 @@
     async fn poll(&self, keeper: &KnownKeeper, purpose: PollPurpose) -> Option<SyncReply> {
         let wait = match purpose {
             PollPurpose::Changes => LONG_POLL_WAIT,
-            PollPurpose::ChangesSoFar | PollPurpose::Contact => Duration::ZERO,
+            _ => Duration::ZERO,
         };
         let position = self.position(&keeper.name);
         let version = self
@@ -258,7 +315,7 @@
         let request = SyncRequest {
             record: Some(self.record().clone()),
             config_after: version,
-            hosts: (purpose != PollPurpose::Contact).then(|| DirectoryQuery {
+            hosts: purpose.asks_for_hosts().then(|| DirectoryQuery {
                 position: position.hosts,
                 digest: self.directory().digest(),
             }),
@@ -267,7 +324,10 @@
             keepers_digest: self.shared.keepers.digest(),
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
         };
-        let limit = wait + LONG_POLL_GRACE;
+        let limit = match purpose {
+            PollPurpose::Store => STORE_TIMEOUT,
+            _ => wait + LONG_POLL_GRACE,
+        };
         let sent = keeper.link.call(limit, |client, ctx| async move {
             client.sync(ctx, request).await
         });
@@ -331,12 +391,13 @@
     /// the keepers have completed from it.
     fn adopt_left(&self, known: &HostRecord) {
         let mut record = self.record();
-        if record.left.is_some() || known.left.is_none() {
+        let latest = ServerIdentity::latest(record.left.clone(), known.left.clone());
+        if record.left == latest {
             return;
         }
-        record.left.clone_from(&known.left);
+        record.left.clone_from(&latest);
         drop(record);
-        self.shared.left_before.send_replace(known.left.clone());
+        self.shared.left_before.send_replace(latest);
     }
 
     fn position(&self, keeper: &KeeperName) -> SyncPosition {
--- a/crates/fleet/tests/sync.rs
+++ b/crates/fleet/tests/sync.rs
@@ -186,6 +186,7 @@
         CrashReportQueue::default(),
     );
     FleetSync::spawn(SyncOptions {
+        leave_copies: 1,
         seeds: KEEPERS.map(IpAddr::from).into(),
         port,
         gate_addr: ([10, 0, 1, 1], 8300).into(),
--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -57,6 +57,11 @@
         })
     }
 
+    /// Returns the file that holds the backend servers that have left their hosts.
+    pub fn leave_file(&self) -> RecordFile {
+        RecordFile::new(self.path.join("leaves"))
+    }
+
     /// Returns the file that holds the strikes against requests that crash servers.
     pub fn strike_file(&self) -> RecordFile {
         RecordFile::new(self.path.join("strikes"))
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! ```text
 //! DATA/owner                name of the keeper that owns the folder, number of its claim groups
+//! DATA/leaves               backend servers that have left their hosts, replaced by rename
 //! DATA/strikes              strikes against requests that crash servers, replaced by rename
 //! DATA/lock                 locked by the process that uses the folder
 //! DATA/group-N/incarnation  identity of the group's files
