Close a connection on which a refusal without an id came

Callers are told "not run" for a request that ran, or it runs at a second server.

It could happen here: refusals of servers carry no request id, and the one without an id was believed for whichever request was sent last. The copy then stood for the next request. The gate now closes its connection to the server after such a refusal, so that a copy meets no other request.

Ruled out: counting refusals without an id as lost, which would answer 502 for requests that have not run.

--- a/crates/relay/src/gate/exchange.rs
+++ b/crates/relay/src/gate/exchange.rs
@@ -84,8 +84,12 @@
                     StatusCode::MISDIRECTED_REQUEST => run.quarantine.record_inconclusive(),
                     _ => run.quarantine.record_rejection(),
                 }
-                // Reads the body, so that the connection can be reused.
-                let _ = timeout(remaining, response.read((), None)).await;
+                // Without its request's id, a copy of this response that comes later could be taken for the
+                // response to the next request. Dropping it closes the connection.
+                if response.head.headers.contains_key(&self.names.request_id) {
+                    // Reads the body, so that the connection can be reused.
+                    let _ = timeout(remaining, response.read((), None)).await;
+                }
                 return GateResult {
                     outcome: HopOutcome::Shed,
                     reason: "server-shed",
