Refuse requests that become whole when the daemon is about to exit

It could happen here where a head or a body arrives slowly: the connection isn't idle, so it outlasts the listener, and the request was passed on whenever it became whole. One that was whole 4.4 s after SIGTERM ran for 1.5 s and lost its connection at 5.6 s.

After the daemon has stopped listening, a caller's request that has not been sent on is refused with 503 "stopping". Calls of the server on this host go on.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -178,6 +178,10 @@
             Ok(Err(BodyError::Interrupted)) => return Err(RelayError::BadRequest),
             Err(_) => return Err(RelayError::BodyTimeout),
         };
+        // Only now, as a head or a body may take long to arrive.
+        if self.entry.is_closed() && self.parent.is_none() {
+            return Err(RelayError::Stopping);
+        }
         // Right before the request is sent on, because a token is valid for a short time only.
         if let Some(account) = self.account.clone() {
             self.entry.quotas.take(&account).await?;
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -87,6 +87,7 @@
     pub(crate) table: ArcSwapOption<RouteTable>,
     state: Mutex<EntryState>,
     is_draining: AtomicBool,
+    is_closed: AtomicBool,
 }
 
 /// State that requests of an entry share.
@@ -119,6 +120,7 @@
             table: ArcSwapOption::empty(),
             state: Mutex::default(),
             is_draining: AtomicBool::new(false),
+            is_closed: AtomicBool::new(false),
         });
         tokio::spawn(close_expired(entry.pool.clone()));
         entry
@@ -159,6 +161,17 @@
         self.is_draining.store(true, Ordering::Relaxed);
     }
 
+    /// Refuses requests of callers that have not been sent on yet. Calls of the server on this host go on, as
+    /// the requests that they belong to are in flight.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether requests of callers are refused.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::Relaxed)
+    }
+
     /// Returns the gate on this host.
     pub fn gate(&self) -> &RequestGate {
         &self.options.gate
--- a/crates/relay/src/error.rs
+++ b/crates/relay/src/error.rs
@@ -10,11 +10,17 @@
 /// Retry-after of requests that arrive before the first configuration.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Retry-after of requests that arrive whole when the daemon is about to exit; by then it listens no more, and
+/// callers go elsewhere.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Why a request gets no response from a backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RelayError {
     /// No configuration is in force yet. The request has not run.
     NoConfig,
+    /// The daemon is about to exit, and too little time is left for the request. It has not run.
+    Stopping,
     /// No route matches the host and path. The request has not run.
     NoRoute,
     /// The route needs a key, and the request carries none that is in force. The request has not run.
@@ -61,6 +67,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             RelayError::NoConfig
+            | RelayError::Stopping
             | RelayError::QuotaUnknown { .. }
             | RelayError::Unavailable { .. }
             | RelayError::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
@@ -80,6 +87,7 @@
     pub fn reason(self) -> &'static str {
         match self {
             RelayError::NoConfig => "no-config",
+            RelayError::Stopping => "stopping",
             RelayError::NoRoute => "no-route",
             RelayError::Unauthorized => "unauthorized",
             RelayError::OverLimit { .. } => "over-limit",
@@ -104,6 +112,7 @@
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         let retry_after = match self {
             RelayError::NoConfig => Some(NO_CONFIG_RETRY_AFTER),
+            RelayError::Stopping => Some(STOPPING_RETRY_AFTER),
             RelayError::OverLimit { retry_after }
             | RelayError::QuotaUnknown { retry_after }
             | RelayError::Unavailable { retry_after }
