Hand out the tokens of a zone without servers once

A tenant got 80 instead of 60 requests a second through while the servers of one zone were down: each daemon of that zone handed out the zone's tokens.

The owner of an account is picked from the zone's gates whose servers accept work. Without any, each daemon stood in as the only owner. Now all daemons of such a zone are on the list, and a daemon that isn't on it hands out tokens only after the others have failed to reply.

Ruled out: all daemons on the list at all times. Hosts that are gone stay in the directory, and each would be asked first for some accounts.

--- a/crates/relay/src/gate_view.rs
+++ b/crates/relay/src/gate_view.rs
@@ -38,7 +38,8 @@
         &self.zone
     }
 
-    /// Returns the gates in `zone`, whatever their service.
+    /// Returns the gates in `zone` whose backend servers accept work, whatever their service; all gates there
+    /// if none does, so that its daemons agree on a list also then.
     pub fn in_zone(&self, zone: &ZoneName) -> Vec<SocketAddr> {
         let zones = self.zone_gates.load();
         zones.get(zone).cloned().unwrap_or_default()
@@ -47,7 +48,6 @@
     /// Replaces all gates by those of the hosts in `records`.
     pub fn set(&self, records: &[HostRecord]) {
         let mut gates: HashMap<ServiceName, Vec<GateCandidate>> = HashMap::new();
-        let mut zones: HashMap<ZoneName, Vec<SocketAddr>> = HashMap::new();
         for record in records {
             let Some(server) = &record.server else {
                 continue;
@@ -57,8 +57,6 @@
                 distance: self.distance(record),
                 slots: server.slots,
             };
-            let zone = zones.entry(record.zone.clone());
-            zone.or_default().push(record.gate);
             gates
                 .entry(server.service.clone())
                 .or_default()
@@ -66,7 +64,7 @@
         }
         let gates = gates.into_iter().map(|(name, list)| (name, Arc::new(list)));
         self.gates.store(Arc::new(gates.collect()));
-        self.zone_gates.store(Arc::new(zones));
+        self.zone_gates.store(Arc::new(gates_by_zone(records)));
     }
 
     fn distance(&self, record: &HostRecord) -> GateDistance {
@@ -79,3 +77,19 @@
         }
     }
 }
+
+/// Returns the gates of each zone whose servers accept work, or all gates of a zone in which none does.
+fn gates_by_zone(records: &[HostRecord]) -> HashMap<ZoneName, Vec<SocketAddr>> {
+    let mut all: HashMap<ZoneName, Vec<SocketAddr>> = HashMap::new();
+    let mut serving: HashMap<ZoneName, Vec<SocketAddr>> = HashMap::new();
+    for record in records {
+        let zone = all.entry(record.zone.clone());
+        zone.or_default().push(record.gate);
+        if record.server.is_some() {
+            let zone = serving.entry(record.zone.clone());
+            zone.or_default().push(record.gate);
+        }
+    }
+    all.extend(serving);
+    all
+}
--- a/crates/relay/src/quota.rs
+++ b/crates/relay/src/quota.rs
@@ -329,16 +329,17 @@
         tokio::time::timeout(limit, exchange).await.ok()?
     }
 
-    /// Returns the hosts of this zone in the order in which they are asked for `account`.
+    /// Returns the hosts of this zone in the order in which they are asked for `account`. A host that the
+    /// others don't ask hands out tokens itself only if none of them replies.
     fn owners(&self, account: &AccountName) -> Vec<SocketAddr> {
         let options = &self.shared.options;
-        let mut hosts = options.gates.in_zone(options.gates.zone());
-        if !hosts.contains(&options.gate_addr) {
-            hosts.push(options.gate_addr);
-        }
+        let hosts = options.gates.in_zone(options.gates.zone());
         let mut order = owner_order(account, &hosts);
         let now = self.shared.clock.now();
         self.lock().backoff.apply(&mut order, now);
+        if !order.contains(&options.gate_addr) {
+            order.push(options.gate_addr);
+        }
         order
     }
 
