--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -1,5 +1,6 @@
 //! The keeper's side: the replica group of the service configuration, and the directory of hosts.
 
+mod command;
 mod service;
 
 use crate::{
@@ -11,18 +12,15 @@
     leave_log::LeaveLog,
 };
 use agatehill_decide::{
-    config_history::{ConfigCommand, ConfigHistory, ConfigReply},
+    config_history::ConfigHistory,
     host_directory::{DirectoryPosition, HostDirectory, HostRecord},
     name::{Incarnation, KeeperName, RegionName, ZoneName},
     replica::{ReplicaEnvelope, ReplicaId, ReplicaSettings, ReplicaStatus, VoterPolicy},
 };
-use agatehill_peer::{
-    fleet::{CommandError, FleetLink, FleetServer, KeeperRecord},
-    link::LinkError,
-};
+use agatehill_peer::fleet::{FleetLink, FleetServer, KeeperRecord};
 use agatehill_process::clock::MonoClock;
 use agatehill_replica::{
-    group::{GroupHandle, ProposeError},
+    group::GroupHandle,
     outbox::{PeerOutbox, ReplicaLink},
 };
 use agatehill_store::{DataFolder, StoreError};
@@ -48,12 +46,6 @@
 const SNAPSHOT_CHUNK_BYTES: usize = 1 << 18;
 /// Time without a message after which a voter is replaced by a reachable keeper.
 const REPLACE_VOTER_AFTER: Duration = Duration::from_secs(8);
-/// Timeout of a command that is forwarded to the leader.
-const FORWARD_TIMEOUT: Duration = Duration::from_millis(1_600);
-/// Longest wait of a command for a leader; below the second for which operators wait for a response.
-const LEADER_WAIT: Duration = Duration::from_millis(800);
-/// Time between two tries of a command while there is no leader.
-const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest wait for the transfer of leadership before the process stops.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time between two checks of whether leadership has been transferred.
@@ -197,47 +189,6 @@
         Ok(keeper)
     }
 
-    /// Proposes `command` to the group, or forwards it to the keeper that leads. During an election it
-    /// waits for the new leader, for [`LEADER_WAIT`] at most: an operator who is turned away comes back
-    /// later than the election ends. A command whose outcome is unknown is run again, as operators send
-    /// theirs again: the history gives a change that it has accepted the same reply.
-    ///
-    /// # Errors
-    ///
-    /// No leader accepts the command, or its outcome is unknown.
-    pub async fn run_command(&self, command: ConfigCommand) -> Result<ConfigReply, CommandError> {
-        let end = Instant::now() + LEADER_WAIT;
-        loop {
-            match self.try_command(&command).await {
-                Err(_) if Instant::now() < end => {
-                    tokio::time::sleep(LEADER_CHECK_INTERVAL).await;
-                }
-                result => return result,
-            }
-        }
-    }
-
-    async fn try_command(&self, command: &ConfigCommand) -> Result<ConfigReply, CommandError> {
-        let leader = match self.propose(command).await {
-            Ok(reply) => return Ok(reply),
-            Err(ProposeError::Unknown) => return Err(CommandError::Unknown),
-            Err(ProposeError::NotLeader(leader)) => leader.ok_or(CommandError::NotLeader)?,
-        };
-        if leader == self.shared.own_record.name {
-            return Err(CommandError::NotLeader);
-        }
-        let keeper = self.shared.keepers.get(&leader);
-        let link = keeper.ok_or(CommandError::NotLeader)?.link;
-        let command = command.clone();
-        let sent = link.call(FORWARD_TIMEOUT, |client, ctx| async move {
-            client.run_command(ctx, command).await
-        });
-        sent.await.unwrap_or_else(|error| match error {
-            LinkError::Unreachable => Err(CommandError::NotLeader),
-            LinkError::NoResponse => Err(CommandError::Unknown),
-        })
-    }
-
     /// Returns the status of the replica.
     pub fn status(&self) -> ReplicaStatus {
         self.shared.group.status()
@@ -359,17 +310,6 @@
         }
         self.link_keepers();
     }
-
-    async fn propose(&self, command: &ConfigCommand) -> Result<ConfigReply, ProposeError> {
-        let status = self.status();
-        let has_too_few_voters = status.voters.len() < self.shared.voters_min;
-        if status.role == "leader" && has_too_few_voters && matches!(command, ConfigCommand::Put(_))
-        {
-            // With fewer voters, the tolerated loss of disks could lose the change.
-            return Err(ProposeError::NotLeader(None));
-        }
-        self.shared.group.propose(command).await
-    }
 }
 
 /// Delivers messages of the replica over the link to another keeper.
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -1,6 +1,8 @@
 //! The daemon's side: copies the configuration, the directory of hosts and the strikes against
 //! requests from the keepers, and publishes the daemon's own host record to them.
 
+mod leave;
+
 use crate::{
     keeper_map::{KeeperMap, KnownKeeper, keeper_name},
     report_sender::{self, StrikeMismatch},
@@ -21,6 +23,7 @@
     future::ready,
     stream::{FuturesUnordered, StreamExt},
 };
+use leave::{LeaveState, STORE_TIMEOUT};
 use parking_lot::{Mutex, MutexGuard};
 use std::{
     collections::HashMap,
@@ -36,10 +39,6 @@
 /// Number of keepers that are asked for changes when all are polled at once.
 const CHANGES_KEEPERS: usize = 2;
 
-/// Longest wait for the keepers that a leave is stored at; below the second for which a server waits for its
-/// acknowledgement.
-const STORE_TIMEOUT: Duration = Duration::from_millis(850);
-
 /// Options of a [`FleetSync`].
 #[derive(Clone, Debug)]
 pub struct SyncOptions {
@@ -74,10 +73,7 @@
     directory: Mutex<HostDirectory>,
     config: watch::Sender<Option<AcceptedConfig>>,
     directory_changes: watch::Sender<u64>,
-    /// The server that had left this host, as an earlier run of the daemon told the keepers.
-    left_before: watch::Sender<Option<ServerIdentity>>,
-    /// The last server that has left this host and is stored at enough keepers.
-    left_stored: Mutex<Option<ServerIdentity>>,
+    leaves: LeaveState,
     /// Whether a keeper in contact with the leader has replied since the start.
     has_synced: watch::Sender<bool>,
     pub(crate) strike_mismatch: StrikeMismatch,
@@ -132,8 +128,7 @@
                 directory: Mutex::default(),
                 config: watch::channel(None).0,
                 directory_changes: watch::channel(0).0,
-                left_before: watch::channel(None).0,
-                left_stored: Mutex::default(),
+                leaves: LeaveState::default(),
                 has_synced: watch::channel(false).0,
                 strike_mismatch: StrikeMismatch::default(),
             }),
@@ -153,11 +148,6 @@
         self.shared.directory_changes.subscribe()
     }
 
-    /// Subscribes to the server that had left this host before the daemon started.
-    pub fn left_before(&self) -> watch::Receiver<Option<ServerIdentity>> {
-        self.shared.left_before.subscribe()
-    }
-
     /// Subscribes to whether a keeper in contact with the leader has replied since the start.
     pub fn has_synced(&self) -> watch::Receiver<bool> {
         self.shared.has_synced.subscribe()
@@ -196,46 +186,6 @@
         self.publish();
     }
 
-    /// Stores at the keepers that `left` accepts no new work. Returns whether enough of them have saved it, so
-    /// that no restart of daemons and keepers makes it forgotten; the others get it too.
-    pub async fn store_left(&self, left: ServerIdentity) -> bool {
-        let left = self.add_left(left);
-        if self.shared.left_stored.lock().as_ref() == Some(&left) {
-            return true;
-        }
-        let stored = timeout(STORE_TIMEOUT, self.publish_to_all()).await;
-        let is_stored = stored.is_ok_and(|copies| copies >= self.shared.options.leave_copies);
-        if is_stored {
-            *self.shared.left_stored.lock() = Some(left);
-        }
-        is_stored
-    }
-
-    /// Adds a server that has left to this daemon's record; returns the one that the record names.
-    fn add_left(&self, left: ServerIdentity) -> ServerIdentity {
-        let mut record = self.record();
-        let latest = ServerIdentity::latest(Some(left.clone()), record.left.clone());
-        let latest = latest.unwrap_or(left);
-        if record.left.as_ref() != Some(&latest) {
-            record.left = Some(latest.clone());
-            record.sequence += 1;
-        }
-        latest
-    }
-
-    /// Sends this daemon's record to all keepers; returns the number of replies, as soon as a leave needs no
-    /// more of them.
-    async fn publish_to_all(&self) -> usize {
-        let publish = |keeper: KnownKeeper| {
-            let sync = self.clone();
-            tokio::spawn(async move { sync.poll(&keeper, PollPurpose::Store).await })
-        };
-        let keepers = self.shared.keepers.list().into_iter();
-        let polls: FuturesUnordered<_> = keepers.map(publish).collect();
-        let replies = polls.filter(|polled| ready(matches!(polled, Ok(Some(_)))));
-        replies.take(self.shared.options.leave_copies).count().await
-    }
-
     /// Sends this daemon's record to the nearest keepers without waiting for their replies.
     fn publish(&self) {
         for keeper in self.nearest().into_iter().take(PUBLISH_KEEPERS) {
@@ -387,19 +337,6 @@
         }
     }
 
-    /// Takes over the server that had left this host from `known`, a record of an earlier run or one that
-    /// the keepers have completed from it.
-    fn adopt_left(&self, known: &HostRecord) {
-        let mut record = self.record();
-        let latest = ServerIdentity::latest(record.left.clone(), known.left.clone());
-        if record.left == latest {
-            return;
-        }
-        record.left.clone_from(&latest);
-        drop(record);
-        self.shared.left_before.send_replace(latest);
-    }
-
     fn position(&self, keeper: &KeeperName) -> SyncPosition {
         self.positions().get(keeper).copied().unwrap_or_default()
     }
