--- a/crates/decide/src/host_directory.rs
+++ b/crates/decide/src/host_directory.rs
@@ -36,7 +36,8 @@
 }
 
 impl HostRecord {
-    /// Returns the newer of both records, with the later one of the servers that have left.
+    /// Returns the newer of both records, with the server that has left of the one or the other, whichever
+    /// started last.
     fn joined(&self, other: &HostRecord) -> HostRecord {
         let order = |record: &HostRecord| (record.run, record.sequence);
         let (newer, older) = match order(other) > order(self) {
--- a/crates/decide/src/server_tracker.rs
+++ b/crates/decide/src/server_tracker.rs
@@ -27,7 +27,7 @@
 }
 
 impl ServerIdentity {
-    /// Returns the incarnation that started last, the first one if both started at the same time.
+    /// Returns the incarnation that started last; `first` if both started at the same time.
     pub fn latest(
         first: Option<ServerIdentity>,
         second: Option<ServerIdentity>,
@@ -106,6 +106,7 @@
 pub struct ServerTracker {
     heartbeat_timeout: Duration,
     current: Option<CurrentServer>,
+    /// Incarnations that have said that they leave.
     left: LeftServers,
     /// Identity of a server that left while another one or none was known, without its start, and the time
     /// at which it left.
@@ -206,8 +207,8 @@
         self.end(left.clone(), now);
     }
 
-    /// Records that `left` accepts no work from now on. A current incarnation that started before has
-    /// ended: a host has one server.
+    /// Records that `left` accepts no work from now on. A current incarnation that started before it has
+    /// ended, as a host has one server.
     fn end(&mut self, left: ServerIdentity, now: MonoTime) {
         let is_ended = |current: &CurrentServer| {
             let current = current.heartbeat.identity();
--- a/crates/fleet/src/catch_up.rs
+++ b/crates/fleet/src/catch_up.rs
@@ -1,8 +1,8 @@
 //! Whether a keeper that has started holds what the others hold.
 //!
-//! Its directory is empty but for the leaves on its disk, and others may have saved leaves that it has not.
-//! A daemon that starts at the same time relies on the first keeper in touch with the leader, so a keeper
-//! doesn't claim to be that before it has exchanged with all others, or has waited long enough for them.
+//! Its directory is empty but for the leaves on its disk, and others may have saved leaves that it lacks. A
+//! daemon that starts at the same time relies on the first keeper that is current. So a keeper isn't current
+//! before it has exchanged with all others, or has waited long enough for them.
 
 use agatehill_decide::name::KeeperName;
 use parking_lot::Mutex;
@@ -15,7 +15,7 @@
 /// Longest wait for keepers that don't reply.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The progress of one keeper's start.
+/// How far a keeper that has started has heard of the others.
 #[derive(Debug)]
 pub(crate) struct CatchUp {
     started: Instant,
--- a/crates/fleet/src/keeper/command.rs
+++ b/crates/fleet/src/keeper/command.rs
@@ -55,6 +55,11 @@
         })
     }
 
+    /// Proposes `command` to the group here.
+    ///
+    /// # Errors
+    ///
+    /// This keeper doesn't lead, or the outcome is unknown.
     pub(super) async fn propose(
         &self,
         command: &ConfigCommand,
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -253,7 +253,7 @@
     async fn poll(&self, keeper: &KnownKeeper, purpose: PollPurpose) -> Option<SyncReply> {
         let wait = match purpose {
             PollPurpose::Changes => LONG_POLL_WAIT,
-            _ => Duration::ZERO,
+            PollPurpose::ChangesSoFar | PollPurpose::Contact | PollPurpose::Store => Duration::ZERO,
         };
         let position = self.position(&keeper.name);
         let version = self
--- a/crates/fleet/src/sync/leave.rs
+++ b/crates/fleet/src/sync/leave.rs
@@ -34,31 +34,31 @@
     /// that no restart of daemons and keepers makes it forgotten; the others get it too.
     pub async fn store_left(&self, left: ServerIdentity) -> bool {
         let left = self.add_left(left);
-        if self.shared.leaves.stored.lock().as_ref() == Some(&left) {
+        if *self.shared.leaves.stored.lock() == left {
             return true;
         }
         let stored = timeout(STORE_TIMEOUT, self.publish_to_all()).await;
         let is_stored = stored.is_ok_and(|copies| copies >= self.shared.options.leave_copies);
         if is_stored {
-            *self.shared.leaves.stored.lock() = Some(left);
+            *self.shared.leaves.stored.lock() = left;
         }
         is_stored
     }
 
-    /// Adds a server that has left to this daemon's record; returns the one that the record names.
-    fn add_left(&self, left: ServerIdentity) -> ServerIdentity {
+    /// Adds a server that has left to this daemon's record. Returns the one that the record names, which
+    /// started last: it stands for all that started before.
+    fn add_left(&self, left: ServerIdentity) -> Option<ServerIdentity> {
         let mut record = self.record();
-        let latest = ServerIdentity::latest(Some(left.clone()), record.left.clone());
-        let latest = latest.unwrap_or(left);
-        if record.left.as_ref() != Some(&latest) {
-            record.left = Some(latest.clone());
+        let latest = ServerIdentity::latest(Some(left), record.left.clone());
+        if record.left != latest {
+            record.left.clone_from(&latest);
             record.sequence += 1;
         }
         latest
     }
 
-    /// Sends this daemon's record to all keepers; returns the number of replies, as soon as a leave needs no
-    /// more of them.
+    /// Sends this daemon's record to all keepers. Returns the number of replies, without waiting for more of
+    /// them than a leave needs.
     async fn publish_to_all(&self) -> usize {
         let publish = |keeper: KnownKeeper| {
             let sync = self.clone();
