Tell which keeper a daemon follows, and how long a keeper's write has lasted

Callers of one zone were served by an old version, and no line or figure showed why: the time of a sync was set when it had ended, a keeper's dump gave the last published status without its age, a daemon told neither its keeper nor the age of what it knows. Now dumps and metrics of keepers have the applied index beside the committed one, the age of the last contact with the leader (at the leader with a majority) and of the write under way, from a task that doesn't wait for the disk; a daemon's have its keeper, who confirmed the version last and when. Lines only where that changes. No decision changes.

--- a/bin/keeper/src/hub.rs
+++ b/bin/keeper/src/hub.rs
@@ -15,6 +15,7 @@
 use agatehill_process::clock::MonoClock;
 use agatehill_replica::{
     group::{GroupHandle, GroupState, ProposeError},
+    monitor::report_group,
     outbox::{PeerOutbox, ReplicaLink},
 };
 use agatehill_store::{DataFolder, StoreError};
@@ -245,7 +246,10 @@
             snapshot_chunk_bytes: SNAPSHOT_CHUNK_BYTES,
         };
         let folder = self.folder.group_path(group);
-        GroupHandle::open(replica, &folder, self.clock, self.outbox.for_group(group))
+        let outbox = self.outbox.for_group(group);
+        let handle = GroupHandle::open(replica, &folder, self.clock, outbox)?;
+        tokio::spawn(report_group(group, handle.clone()));
+        Ok(handle)
     }
 }
 
--- a/bin/keeper/src/service.rs
+++ b/bin/keeper/src/service.rs
@@ -141,7 +141,7 @@
         let claim_group = |handle: &GroupHandle<ClaimTable>| {
             handle.read(|table| {
                 json!({
-                    "replica": handle.status(),
+                    "replica": handle.report(),
                     "claims": table.len(),
                     "running": table.running_count(),
                     "bytes": table.bytes(),
@@ -154,7 +154,7 @@
             "region": settings.region,
             "availability_zone": settings.availability_zone,
             "position": self.contracts().read(ContractHistory::position),
-            "replica": self.contracts().status(),
+            "replica": self.contracts().report(),
             "contracts": self.list(),
             "claim_groups": self.claims().iter().map(claim_group).collect::<Vec<_>>(),
         })
--- a/crates/decide/src/keeper_poller.rs
+++ b/crates/decide/src/keeper_poller.rs
@@ -56,6 +56,11 @@
         KeeperPoll::One(preferred.unwrap_or(&nearest[0]).clone())
     }
 
+    /// Returns the preferred keeper, if there is one.
+    pub fn preferred(&self) -> Option<&KeeperName> {
+        self.preferred.as_ref()
+    }
+
     /// Records the result of a poll of one keeper: whether it replied and is in contact with the
     /// leader.
     pub fn record_reply(&mut self, name: &KeeperName, is_current: bool) {
--- a/crates/decide/src/replica/interface.rs
+++ b/crates/decide/src/replica/interface.rs
@@ -1,7 +1,7 @@
 //! Settings, inputs, outputs and status of a replica.
 
 use super::message::{HardState, LogEntry, ReplicaEnvelope, ReplicaId, ReplicaSnapshot};
-use crate::name::KeeperName;
+use crate::{name::KeeperName, time::MonoTime};
 use serde::Serialize;
 use std::{sync::Arc, time::Duration};
 
@@ -155,4 +155,8 @@
     pub voters: Vec<String>,
     /// Whether the applied state is as recent as the leader's was a moment ago.
     pub current: bool,
+    /// When this replica last heard from the leader that it holds all committed entries or, if it leads, last
+    /// heard from a majority of the voters; on the clock of the replica's inputs.
+    #[serde(skip)]
+    pub contact_at: Option<MonoTime>,
 }
--- a/crates/decide/src/replica/leader.rs
+++ b/crates/decide/src/replica/leader.rs
@@ -325,12 +325,19 @@
             return false;
         };
         let span = self.settings.election_timeout;
-        let is_recent = |voter: &&ReplicaId| {
-            let progress = leader.followers.get(&voter.name);
-            **voter == self.settings.id
-                || progress.is_some_and(|p| self.now.since(p.seen_at) < span)
+        let seen_at = self.quorum_seen_at(leader);
+        seen_at.is_some_and(|at| self.now.since(at) < span)
+    }
+
+    /// Returns the time since which a majority of the voters has sent a message, this replica included.
+    pub(super) fn quorum_seen_at(&self, leader: &LeaderState) -> Option<MonoTime> {
+        let seen_at = |voter: &ReplicaId| match *voter == self.settings.id {
+            true => Some(self.now),
+            false => Some(leader.followers.get(&voter.name)?.seen_at),
         };
         let config = self.config();
-        config.voters.iter().filter(is_recent).count() >= config.quorum()
+        let mut times: Vec<_> = config.voters.iter().filter_map(seen_at).collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        times.get(config.quorum() - 1).copied()
     }
 }
--- a/crates/decide/src/replica/node.rs
+++ b/crates/decide/src/replica/node.rs
@@ -165,6 +165,19 @@
                 .map(ReplicaId::to_string)
                 .collect(),
             current: self.is_current(),
+            contact_at: self.contact_at(),
+        }
+    }
+
+    /// Returns when this replica last heard from the leader that it holds all committed entries or, if it
+    /// leads, last heard from a majority of the voters.
+    fn contact_at(&self) -> Option<MonoTime> {
+        match &self.role {
+            ReplicaRole::Leader(leader) if leader.covers_earlier_terms(self.commit) => {
+                self.quorum_seen_at(leader)
+            }
+            ReplicaRole::Leader(_) => None,
+            _ => self.caught_up_at,
         }
     }
 
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -21,6 +21,7 @@
 use agatehill_process::clock::MonoClock;
 use agatehill_replica::{
     group::GroupHandle,
+    monitor::report_group,
     outbox::{PeerOutbox, ReplicaLink},
 };
 use agatehill_store::{DataFolder, StoreError};
@@ -138,6 +139,8 @@
         let addr = SocketAddr::new(options.host, options.port);
         let server = FleetServer::bind(addr, keeper.clone()).await;
         let server = server.map_err(|error| KeeperOpenError::Bind(addr, error))?;
+        let group = keeper.shared.group.clone();
+        tokio::spawn(report_group(CONFIG_GROUP, group));
         tokio::spawn(anti_entropy::run_anti_entropy(keeper.clone()));
         tokio::spawn(host_sharing::share_new_hosts(keeper.clone()));
         let saving = keeper.clone();
@@ -212,7 +215,7 @@
         let hosts: Vec<_> = self.directory().iter().cloned().collect();
         json!({
             "keeper": self.shared.own_record.name,
-            "replica": self.status(),
+            "replica": self.shared.group.report(),
             "caught_up": self.has_caught_up(),
             "config_version": self.shared.group.read(ConfigHistory::version),
             "keepers": keepers.iter().map(|k| k.name.as_str()).collect::<Vec<_>>(),
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -1,6 +1,7 @@
 //! The daemon's side: copies the configuration, the directory of hosts and the strikes against
 //! requests from the keepers, and publishes the daemon's own host record to them.
 
+mod contact;
 mod leave;
 
 use crate::{
@@ -19,6 +20,8 @@
     server_tracker::ServerIdentity,
 };
 use agatehill_peer::fleet::{SyncReply, SyncRequest};
+pub use contact::ContactReport;
+use contact::KeeperContact;
 use futures_util::{
     future::ready,
     stream::{FuturesUnordered, StreamExt},
@@ -74,6 +77,7 @@
     config: watch::Sender<Option<AcceptedConfig>>,
     directory_changes: watch::Sender<u64>,
     leaves: LeaveState,
+    contact: KeeperContact,
     /// Whether a keeper in contact with the leader has replied since the start.
     has_synced: watch::Sender<bool>,
     pub(crate) strike_mismatch: StrikeMismatch,
@@ -129,12 +133,14 @@
                 config: watch::channel(None).0,
                 directory_changes: watch::channel(0).0,
                 leaves: LeaveState::default(),
+                contact: KeeperContact::default(),
                 has_synced: watch::channel(false).0,
                 strike_mismatch: StrikeMismatch::default(),
             }),
         };
         tokio::spawn(sync.clone().run());
         tokio::spawn(report_sender::send_reports(sync.clone()));
+        tokio::spawn(sync.clone().report_contact());
         sync
     }
 
@@ -221,6 +227,7 @@
                 }
                 KeeperPoll::Pause => tokio::time::sleep(POLL_RETRY_PAUSE).await,
             }
+            self.shared.contact.set_preferred(poller.preferred());
         }
     }
 
@@ -256,15 +263,9 @@
             PollPurpose::ChangesSoFar | PollPurpose::Contact | PollPurpose::Store => Duration::ZERO,
         };
         let position = self.position(&keeper.name);
-        let version = self
-            .shared
-            .config
-            .borrow()
-            .as_ref()
-            .map_or(0, |c| c.version);
         let request = SyncRequest {
             record: Some(self.record().clone()),
-            config_after: version,
+            config_after: self.config_version(),
             hosts: purpose.asks_for_hosts().then(|| DirectoryQuery {
                 position: position.hosts,
                 digest: self.directory().digest(),
@@ -283,6 +284,9 @@
         });
         let reply = timeout(limit, sent).await.ok()?.ok()?;
         self.apply(&reply);
+        if reply.is_current {
+            self.shared.contact.record_confirmation(&keeper.name);
+        }
         self.set_position(&keeper.name, position, &reply);
         report_sender::send_missing(self, keeper, &reply);
         // Only then this daemon's own record of an earlier run is known.
@@ -322,12 +326,19 @@
         self.shared.config.send_if_modified(|held| {
             let is_newer = held.as_ref().is_none_or(|h| h.version < config.version);
             if is_newer {
+                self.shared.contact.record_config();
                 *held = Some(config.clone());
             }
             is_newer
         });
     }
 
+    /// Returns the version of the configuration that is held, 0 before the first one.
+    fn config_version(&self) -> u64 {
+        let config = self.shared.config.borrow();
+        config.as_ref().map_or(0, |config| config.version)
+    }
+
     /// Raises this daemon's incarnation above that of `known`, the record of an earlier run, which is
     /// larger if the clock was set back in between.
     fn supersede(&self, known: &HostRecord) {
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -11,7 +11,6 @@
     },
     replicated_state::ReplicatedState,
 };
-use agatehill_process::clock::MonoClock;
 use agatehill_store::GroupStore;
 use metrics::{counter, gauge};
 use spdlog::{info, warn};
@@ -45,7 +44,6 @@
 pub(crate) struct GroupDriver<S: GroupState> {
     node: ReplicaNode,
     store: GroupStore,
-    clock: MonoClock,
     outbox: PeerOutbox,
     shared: Arc<GroupShared<S>>,
     proposals: HashMap<u64, ReplySender<S>>,
@@ -62,14 +60,12 @@
     pub(crate) fn new(
         node: ReplicaNode,
         store: GroupStore,
-        clock: MonoClock,
         outbox: PeerOutbox,
         shared: Arc<GroupShared<S>>,
     ) -> GroupDriver<S> {
         GroupDriver {
             node,
             store,
-            clock,
             outbox,
             shared,
             proposals: HashMap::new(),
@@ -139,7 +135,8 @@
     }
 
     fn step(&mut self, input: ReplicaInput) -> Vec<ReplicaOutput> {
-        self.node.step(input, self.clock.now(), rand::random())
+        self.node
+            .step(input, self.shared.clock.now(), rand::random())
     }
 
     /// Carries out `outputs` in order; what follows a write waits for its sync.
@@ -204,21 +201,17 @@
         mut write: impl FnMut(&mut GroupStore) -> Result<(), agatehill_store::StoreError>,
     ) {
         let mut failing = false;
+        self.shared.set_write_since(Some(self.shared.clock.now()));
         while let Err(error) = write(&mut self.store) {
             if !failing {
                 warn!("cannot write to disk, will retry", kv: { error = error.to_string() });
             }
             failing = true;
-            let mut published = self
-                .shared
-                .status
-                .lock()
-                .expect("no holder of the lock panics");
-            published.current = false;
-            drop(published);
+            self.shared.status().current = false;
             gauge!("agatehill_disk_failing", "group" => self.group().to_string()).set(1.0);
             thread::sleep(DISK_RETRY_DELAY);
         }
+        self.shared.set_write_since(None);
         if failing {
             info!("disk is writable again");
             gauge!("agatehill_disk_failing", "group" => self.group().to_string()).set(0.0);
@@ -314,11 +307,7 @@
 
     fn publish(&self) {
         let status = self.node.status();
-        let mut published = self
-            .shared
-            .status
-            .lock()
-            .expect("no holder of the lock panics");
+        let mut published = self.shared.status();
         if published.role != status.role || published.leader != status.leader {
             info!("replica changed role or leader", kv: {
                 group = self.group(),
--- a/crates/replica/src/group.rs
+++ b/crates/replica/src/group.rs
@@ -8,13 +8,15 @@
     name::KeeperName,
     replica::{ReplicaEnvelope, ReplicaNode, ReplicaSettings, ReplicaStatus},
     replicated_state::ReplicatedState,
+    time::MonoTime,
 };
 use agatehill_process::clock::MonoClock;
 use agatehill_store::{GroupStore, OpenedGroup, StoreError};
+use serde::Serialize;
 use std::{
     path::Path,
     sync::{
-        Arc, Mutex, RwLock,
+        Arc, Mutex, MutexGuard, RwLock,
         mpsc::{SyncSender, sync_channel},
     },
     thread,
@@ -82,9 +84,43 @@
 
 /// State that a group's thread shares with the handles.
 pub(crate) struct GroupShared<S> {
+    pub(crate) clock: MonoClock,
     pub(crate) state: RwLock<S>,
     pub(crate) applied: watch::Sender<u64>,
-    pub(crate) status: Mutex<ReplicaStatus>,
+    status: Mutex<ReplicaStatus>,
+    /// Start of the write or sync to disk that is under way.
+    pub(crate) write_since: Mutex<Option<MonoTime>>,
+}
+
+impl<S> GroupShared<S> {
+    /// Returns the status that the group's thread has published last.
+    pub(crate) fn status(&self) -> MutexGuard<'_, ReplicaStatus> {
+        self.status.lock().expect("no holder of the lock panics")
+    }
+
+    pub(crate) fn set_write_since(&self, since: Option<MonoTime>) {
+        *self.write_since() = since;
+    }
+
+    fn write_since(&self) -> MutexGuard<'_, Option<MonoTime>> {
+        self.write_since
+            .lock()
+            .expect("no holder of the lock panics")
+    }
+}
+
+/// The state of a group's replica at one time, for dumps and metrics.
+#[derive(Clone, Debug, Serialize)]
+pub struct GroupReport {
+    /// What the group's thread has published last.
+    #[serde(flatten)]
+    pub status: ReplicaStatus,
+    /// Index of the last entry that is applied here.
+    pub applied: u64,
+    /// Time since [`ReplicaStatus::contact_at`], in milliseconds.
+    pub contact_ms: Option<u64>,
+    /// Time since the start of the write or sync to disk that is under way, in milliseconds.
+    pub write_ms: Option<u64>,
 }
 
 /// Aborts the process if the thread panics: otherwise the group would stand still while the process
@@ -141,12 +177,14 @@
         let snapshot = recovered.snapshot.clone();
         let node = ReplicaNode::open(settings, recovered, clock.now(), rand::random());
         let shared = Arc::new(GroupShared {
+            clock,
             state: RwLock::default(),
             applied: watch::channel(0).0,
             status: Mutex::new(node.status()),
+            write_since: Mutex::default(),
         });
         let (events, inbox) = sync_channel(EVENT_QUEUE_MAX);
-        let driver = GroupDriver::new(node, store, clock, outbox, shared.clone());
+        let driver = GroupDriver::new(node, store, outbox, shared.clone());
         thread::Builder::new()
             .name(format!("group-{group}"))
             .spawn(move || {
@@ -207,7 +245,23 @@
 
     /// Returns the current status of the replica.
     pub fn status(&self) -> ReplicaStatus {
-        let status = self.shared.status.lock();
-        status.expect("no holder of the lock panics").clone()
+        self.shared.status().clone()
+    }
+
+    /// Returns the state of the replica, with the times that the group's thread can't publish while it waits
+    /// for the disk.
+    pub fn report(&self) -> GroupReport {
+        let status = self.status();
+        let now = self.shared.clock.now();
+        let elapsed = |at: MonoTime| {
+            let elapsed = now.since(at).as_millis();
+            u64::try_from(elapsed).unwrap_or(u64::MAX)
+        };
+        GroupReport {
+            applied: *self.shared.applied.borrow(),
+            contact_ms: status.contact_at.map(elapsed),
+            write_ms: self.shared.write_since().map(elapsed),
+            status,
+        }
     }
 }
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -2,4 +2,5 @@
 
 mod driver;
 pub mod group;
+pub mod monitor;
 pub mod outbox;
