Count a keeper as current by the age of its contact, not by its last word

Callers: refused or served as an older version says, for as long as the disk of the keeper hung that their daemon follows. Cause: the thread of a group writes and syncs; while a sync hangs it publishes nothing, and its last status, "current", stood. The other threads went on answering polls: current, nothing new. A write that fails withdrew the status, one that hangs did not. Change: a status says until when it is current (an election timeout after the last contact with the leader, at the leader with a majority of the voters), and whoever reads it compares that with the present.

--- a/bin/keeper/src/hub.rs
+++ b/bin/keeper/src/hub.rs
@@ -131,7 +131,7 @@
     /// Returns the contracts that changed after log position `after`.
     pub(crate) fn feed_page(&self, after: u64) -> FeedPage {
         // Read before the state: entries applied in between only make the page newer.
-        let current = self.contracts().status().current;
+        let current = self.contracts().is_current();
         self.contracts().read(|history| FeedPage {
             position: history.position(),
             current,
--- a/bin/keeper/src/service.rs
+++ b/bin/keeper/src/service.rs
@@ -28,7 +28,7 @@
         let mut applied = self.contracts().subscribe_applied();
         let is_newer = |history: &ContractHistory| history.position() > after;
         while Instant::now() < end
-            && self.contracts().status().current
+            && self.contracts().is_current()
             && !self.contracts().read(is_newer)
         {
             let remaining = end.saturating_duration_since(Instant::now());
@@ -112,7 +112,7 @@
     }
 
     fn is_current(&self) -> bool {
-        self.contracts().status().current
+        self.contracts().is_current()
     }
 
     fn get(&self, customer: &CustomerName) -> Option<ContractReport> {
--- a/crates/decide/src/replica/interface.rs
+++ b/crates/decide/src/replica/interface.rs
@@ -153,10 +153,19 @@
     pub snapshot: u64,
     /// The voters, as keeper name and incarnation.
     pub voters: Vec<String>,
-    /// Whether the applied state is as recent as the leader's was a moment ago.
-    pub current: bool,
     /// When this replica last heard from the leader that it holds all committed entries or, if it leads, last
     /// heard from a majority of the voters; on the clock of the replica's inputs.
     #[serde(skip)]
     pub contact_at: Option<MonoTime>,
+    /// Time until which the applied state counts as recent, unless a later status extends it.
+    #[serde(skip)]
+    pub current_until: Option<MonoTime>,
+}
+
+impl ReplicaStatus {
+    /// Returns whether, at `now`, the applied state is as recent as the leader's was a moment ago. A status that
+    /// its replica has ceased to renew is not.
+    pub fn is_current(&self, now: MonoTime) -> bool {
+        self.current_until.is_some_and(|until| now < until)
+    }
 }
--- a/crates/decide/src/replica/node.rs
+++ b/crates/decide/src/replica/node.rs
@@ -120,19 +120,6 @@
         self.leader.as_ref()
     }
 
-    /// Returns whether the applied state is as recent as the leader's was a moment ago.
-    ///
-    /// Returns `false` while the replica is partitioned from the leader and, after a start, until
-    /// it has caught up. The result is as of the last input: after the process was frozen, it may
-    /// be wrong until the next one.
-    pub fn is_current(&self) -> bool {
-        let recent = |at| self.now.since(at) < self.settings.election_timeout;
-        match &self.role {
-            ReplicaRole::Leader(leader) => leader.covers_earlier_terms(self.commit),
-            _ => self.caught_up_at.is_some_and(recent),
-        }
-    }
-
     /// Returns the number of applied entries that the snapshot doesn't cover.
     pub fn entries_since_snapshot(&self) -> u64 {
         self.applied - self.log.snapshot().meta.index
@@ -151,6 +138,7 @@
             ReplicaRole::Candidate(_) => "candidate",
             ReplicaRole::Leader(_) => "leader",
         };
+        let contact_at = self.contact_at();
         ReplicaStatus {
             role,
             term: self.hard_state.term,
@@ -164,8 +152,8 @@
                 .iter()
                 .map(ReplicaId::to_string)
                 .collect(),
-            current: self.is_current(),
-            contact_at: self.contact_at(),
+            contact_at,
+            current_until: contact_at.map(|at| at + self.settings.election_timeout),
         }
     }
 
--- a/crates/decide/tests/replica.rs
+++ b/crates/decide/tests/replica.rs
@@ -18,6 +18,8 @@
 use std::{sync::Arc, time::Duration};
 
 const CASES: u32 = 60;
+/// Election timeout of a [`TestVoter`].
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time within which a voter whose disk is lost must be replaced.
 const REPLACEMENT_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -203,7 +205,7 @@
             keepers: names.clone(),
             voter_policy: VoterPolicy::Listed(names),
             heartbeat_interval: Duration::from_millis(50),
-            election_timeout: Duration::from_millis(300),
+            election_timeout: ELECTION_TIMEOUT,
             snapshot_chunk_bytes: 100,
         };
         let node = ReplicaNode::open(settings, disk.clone(), now, 0);
@@ -396,3 +398,42 @@
     }));
     assert_eq!(leader.node.status().commit, 1);
 }
+
+/// CONFIG: daemons stayed at an old version while the disk of a keeper hung, as the keeper's last word that it was
+/// current stood.
+#[rstest]
+#[case::follower(false)]
+#[case::leader(true)]
+fn a_status_that_is_not_renewed_is_not_current_for_long(#[case] leads: bool) {
+    let mut voter = TestVoter::open(1, Vec::new());
+    if leads {
+        voter.win_election();
+        assert_eq!(voter.acknowledge(1, 2), 2);
+    } else {
+        let heartbeat = ReplicaMessage::AppendEntries {
+            term: 1,
+            prev_index: 1,
+            prev_term: 1,
+            entries: Vec::new(),
+            commit: 1,
+        };
+        voter.receive(1, heartbeat);
+    }
+    let status = voter.node.status();
+    assert!(status.is_current(voter.now));
+    assert!(!status.is_current(voter.now + ELECTION_TIMEOUT));
+}
+
+/// The leader's own clock says nothing on whether the others still follow it.
+#[test]
+fn a_leader_is_current_only_while_a_majority_answers() {
+    let mut leader = TestVoter::open(1, Vec::new());
+    leader.win_election();
+    assert_eq!(leader.acknowledge(1, 2), 2);
+    let answered_at = leader.now;
+    leader.now = leader.now + ELECTION_TIMEOUT / 2;
+    leader.step(ReplicaInput::Tick);
+    let status = leader.node.status();
+    assert!(status.is_current(leader.now));
+    assert!(!status.is_current(answered_at + ELECTION_TIMEOUT));
+}
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -200,7 +200,7 @@
     /// Returns whether the keeper is in contact with the leader, so that no newer configuration is in force,
     /// and has what other keepers held when it started.
     pub(crate) fn is_current(&self) -> bool {
-        self.status().current && self.has_caught_up()
+        self.shared.group.is_current() && self.has_caught_up()
     }
 
     /// Returns whether the keeper has what other keepers held when it started.
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -207,7 +207,7 @@
                 warn!("cannot write to disk, will retry", kv: { error = error.to_string() });
             }
             failing = true;
-            self.shared.status().current = false;
+            self.shared.status().current_until = None;
             gauge!("agatehill_disk_failing", "group" => self.group().to_string()).set(1.0);
             thread::sleep(DISK_RETRY_DELAY);
         }
--- a/crates/replica/src/group.rs
+++ b/crates/replica/src/group.rs
@@ -115,6 +115,8 @@
     /// What the group's thread has published last.
     #[serde(flatten)]
     pub status: ReplicaStatus,
+    /// See [`GroupHandle::is_current`].
+    pub current: bool,
     /// Index of the last entry that is applied here.
     pub applied: u64,
     /// Time since [`ReplicaStatus::contact_at`], in milliseconds.
@@ -248,6 +250,12 @@
         self.shared.status().clone()
     }
 
+    /// Returns whether the applied state is as recent as the leader's was a moment ago. Not for longer than an
+    /// election timeout after the group's thread has ceased to handle messages, as while its disk hangs.
+    pub fn is_current(&self) -> bool {
+        self.shared.status().is_current(self.shared.clock.now())
+    }
+
     /// Returns the state of the replica, with the times that the group's thread can't publish while it waits
     /// for the disk.
     pub fn report(&self) -> GroupReport {
@@ -258,6 +266,7 @@
             u64::try_from(elapsed).unwrap_or(u64::MAX)
         };
         GroupReport {
+            current: status.is_current(now),
             applied: *self.shared.applied.borrow(),
             contact_ms: status.contact_at.map(elapsed),
             write_ms: self.shared.write_since().map(elapsed),
--- a/crates/replica/src/monitor.rs
+++ b/crates/replica/src/monitor.rs
@@ -54,7 +54,7 @@
     }
     logged.is_write_long = is_write_long;
 
-    let is_current = report.status.current;
+    let is_current = report.current;
     if is_current != logged.is_current {
         info!("contact with the leader changed", kv: {
             group,
