--- a/crates/decide/src/service_config/table.rs
+++ b/crates/decide/src/service_config/table.rs
@@ -1,7 +1,7 @@
 //! Lookup of the route that applies to a request, and of the account that a key belongs to.
 
 use super::{ClientAccount, KeyDigest, RouteRule, ServiceConfig};
-use crate::name::AccountName;
+use crate::name::{AccountName, ServiceName};
 use std::{
     collections::{HashMap, HashSet, hash_map::Entry},
     sync::Arc,
@@ -63,6 +63,12 @@
         &self.config
     }
 
+    /// Returns whether the configuration names `service`.
+    pub fn has_service(&self, service: &ServiceName) -> bool {
+        let services = &self.config.services;
+        services.iter().any(|known| known.name == *service)
+    }
+
     /// Returns whether requests need a key, but for those on public routes.
     pub fn requires_keys(&self) -> bool {
         !self.config.accounts.is_empty()
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -142,6 +142,12 @@
         table.as_ref().map_or(0, |table| table.config().version)
     }
 
+    /// Returns whether the configuration in force names `service`; `None` without a configuration.
+    pub fn has_service(&self, service: &ServiceName) -> Option<bool> {
+        let table = self.table.load();
+        Some(table.as_ref()?.has_service(service))
+    }
+
     /// Returns the client accounts of the configuration in force; their keys are digests.
     pub fn accounts(&self) -> Vec<ClientAccount> {
         let table = self.table.load();
