Ignore messages of replicas with numbers that no replica reaches

One message with a term of 2^64-1, as a keeper of another build or a damaged one may send, was taken over and saved: the group then had no next term, so no leader and no change for good; others ended the process (sums that overflow, a committed entry replaced).

--- a/crates/decide/src/replica.rs
+++ b/crates/decide/src/replica.rs
@@ -27,6 +27,7 @@
 mod message;
 mod node;
 mod snapshot_transfer;
+mod validity;
 mod voter_change;
 
 pub use self::{
--- a/crates/decide/src/replica/node.rs
+++ b/crates/decide/src/replica/node.rs
@@ -170,7 +170,7 @@
     }
 
     fn receive(&mut self, envelope: ReplicaEnvelope) {
-        if envelope.group_count != self.settings.group_count {
+        if envelope.group_count != self.settings.group_count || !envelope.message.is_valid() {
             return;
         }
         let ReplicaEnvelope { from, message, .. } = envelope;
--- a/crates/decide/tests/replica.rs
+++ b/crates/decide/tests/replica.rs
@@ -437,3 +437,59 @@
     assert!(status.is_current(leader.now));
     assert!(!status.is_current(answered_at + ELECTION_TIMEOUT));
 }
+
+fn append_entries(
+    term: u64,
+    prev: (u64, u64),
+    entries: Vec<LogEntry>,
+    commit: u64,
+) -> ReplicaMessage {
+    ReplicaMessage::AppendEntries {
+        term,
+        prev_index: prev.0,
+        prev_term: prev.1,
+        entries,
+        commit,
+    }
+}
+
+fn noop(index: u64, term: u64) -> LogEntry {
+    LogEntry {
+        index,
+        term,
+        payload: EntryPayload::Noop,
+    }
+}
+
+/// LOST: one message with a number too large ended keepers, or left the group in a term after which there is none.
+#[rstest]
+#[case::vote_request(ReplicaMessage::VoteRequest { is_pre_vote: false, term: u64::MAX, last_index: 9, last_term: 9 })]
+#[case::last_term(ReplicaMessage::VoteRequest { is_pre_vote: false, term: 2, last_index: 9, last_term: u64::MAX })]
+#[case::vote_reply(ReplicaMessage::VoteReply { is_pre_vote: false, term: u64::MAX, granted: false })]
+#[case::timeout_now(ReplicaMessage::TimeoutNow { term: u64::MAX })]
+#[case::term(append_entries(u64::MAX, (1, 1), Vec::new(), 1))]
+#[case::prev_index(append_entries(1, (u64::MAX, 1), Vec::new(), 1))]
+#[case::commit(append_entries(1, (1, 1), Vec::new(), u64::MAX))]
+#[case::entry_term(append_entries(1, (1, 1), vec![noop(2, u64::MAX)], 1))]
+#[case::gap(append_entries(1, (1, 1), vec![noop(3, 1)], 1))]
+#[case::reply_term(ReplicaMessage::AppendReply { term: u64::MAX, result: AppendResult::Matched(1) })]
+#[case::matched(ReplicaMessage::AppendReply { term: 1, result: AppendResult::Matched(u64::MAX) })]
+fn a_message_with_a_number_too_large_has_no_effect(
+    #[case] message: ReplicaMessage,
+    #[values(false, true)] leads: bool,
+) {
+    let mut voter = TestVoter::open(1, Vec::new());
+    if leads {
+        voter.win_election();
+    }
+    let before = voter.node.status();
+    let outputs = voter.receive(1, message);
+    assert!(outputs.is_empty(), "{outputs:?}");
+    assert_eq!(voter.node.status(), before);
+    if leads {
+        assert_eq!(voter.acknowledge(2, 2), 2);
+    } else {
+        voter.receive(1, append_entries(1, (1, 1), vec![noop(2, 1)], 2));
+        assert_eq!(voter.node.status().commit, 2);
+    }
+}
