Answer a daemon whose own record can't be used

Such a daemon, of another build, got no answer at all and followed no change. Its record is left out, the rest of its question is answered. Test: odd_entries in peer.

--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -28,8 +28,8 @@
 use codec::{CallerCodec, KeeperCodec};
 pub use control::FleetControlClient;
 use control::{FleetControl, FleetControlRequest, FleetControlResponse};
-use entries::read_valid;
 pub use entries::record_skipped;
+use entries::{read_valid, read_valid_entry};
 
 /// Time without a request after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -72,6 +72,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SyncRequest {
     /// The daemon's own record, if it has one to report.
+    #[serde(deserialize_with = "read_valid_entry::<_, WireHostRecord, _>")]
     pub record: Option<HostRecord>,
     /// Version of the configuration that the daemon has; 0 for none.
     pub config_after: u64,
--- a/crates/peer/src/fleet/entries.rs
+++ b/crates/peer/src/fleet/entries.rs
@@ -25,6 +25,24 @@
     Ok(valid)
 }
 
+/// Reads one entry; `None` also for one that isn't valid.
+///
+/// # Errors
+///
+/// It can't be read.
+pub(super) fn read_valid_entry<'de, D, W, T>(deserializer: D) -> Result<Option<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    W: Deserialize<'de>,
+    T: TryFrom<W>,
+{
+    let entry = Option::<W>::deserialize(deserializer)?;
+    let count = usize::from(entry.is_some());
+    let valid = entry.and_then(|entry| T::try_from(entry).ok());
+    record_skipped(count - usize::from(valid.is_some()));
+    Ok(valid)
+}
+
 /// Counts entries of a message that were left out.
 pub fn record_skipped(count: usize) {
     if count > 0 {
--- a/crates/peer/src/fleet/first_format.rs
+++ b/crates/peer/src/fleet/first_format.rs
@@ -7,7 +7,7 @@
     CommandError, KeeperExchange, KeeperExchangeReply, KeeperRecord, SharedHosts, SyncReply,
     SyncRequest, WireKeeperRecord,
     control::{FleetControlRequest, FleetControlResponse},
-    entries::read_valid,
+    entries::{read_valid, read_valid_entry},
 };
 use agatehill_decide::{
     config_history::{AcceptedConfig, ConfigCommand, ConfigReply},
@@ -56,6 +56,7 @@
 
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) struct FirstSyncRequest {
+    #[serde(deserialize_with = "read_valid_entry::<_, WireHostRecord, _>")]
     record: Option<HostRecord>,
     config_after: u64,
     /// Run of the keeper to which the numbers of changes belong.
--- a/crates/peer/tests/odd_entries.rs
+++ b/crates/peer/tests/odd_entries.rs
@@ -7,7 +7,9 @@
     name::{Incarnation, KeeperName, RegionName, ServiceName, ZoneName},
     server_tracker::ServerIdentity,
 };
-use agatehill_peer::fleet::{KeeperExchangeReply, KeeperRecord, SharedHosts, SyncReply};
+use agatehill_peer::fleet::{
+    KeeperExchangeReply, KeeperRecord, SharedHosts, SyncReply, SyncRequest,
+};
 use rstest::rstest;
 
 /// Name in the odd entry, and what stands in its place in the bytes.
@@ -160,3 +162,21 @@
     assert_eq!(read.records.len(), ANSWER_RECORDS_MAX - 1);
     assert!(read.is_full());
 }
+
+/// A daemon whose own record can't be used still follows changes.
+#[rstest]
+#[case::name(odd_name())]
+#[case::run(odd_run())]
+fn an_odd_record_of_a_daemon_does_not_make_its_question_unreadable(#[case] odd: HostRecord) {
+    let request = SyncRequest {
+        record: Some(odd),
+        config_after: 6,
+        hosts: None,
+        keeper_run: 0,
+        reports_after: 0,
+        keepers_digest: 0,
+        wait_ms: 700,
+    };
+    let read = read_odd(&request);
+    assert_eq!((read.record, read.config_after), (None, 6));
+}
