--- a/crates/fleet/src/sync/leave.rs
+++ b/crates/fleet/src/sync/leave.rs
@@ -1,6 +1,6 @@
 //! The backend servers that have left this host: stored at the keepers, and adopted by the daemon's next run.
 
-use super::{FleetSync, PollPurpose};
+use super::{FleetSync, poll::PollPurpose};
 use crate::keeper_map::KnownKeeper;
 use agatehill_decide::{host_directory::HostRecord, server_tracker::ServerIdentity};
 use futures_util::{
