--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod contract;
 pub mod member_simulation;
 pub mod process;
+pub mod stopped_thread;
 pub mod tcp_proxy;
--- a/tests/tests/keeper_feed.rs
+++ b/tests/tests/keeper_feed.rs
@@ -5,12 +5,15 @@
     bed::{SETTLE_TIMEOUT, TestBed, ZONE},
     client::eventually,
     process::ProcessGuard,
+    stopped_thread::StoppedThread,
 };
 use nix::sys::signal::Signal;
 use std::time::Duration;
 
 /// Longest wait of the keeper for a change, sent with each feed request.
 const FEED_WAIT: Duration = Duration::from_secs(1);
+/// Thread of a keeper that writes contracts to disk.
+const CONTRACT_THREAD: &str = "group-0";
 
 fn contract(revision: u64) -> String {
     format!(
@@ -58,6 +61,18 @@
     assert!(newer > position);
 }
 
+/// Daemons stayed at an old contract for as long as the disk of the keeper that they ask hung.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_feed_switches_from_a_keeper_whose_disk_hangs_to_another() {
+    let (bed, guards, client) = open().await;
+    let position = wait_fed(&client, 0, 1).await;
+    let _stopped = StoppedThread::stop(guards[0].pid(), CONTRACT_THREAD);
+    let addr = guards[1].addr("operator");
+    bed.put_contract(addr, "dansk", &contract(2)).await;
+    let newer = wait_fed(&client, position, 2).await;
+    assert!(newer > position);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_keeper_without_quorum_reports_that_it_is_not_current() {
     let (bed, guards, client) = open().await;
