--- a/crates/decide/src/replica/node.rs
+++ b/crates/decide/src/replica/node.rs
@@ -157,8 +157,7 @@
         }
     }
 
-    /// Returns when this replica last heard from the leader that it holds all committed entries or, if it
-    /// leads, last heard from a majority of the voters.
+    /// Returns [`ReplicaStatus::contact_at`].
     fn contact_at(&self) -> Option<MonoTime> {
         match &self.role {
             ReplicaRole::Leader(leader) if leader.covers_earlier_terms(self.commit) => {
--- a/crates/replica/src/group.rs
+++ b/crates/replica/src/group.rs
@@ -89,7 +89,7 @@
     pub(crate) applied: watch::Sender<u64>,
     status: Mutex<ReplicaStatus>,
     /// Start of the write or sync to disk that is under way.
-    pub(crate) write_since: Mutex<Option<MonoTime>>,
+    write_since: Mutex<Option<MonoTime>>,
 }
 
 impl<S> GroupShared<S> {
@@ -98,6 +98,7 @@
         self.status.lock().expect("no holder of the lock panics")
     }
 
+    /// Sets the start of the write or sync that is under way; `None` once it has ended.
     pub(crate) fn set_write_since(&self, since: Option<MonoTime>) {
         *self.write_since() = since;
     }
@@ -261,15 +262,12 @@
     pub fn report(&self) -> GroupReport {
         let status = self.status();
         let now = self.shared.clock.now();
-        let elapsed = |at: MonoTime| {
-            let elapsed = now.since(at).as_millis();
-            u64::try_from(elapsed).unwrap_or(u64::MAX)
-        };
+        let age_ms = |at: MonoTime| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
         GroupReport {
             current: status.is_current(now),
             applied: *self.shared.applied.borrow(),
-            contact_ms: status.contact_at.map(elapsed),
-            write_ms: self.shared.write_since().map(elapsed),
+            contact_ms: status.contact_at.map(age_ms),
+            write_ms: self.shared.write_since().map(age_ms),
             status,
         }
     }
