--- a/crates/fleet/src/sync/contact.rs
+++ b/crates/fleet/src/sync/contact.rs
@@ -22,6 +22,7 @@
 struct ContactState {
     preferred: Option<KeeperName>,
     confirmed: Option<Confirmation>,
+    /// When the configuration that is held came.
     config_since: Option<Instant>,
 }
 
@@ -46,6 +47,7 @@
 }
 
 impl KeeperContact {
+    /// Records which keeper is polled for changes from now on.
     pub(super) fn set_preferred(&self, keeper: Option<&KeeperName>) {
         self.state.lock().preferred = keeper.cloned();
     }
@@ -71,12 +73,12 @@
 
     fn report(&self) -> ContactReport {
         let state = self.state.lock().clone();
-        let elapsed = |at: Instant| u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let age_ms = |at: Instant| u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX);
         ContactReport {
             preferred_keeper: state.preferred,
-            confirmed_ms: state.confirmed.as_ref().map(|c| elapsed(c.at)),
+            confirmed_ms: state.confirmed.as_ref().map(|c| age_ms(c.at)),
             confirmed_by: state.confirmed.map(|c| c.keeper),
-            config_age_ms: state.config_since.map(elapsed),
+            config_age_ms: state.config_since.map(age_ms),
         }
     }
 }
@@ -97,11 +99,12 @@
             let seconds = age.map_or(f64::INFINITY, |age| age.as_secs_f64());
             gauge!("agatehill_config_version").set(version as f64);
             gauge!("agatehill_config_confirmed_age_seconds").set(seconds);
-            let is_long = age.is_some_and(|age| age >= LONG_UNCONFIRMED);
-            if is_long != is_logged {
-                log_confirmed(!is_long, version, &self.contact());
+            // Before the first confirmation only the gauge tells.
+            let is_unconfirmed = age.is_some_and(|age| age >= LONG_UNCONFIRMED);
+            if is_unconfirmed != is_logged {
+                log_confirmed(!is_unconfirmed, version, &self.contact());
             }
-            is_logged = is_long;
+            is_logged = is_unconfirmed;
         }
     }
 }
--- a/crates/fleet/src/sync/poll.rs
+++ b/crates/fleet/src/sync/poll.rs
@@ -129,6 +129,7 @@
     fn supersede(&self, known: &HostRecord) {
         let mut record = self.record();
         if known.run > record.run {
+            // Doesn't overflow: records with larger numbers are left out when they are read.
             record.run = Incarnation(known.run.0 + 1);
         }
     }
--- a/crates/peer/src/fleet/entries.rs
+++ b/crates/peer/src/fleet/entries.rs
@@ -15,14 +15,7 @@
     W: Deserialize<'de>,
     T: TryFrom<W>,
 {
-    let entries = Vec::<W>::deserialize(deserializer)?;
-    let count = entries.len();
-    let valid: Vec<_> = entries
-        .into_iter()
-        .filter_map(|entry| T::try_from(entry).ok())
-        .collect();
-    record_skipped(count - valid.len());
-    Ok(valid)
+    Ok(valid_entries(Vec::<W>::deserialize(deserializer)?))
 }
 
 /// Reads one entry; `None` also for one that isn't valid.
@@ -37,10 +30,18 @@
     T: TryFrom<W>,
 {
     let entry = Option::<W>::deserialize(deserializer)?;
-    let count = usize::from(entry.is_some());
-    let valid = entry.and_then(|entry| T::try_from(entry).ok());
-    record_skipped(count - usize::from(valid.is_some()));
-    Ok(valid)
+    Ok(valid_entries(entry.into_iter().collect()).pop())
+}
+
+/// Returns the entries that are valid, and counts the others.
+fn valid_entries<W, T: TryFrom<W>>(entries: Vec<W>) -> Vec<T> {
+    let count = entries.len();
+    let valid: Vec<_> = entries
+        .into_iter()
+        .filter_map(|entry| T::try_from(entry).ok())
+        .collect();
+    record_skipped(count - valid.len());
+    valid
 }
 
 /// Counts entries of a message that were left out.
