Tell of each link to a keeper its connections, its last reply and the calls without one

An operator could not tell whether a daemon behind with its configuration still asked keepers over dead connections. Dumps of daemons and keepers list their links; four counters tell new connections, calls without a reply, calls whose caller stopped waiting first, and calls without a connection; 'no keeper confirms the configuration' says how many keepers gave no reply last. No decision changes.

--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -219,6 +219,7 @@
             "caught_up": self.has_caught_up(),
             "config_version": self.shared.group.read(ConfigHistory::version),
             "keepers": keepers.iter().map(|k| k.name.as_str()).collect::<Vec<_>>(),
+            "links": self.shared.keepers.link_reports(),
             "hosts": hosts,
             "suspects": self.shared.crash_log.suspect_count(),
         })
--- a/crates/fleet/src/keeper_map.rs
+++ b/crates/fleet/src/keeper_map.rs
@@ -1,7 +1,10 @@
 //! The known keepers and the links to them.
 
 use agatehill_decide::name::{KeeperName, RegionName, ZoneName};
-use agatehill_peer::fleet::{FleetLink, KeeperRecord};
+use agatehill_peer::{
+    fleet::{FleetLink, KeeperRecord},
+    link::LinkReport,
+};
 use parking_lot::{Mutex, MutexGuard};
 use std::{
     collections::BTreeMap,
@@ -75,6 +78,11 @@
         self.lock().get(name).cloned()
     }
 
+    /// Returns what has passed over the link to each keeper, for the dump.
+    pub fn link_reports(&self) -> Vec<LinkReport> {
+        self.lock().values().map(|k| k.link.report()).collect()
+    }
+
     /// Returns all known keepers, in order of their names.
     pub fn list(&self) -> Vec<KnownKeeper> {
         self.lock().values().cloned().collect()
--- a/crates/fleet/src/sync/contact.rs
+++ b/crates/fleet/src/sync/contact.rs
@@ -2,6 +2,7 @@
 
 use super::FleetSync;
 use agatehill_decide::name::KeeperName;
+use agatehill_peer::link::LinkReport;
 use metrics::gauge;
 use parking_lot::Mutex;
 use serde::Serialize;
@@ -44,6 +45,8 @@
     pub confirmed_ms: Option<u64>,
     /// Time for which the configuration has been held, in milliseconds.
     pub config_age_ms: Option<u64>,
+    /// The links to all known keepers.
+    pub links: Vec<LinkReport>,
 }
 
 impl KeeperContact {
@@ -71,7 +74,7 @@
         Some(state.confirmed.as_ref()?.at.elapsed())
     }
 
-    fn report(&self) -> ContactReport {
+    fn report(&self, links: Vec<LinkReport>) -> ContactReport {
         let state = self.state.lock().clone();
         let age_ms = |at: Instant| u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX);
         ContactReport {
@@ -79,6 +82,7 @@
             confirmed_ms: state.confirmed.as_ref().map(|c| age_ms(c.at)),
             confirmed_by: state.confirmed.map(|c| c.keeper),
             config_age_ms: state.config_since.map(age_ms),
+            links,
         }
     }
 }
@@ -86,7 +90,8 @@
 impl FleetSync {
     /// Returns which keeper is followed, and how recent the configuration is known to be.
     pub fn contact(&self) -> ContactReport {
-        self.shared.contact.report()
+        let links = self.shared.keepers.link_reports();
+        self.shared.contact.report(links)
     }
 
     /// Reports the contact with the keepers at intervals, forever.
@@ -113,10 +118,14 @@
     let keeper = report.preferred_keeper.as_ref();
     let keeper = keeper.map_or("none", KeeperName::as_str);
     let confirmed_ms = report.confirmed_ms.unwrap_or(u64::MAX);
+    let silent = report.links.iter().filter(|link| link.unanswered > 0);
+    let silent = silent.count();
     match is_confirmed {
         true => spdlog::info!("a keeper confirms the configuration again", kv: { version, keeper }),
         false => {
-            spdlog::warn!("no keeper confirms the configuration", kv: { version, keeper, confirmed_ms });
+            spdlog::warn!("no keeper confirms the configuration", kv: {
+                version, keeper, confirmed_ms, silent
+            });
         }
     }
 }
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -1,5 +1,7 @@
 //! Reconnecting tarpc clients for control messages between processes.
 
+mod traffic;
+
 use crate::{
     codec::{PostcardCodec, message_framing},
     dial::dial,
@@ -15,6 +17,8 @@
 use tokio::{net::TcpStream, sync::Mutex, time};
 use tokio_serde::{Deserializer, Serializer};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
+pub use traffic::LinkReport;
+use traffic::{LinkTraffic, PendingCall};
 
 /// Idle time after which the kernel sends the first keep-alive probe.
 const KEEPALIVE_TIME: Duration = Duration::from_secs(2);
@@ -101,6 +105,7 @@
 pub struct PeerLink<C> {
     addr: SocketAddr,
     state: Mutex<LinkState<C>>,
+    traffic: LinkTraffic,
 }
 
 #[derive(Debug)]
@@ -121,6 +126,7 @@
                 format: MessageFormat::Present,
                 generation: 0,
             }),
+            traffic: LinkTraffic::default(),
         }
     }
 
@@ -129,6 +135,11 @@
         self.addr
     }
 
+    /// Returns what has passed over the link, for the dump.
+    pub fn report(&self) -> LinkReport {
+        self.traffic.report(self.addr)
+    }
+
     /// Runs `request` with a time limit; closes the connection if it fails.
     ///
     /// # Errors
@@ -139,15 +150,21 @@
         F: FnOnce(C, Context) -> Fut,
         Fut: Future<Output = Result<T, RpcError>>,
     {
-        let (client, generation) = self.connect().await.ok_or(LinkError::Unreachable)?;
+        let pending = PendingCall::begin(&self.traffic);
+        let Some((client, generation)) = self.connect().await else {
+            pending.record_unreachable();
+            return Err(LinkError::Unreachable);
+        };
         let mut ctx = tarpc::context::current();
         ctx.deadline = Instant::now() + limit;
         let result = time::timeout(limit, request(client, ctx)).await;
         // A process ends the connection when it can't read a message.
         let is_ended = matches!(result, Ok(Err(RpcError::Shutdown | RpcError::Channel(_))));
         if let Ok(Ok(reply)) = result {
+            pending.record_reply();
             return Ok(reply);
         }
+        pending.record_unanswered();
         let mut state = self.state.lock().await;
         if state.generation == generation {
             state.client = None;
@@ -164,6 +181,7 @@
             let stream = dial(|| TcpStream::connect(self.addr)).await?;
             state.client = Some(C::spawn(stream, state.format));
             state.generation += 1;
+            self.traffic.record_connection();
         }
         Some((state.client.clone()?, state.generation))
     }
