Let each link to a keeper notice a silent connection by itself, whoever stops waiting for a call

Callers saw requests handled by versions before one acknowledged more than 2.5 s ago (CONFIG), after open connections had gone silent and the keeper that their daemon followed was lost: the daemon stayed behind until that keeper was back or the kernel ended the connections.

Cause: a link gave a connection up only when its own limit passed inside the call. Polls of all keepers stopped waiting after 250 ms, the link would have after 300 ms: the call was dropped first and the next poll went out over the same silent connection. Class: a fault is noticed only by who happens to wait longest.

Change: each call of a link runs in a task of its own until the reply or its limit, and closes the connection if there is none; a caller that leaves can't prevent it. The limit covers the connection setup, which one task does for all calls: before, calls waited one after the other for a lock that was held for up to a second. Polls have one timer, the link's; the doubled ones in the fleet are gone. Nothing on the wire changes.

--- a/bin/keeper/src/hub.rs
+++ b/bin/keeper/src/hub.rs
@@ -161,7 +161,7 @@
         let link = link.ok_or(KeeperError::NotLeader { leader: None })?;
         let command = postcard::to_stdvec(command).expect("commands are serialisable");
         let forwarded = link
-            .call(FORWARD_TIMEOUT, |client, ctx| async move {
+            .call(FORWARD_TIMEOUT, move |client, ctx| async move {
                 client.propose(ctx, group, command).await
             })
             .await;
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -13,7 +13,7 @@
 use agatehill_decide::{
     config_history::AcceptedConfig,
     host_directory::{HostDirectory, HostRecord, ServerRecord},
-    keeper_poller::{KeeperPoll, KeeperPoller, POLL_ALL_TIMEOUT, POLL_RETRY_PAUSE},
+    keeper_poller::{KeeperPoll, KeeperPoller, POLL_RETRY_PAUSE},
     name::{Incarnation, KeeperName, RegionName, ZoneName},
     server_tracker::ServerIdentity,
 };
@@ -32,7 +32,7 @@
     sync::Arc,
     time::SystemTime,
 };
-use tokio::{sync::watch, time::timeout};
+use tokio::sync::watch;
 
 /// Number of keepers to which a change of this daemon's record is sent at once.
 const PUBLISH_KEEPERS: usize = 2;
@@ -211,8 +211,7 @@
                 false => PollPurpose::Contact,
             };
             async move {
-                let polled = self.poll(&keeper, purpose);
-                let reply = timeout(POLL_ALL_TIMEOUT, polled).await.ok()??;
+                let reply = self.poll(&keeper, purpose).await?;
                 reply.is_current.then(|| keeper.name.clone())
             }
         };
--- a/crates/fleet/src/sync/poll.rs
+++ b/crates/fleet/src/sync/poll.rs
@@ -5,13 +5,12 @@
 use agatehill_decide::{
     config_history::AcceptedConfig,
     host_directory::{DirectoryPosition, DirectoryQuery, HostRecord},
-    keeper_poller::{LONG_POLL_GRACE, LONG_POLL_WAIT},
+    keeper_poller::{LONG_POLL_GRACE, LONG_POLL_WAIT, POLL_ALL_TIMEOUT},
     name::{Incarnation, KeeperName},
 };
 use agatehill_peer::fleet::{SyncReply, SyncRequest, record_skipped};
 use parking_lot::MutexGuard;
 use std::{collections::HashMap, time::Duration};
-use tokio::time::timeout;
 
 /// Position in the changes of one keeper.
 #[derive(Clone, Copy, Debug, Default)]
@@ -39,6 +38,24 @@
     fn asks_for_hosts(self) -> bool {
         matches!(self, PollPurpose::Changes | PollPurpose::ChangesSoFar)
     }
+
+    /// Returns the time for which the keeper may delay its reply.
+    fn wait(self) -> Duration {
+        match self {
+            PollPurpose::Changes => LONG_POLL_WAIT,
+            PollPurpose::ChangesSoFar | PollPurpose::Contact | PollPurpose::Store => Duration::ZERO,
+        }
+    }
+
+    /// Returns the time limit of the poll. The link applies it, so that no caller stops waiting before the link has
+    /// noticed that the connection is dead.
+    fn timeout(self) -> Duration {
+        match self {
+            PollPurpose::Changes => LONG_POLL_WAIT + LONG_POLL_GRACE,
+            PollPurpose::ChangesSoFar | PollPurpose::Contact => POLL_ALL_TIMEOUT,
+            PollPurpose::Store => STORE_TIMEOUT,
+        }
+    }
 }
 
 impl FleetSync {
@@ -48,10 +65,7 @@
         keeper: &KnownKeeper,
         purpose: PollPurpose,
     ) -> Option<SyncReply> {
-        let wait = match purpose {
-            PollPurpose::Changes => LONG_POLL_WAIT,
-            PollPurpose::ChangesSoFar | PollPurpose::Contact | PollPurpose::Store => Duration::ZERO,
-        };
+        let wait = purpose.wait();
         let position = self.position(&keeper.name);
         let request = SyncRequest {
             record: Some(self.record().clone()),
@@ -65,14 +79,11 @@
             keepers_digest: self.shared.keepers.digest(),
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
         };
-        let limit = match purpose {
-            PollPurpose::Store => STORE_TIMEOUT,
-            _ => wait + LONG_POLL_GRACE,
-        };
+        let limit = purpose.timeout();
         let sent = keeper.link.call(limit, |client, ctx| async move {
             client.sync(ctx, request).await
         });
-        let reply = timeout(limit, sent).await.ok()?.ok()?;
+        let reply = sent.await.ok()?;
         self.apply(&reply);
         if reply.is_current {
             self.shared.contact.record_confirmation(&keeper.name);
--- a/crates/peer/src/keeper_client.rs
+++ b/crates/peer/src/keeper_client.rs
@@ -119,9 +119,8 @@
         customer: CustomerName,
         text: String,
     ) -> Result<ContractReply, KeeperError> {
-        self.command(PUT_TIMEOUT, |client, ctx| {
-            let (customer, text) = (customer.clone(), text.clone());
-            async move { client.put_contract(ctx, customer, text).await }
+        self.command(PUT_TIMEOUT, move |client, ctx| async move {
+            client.put_contract(ctx, customer, text).await
         })
         .await
     }
@@ -138,9 +137,9 @@
         command: &ClaimCommand,
         limit: Duration,
     ) -> Result<ClaimReply, KeeperError> {
-        self.command(limit, |client, ctx| {
-            let command = command.clone();
-            async move { client.claim(ctx, command).await }
+        let command = command.clone();
+        self.command(limit, move |client, ctx| async move {
+            client.claim(ctx, command).await
         })
         .await
     }
@@ -148,8 +147,9 @@
     /// Runs an idempotent command with retries until `limit` has passed.
     async fn command<T, F, Fut>(&self, limit: Duration, request: F) -> Result<T, KeeperError>
     where
-        F: Fn(KeeperControlClient, Context) -> Fut,
-        Fut: Future<Output = Result<Result<T, KeeperError>, RpcError>>,
+        T: Send + 'static,
+        F: FnOnce(KeeperControlClient, Context) -> Fut + Clone + Send + 'static,
+        Fut: Future<Output = Result<Result<T, KeeperError>, RpcError>> + Send + 'static,
     {
         let deadline = Instant::now() + limit;
         // `Unknown` is kept when later attempts can't connect: an earlier one may have arrived.
@@ -160,7 +160,10 @@
                 return Err(error);
             }
             let (idx, link) = self.current_link()?;
-            match link.call(remaining.min(ATTEMPT_TIMEOUT), &request).await {
+            match link
+                .call(remaining.min(ATTEMPT_TIMEOUT), request.clone())
+                .await
+            {
                 Ok(Ok(reply)) => return Ok(reply),
                 Ok(Err(KeeperError::Invalid(reason))) => return Err(KeeperError::Invalid(reason)),
                 Ok(Err(KeeperError::Unknown)) | Err(LinkError::NoResponse) => {
@@ -199,7 +202,7 @@
 
 async fn request_page(link: &KeeperLink, after: u64, wait: Duration) -> Option<FeedPage> {
     let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-    let reply = link.call(wait + FEED_TIMEOUT_GRACE, |client, ctx| async move {
+    let reply = link.call(wait + FEED_TIMEOUT_GRACE, move |client, ctx| async move {
         client.feed(ctx, after, wait_ms).await
     });
     reply.await.ok()?.ok()
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -1,24 +1,22 @@
 //! Reconnecting tarpc clients for control messages between processes.
 
+mod connection;
 mod traffic;
 
-use crate::{
-    codec::{PostcardCodec, message_framing},
-    dial::dial,
-};
+use crate::codec::{PostcardCodec, message_framing};
+use connection::LinkConnection;
+use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
-use std::{
-    fmt,
-    future::Future,
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::{fmt, future::Future, net::SocketAddr, sync::Arc, time::Duration};
 use tarpc::{client::RpcError, context::Context};
-use tokio::{net::TcpStream, sync::Mutex, time};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout_at},
+};
 use tokio_serde::{Deserializer, Serializer};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 pub use traffic::LinkReport;
-use traffic::{LinkTraffic, PendingCall};
+use traffic::LinkTraffic;
 
 /// Idle time after which the kernel sends the first keep-alive probe.
 const KEEPALIVE_TIME: Duration = Duration::from_secs(2);
@@ -54,7 +52,7 @@
 }
 
 /// A client of a tarpc service, as `tarpc::service` generates it.
-pub trait LinkClient: Clone + Send + 'static {
+pub trait LinkClient: Clone + Send + Sync + 'static {
     /// Starts a client on `stream` that writes and reads `format`, if its service has several.
     fn spawn(stream: TcpStream, format: MessageFormat) -> Self;
 }
@@ -100,9 +98,17 @@
     NoResponse,
 }
 
-/// A connection to one process, replaced when it breaks or a request times out.
+/// A connection to one process, replaced when it breaks or a request gets no reply in time.
+///
+/// Each request runs in a task of its own until its reply arrives or its time limit passes. So a connection that is silent
+/// is noticed also if the caller stops waiting earlier.
 #[derive(Debug)]
 pub struct PeerLink<C> {
+    shared: Arc<LinkShared<C>>,
+}
+
+#[derive(Debug)]
+struct LinkShared<C> {
     addr: SocketAddr,
     state: Mutex<LinkState<C>>,
     traffic: LinkTraffic,
@@ -110,7 +116,7 @@
 
 #[derive(Debug)]
 struct LinkState<C> {
-    client: Option<C>,
+    connection: Option<LinkConnection<C>>,
     format: MessageFormat,
     /// Counts connections, so that a late failure of an old one doesn't close a newer one.
     generation: u64,
@@ -119,70 +125,103 @@
 impl<C: LinkClient> PeerLink<C> {
     /// Returns a link to the process at `addr`; the first request opens the connection.
     pub fn open(addr: SocketAddr) -> PeerLink<C> {
+        let state = LinkState {
+            connection: None,
+            format: MessageFormat::Present,
+            generation: 0,
+        };
         PeerLink {
-            addr,
-            state: Mutex::new(LinkState {
-                client: None,
-                format: MessageFormat::Present,
-                generation: 0,
+            shared: Arc::new(LinkShared {
+                addr,
+                state: Mutex::new(state),
+                traffic: LinkTraffic::default(),
             }),
-            traffic: LinkTraffic::default(),
         }
     }
 
     /// Returns the process's address.
     pub fn addr(&self) -> SocketAddr {
-        self.addr
+        self.shared.addr
     }
 
     /// Returns what has passed over the link, for the dump.
     pub fn report(&self) -> LinkReport {
-        self.traffic.report(self.addr)
+        self.shared.traffic.report(self.shared.addr)
     }
 
-    /// Runs `request` with a time limit; closes the connection if it fails.
+    /// Runs `request`, with `limit` for the connection setup and the reply together; closes the connection if it fails.
+    /// The request goes on if the returned future is dropped.
     ///
     /// # Errors
     ///
     /// Fails if the process can't be reached or doesn't reply within `limit`.
     pub async fn call<T, F, Fut>(&self, limit: Duration, request: F) -> Result<T, LinkError>
+    where
+        T: Send + 'static,
+        F: FnOnce(C, Context) -> Fut + Send + 'static,
+        Fut: Future<Output = Result<T, RpcError>> + Send + 'static,
+    {
+        let exchange = self.shared.clone().exchange(limit, request);
+        let ended = tokio::spawn(exchange).await;
+        // The task fails only if the runtime shuts down.
+        ended.unwrap_or(Err(LinkError::NoResponse))
+    }
+}
+
+impl<C: LinkClient> LinkShared<C> {
+    async fn exchange<T, F, Fut>(
+        self: Arc<Self>,
+        limit: Duration,
+        request: F,
+    ) -> Result<T, LinkError>
     where
         F: FnOnce(C, Context) -> Fut,
         Fut: Future<Output = Result<T, RpcError>>,
     {
-        let pending = PendingCall::begin(&self.traffic);
-        let Some((client, generation)) = self.connect().await else {
-            pending.record_unreachable();
+        let deadline = Instant::now() + limit;
+        let connection = self.connection();
+        let opened = timeout_at(deadline, connection.client()).await;
+        let Some(client) = opened.ok().flatten() else {
+            self.traffic.record_unreachable();
             return Err(LinkError::Unreachable);
         };
         let mut ctx = tarpc::context::current();
-        ctx.deadline = Instant::now() + limit;
-        let result = time::timeout(limit, request(client, ctx)).await;
-        // A process ends the connection when it can't read a message.
-        let is_ended = matches!(result, Ok(Err(RpcError::Shutdown | RpcError::Channel(_))));
+        ctx.deadline = deadline.into_std();
+        let result = timeout_at(deadline, request(client, ctx)).await;
         if let Ok(Ok(reply)) = result {
-            pending.record_reply();
+            self.traffic.record_reply();
             return Ok(reply);
         }
-        pending.record_unanswered();
-        let mut state = self.state.lock().await;
-        if state.generation == generation {
-            state.client = None;
-            if is_ended {
-                state.format = state.format.other();
-            }
-        }
+        self.traffic.record_unanswered();
+        // A process ends the connection when it can't read a message.
+        let is_ended = matches!(result, Ok(Err(RpcError::Shutdown | RpcError::Channel(_))));
+        self.close(connection.generation, is_ended);
         Err(LinkError::NoResponse)
     }
 
-    async fn connect(&self) -> Option<(C, u64)> {
-        let mut state = self.state.lock().await;
-        if state.client.is_none() {
-            let stream = dial(|| TcpStream::connect(self.addr)).await?;
-            state.client = Some(C::spawn(stream, state.format));
-            state.generation += 1;
-            self.traffic.record_connection();
+    /// Returns the present connection, which may still be opening; opens one if there is none.
+    fn connection(&self) -> LinkConnection<C> {
+        let mut state = self.state.lock();
+        let present = state.connection.as_ref().filter(|c| !c.has_failed());
+        if let Some(connection) = present {
+            return connection.clone();
+        }
+        state.generation += 1;
+        self.traffic.record_connection();
+        let connection = LinkConnection::open(self.addr, state.format, state.generation);
+        state.connection = Some(connection.clone());
+        connection
+    }
+
+    /// Closes connection number `generation`, unless a later one is in use.
+    fn close(&self, generation: u64, changes_format: bool) {
+        let mut state = self.state.lock();
+        if state.generation != generation {
+            return;
+        }
+        state.connection = None;
+        if changes_format {
+            state.format = state.format.other();
         }
-        Some((state.client.clone()?, state.generation))
     }
 }
--- a/crates/peer/src/link/traffic.rs
+++ b/crates/peer/src/link/traffic.rs
@@ -26,7 +26,7 @@
 pub struct LinkReport {
     /// The process at the other end.
     pub addr: SocketAddr,
-    /// Number of connections opened so far.
+    /// Number of connections opened so far, failed ones included.
     pub connections: u64,
     /// Time since the last reply, in milliseconds.
     pub reply_ms: Option<u64>,
@@ -35,7 +35,7 @@
 }
 
 impl LinkTraffic {
-    /// Records that a connection has been opened.
+    /// Records that a connection is being opened.
     pub(super) fn record_connection(&self) {
         counter!("agatehill_peer_connections_opened").increment(1);
         self.lock().connections += 1;
@@ -53,54 +53,25 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, TrafficState> {
-        self.state.lock()
-    }
-}
-
-/// A call that waits for its reply. If it is dropped, its caller has stopped waiting.
-#[derive(Debug)]
-pub(super) struct PendingCall<'a> {
-    traffic: &'a LinkTraffic,
-    has_ended: bool,
-}
-
-impl<'a> PendingCall<'a> {
-    /// Returns the guard of a call that begins.
-    pub(super) fn begin(traffic: &'a LinkTraffic) -> PendingCall<'a> {
-        PendingCall {
-            traffic,
-            has_ended: false,
-        }
-    }
-
-    /// Records the reply.
-    pub(super) fn record_reply(mut self) {
-        self.has_ended = true;
-        let mut state = self.traffic.lock();
+    /// Records a reply.
+    pub(super) fn record_reply(&self) {
+        let mut state = self.lock();
         state.replied_at = Some(Instant::now());
         state.unanswered = 0;
     }
 
-    /// Records that no connection could be opened.
-    pub(super) fn record_unreachable(mut self) {
-        self.has_ended = true;
+    /// Records a call for which no connection could be opened in time.
+    pub(super) fn record_unreachable(&self) {
         counter!("agatehill_peer_calls_unreachable").increment(1);
     }
 
-    /// Records that the connection broke or the time limit passed.
-    pub(super) fn record_unanswered(mut self) {
-        self.has_ended = true;
-        self.traffic.lock().unanswered += 1;
+    /// Records a call whose connection broke or whose time limit passed.
+    pub(super) fn record_unanswered(&self) {
+        self.lock().unanswered += 1;
         counter!("agatehill_peer_calls_unanswered").increment(1);
     }
-}
 
-impl Drop for PendingCall<'_> {
-    fn drop(&mut self) {
-        if !self.has_ended {
-            self.traffic.lock().unanswered += 1;
-            counter!("agatehill_peer_calls_abandoned").increment(1);
-        }
+    fn lock(&self) -> MutexGuard<'_, TrafficState> {
+        self.state.lock()
     }
 }
--- a/tests/src/tcp_proxy.rs
+++ b/tests/src/tcp_proxy.rs
@@ -40,9 +40,12 @@
 impl StallingProxy {
     /// Binds a free port on loopback and forwards its connections to `target`.
     pub async fn bind(target: SocketAddr) -> StallingProxy {
-        let listener = TcpListener::bind("127.0.0.1:0")
-            .await
-            .expect("bind a free port");
+        StallingProxy::bind_at(SocketAddr::from(([127, 0, 0, 1], 0)), target).await
+    }
+
+    /// Binds `local` and forwards its connections to `target`.
+    pub async fn bind_at(local: SocketAddr, target: SocketAddr) -> StallingProxy {
+        let listener = TcpListener::bind(local).await.expect("bind the address");
         let local = listener.local_addr().expect("the local address");
         let (stalls, _) = watch::channel(None);
         let subscriber = stalls.clone();
