Don't send a call to a keeper over a connection that has ended while idle

A keeper closes a connection that has been idle for 30 s, and one that starts again ends all. The link did not notice: the first call of a daemon after that got no reply at once, and the link took the end for a keeper that can't read the format, and spoke that of the first builds from then on. A daemon that turned to the other keepers lost its first round of polls, and a leave its only try.

The link now looks whether the task of its connection has ended, and opens another one first. Only an end during a call changes the format, as a keeper of another build does it.

Test: a_connection_that_ended_while_idle_loses_no_call, failed before (NoResponse).

--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -6,7 +6,7 @@
 mod first_format;
 
 use crate::{
-    link::{LinkClient, MessageFormat, PeerLink, codec_transport},
+    link::{LinkClient, MessageFormat, PeerLink, RunningClient, codec_transport},
     listener::{PeerListener, run_calls},
 };
 use agatehill_decide::{
@@ -252,9 +252,9 @@
 }
 
 impl LinkClient for FleetControlClient {
-    fn spawn(stream: TcpStream, format: MessageFormat) -> FleetControlClient {
+    fn spawn(stream: TcpStream, format: MessageFormat) -> RunningClient<FleetControlClient> {
         let transport = codec_transport(stream, CallerCodec { format });
-        FleetControlClient::new(Config::default(), transport).spawn()
+        RunningClient::spawn(FleetControlClient::new(Config::default(), transport))
     }
 }
 
--- a/crates/peer/src/keeper_client.rs
+++ b/crates/peer/src/keeper_client.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     keeper::{FeedPage, KeeperControlClient, KeeperError},
-    link::{LinkClient, LinkError, MessageFormat, PeerLink, postcard_transport},
+    link::{LinkClient, LinkError, MessageFormat, PeerLink, RunningClient, postcard_transport},
 };
 use agatehill_decide::{
     claim::{ClaimCommand, ClaimReply},
@@ -209,8 +209,9 @@
 }
 
 impl LinkClient for KeeperControlClient {
-    fn spawn(stream: TcpStream, _: MessageFormat) -> KeeperControlClient {
-        KeeperControlClient::new(Config::default(), postcard_transport(stream)).spawn()
+    fn spawn(stream: TcpStream, _: MessageFormat) -> RunningClient<KeeperControlClient> {
+        let transport = postcard_transport(stream);
+        RunningClient::spawn(KeeperControlClient::new(Config::default(), transport))
     }
 }
 
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -8,9 +8,13 @@
 use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
 use std::{fmt, future::Future, net::SocketAddr, sync::Arc, time::Duration};
-use tarpc::{client::RpcError, context::Context};
+use tarpc::{
+    client::{NewClient, RpcError},
+    context::Context,
+};
 use tokio::{
     net::TcpStream,
+    task::AbortHandle,
     time::{Instant, timeout_at},
 };
 use tokio_serde::{Deserializer, Serializer};
@@ -54,7 +58,32 @@
 /// A client of a tarpc service, as `tarpc::service` generates it.
 pub trait LinkClient: Clone + Send + Sync + 'static {
     /// Starts a client on `stream` that writes and reads `format`, if its service has several.
-    fn spawn(stream: TcpStream, format: MessageFormat) -> Self;
+    fn spawn(stream: TcpStream, format: MessageFormat) -> RunningClient<Self>;
+}
+
+/// A client whose connection is served by a task.
+#[derive(Clone, Debug)]
+pub struct RunningClient<C> {
+    pub(crate) client: C,
+    /// Ends with the connection.
+    pub(crate) dispatch: AbortHandle,
+}
+
+impl<C> RunningClient<C> {
+    /// Starts the task of `new`.
+    pub(crate) fn spawn<D, E>(new: NewClient<C, D>) -> RunningClient<C>
+    where
+        D: Future<Output = Result<(), E>> + Send + 'static,
+    {
+        let dispatch = tokio::spawn(async move {
+            // An error of the connection also fails its requests, which report it.
+            let _ = new.dispatch.await;
+        });
+        RunningClient {
+            client: new.client,
+            dispatch: dispatch.abort_handle(),
+        }
+    }
 }
 
 /// Returns a tarpc transport over `stream` with messages in postcard.
@@ -199,10 +228,10 @@
         Err(LinkError::NoResponse)
     }
 
-    /// Returns the present connection, which may still be opening; opens one if there is none.
+    /// Returns the present connection, which may still be opening; opens one if there is none or it has ended.
     fn connection(&self) -> LinkConnection<C> {
         let mut state = self.state.lock();
-        let present = state.connection.as_ref().filter(|c| !c.has_failed());
+        let present = state.connection.as_ref().filter(|c| !c.has_ended());
         if let Some(connection) = present {
             return connection.clone();
         }
--- a/crates/peer/src/link/connection.rs
+++ b/crates/peer/src/link/connection.rs
@@ -1,6 +1,6 @@
 //! One connection of a link, from the start of its setup on.
 
-use super::{LinkClient, MessageFormat};
+use super::{LinkClient, MessageFormat, RunningClient};
 use crate::dial::dial;
 use std::net::SocketAddr;
 use tokio::{net::TcpStream, sync::watch};
@@ -17,7 +17,7 @@
 enum ConnectionSetup<C> {
     Pending,
     Failed,
-    Done(C),
+    Done(RunningClient<C>),
 }
 
 impl<C: LinkClient> LinkConnection<C> {
@@ -38,9 +38,13 @@
         LinkConnection { generation, setup }
     }
 
-    /// Returns whether the setup has failed.
-    pub(super) fn has_failed(&self) -> bool {
-        matches!(*self.setup.borrow(), ConnectionSetup::Failed)
+    /// Returns whether the setup has failed or the connection has ended since.
+    pub(super) fn has_ended(&self) -> bool {
+        match &*self.setup.borrow() {
+            ConnectionSetup::Pending => false,
+            ConnectionSetup::Failed => true,
+            ConnectionSetup::Done(running) => running.dispatch.is_finished(),
+        }
     }
 
     /// Waits for the setup; returns `None` if it fails.
@@ -49,7 +53,7 @@
         let is_ended = |setup: &ConnectionSetup<C>| !matches!(setup, ConnectionSetup::Pending);
         let ended = setup.wait_for(is_ended).await.ok()?;
         match &*ended {
-            ConnectionSetup::Done(client) => Some(client.clone()),
+            ConnectionSetup::Done(running) => Some(running.client.clone()),
             ConnectionSetup::Pending | ConnectionSetup::Failed => None,
         }
     }
--- a/crates/peer/tests/link.rs
+++ b/crates/peer/tests/link.rs
@@ -112,6 +112,20 @@
     assert_eq!(call(&link).await, Ok(7));
 }
 
+/// The first call after a keeper had closed an idle connection, or had started again, was lost and changed the format.
+#[tokio::test]
+async fn a_connection_that_ended_while_idle_loses_no_call() {
+    let (server, _proxy, _) = start().await;
+    let addr = server.local_addr();
+    let link = KeeperLink::open(addr);
+    assert_eq!(call(&link).await, Ok(7));
+    drop(server);
+    sleep(PAUSE).await;
+    let _server = KeeperServer::bind(addr, ReadyKeeper).await.unwrap();
+    assert_eq!(call(&link).await, Ok(7));
+    assert_eq!(link.report().connections, 2);
+}
+
 /// Returns an address where connections are neither accepted nor refused, and what holds it.
 async fn unanswered_addr() -> (SocketAddr, Socket, Vec<TcpStream>) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
