Send a forwarded change again when its connection to the leader is silent

An operator who sent a change to a keeper whose connection to the leader had gone silent waited for 1.6 s and was refused with 503, though the leader was in reach. The keeper sent it once, with the whole time for that one try. It now tries for 0.5 s and sends it again over a new connection until 1.6 s have passed; changes are idempotent, and the history gives one that it has accepted the same reply. The product's own keepers forward contracts and claims in the same way.

--- a/bin/keeper/src/hub.rs
+++ b/bin/keeper/src/hub.rs
@@ -10,7 +10,7 @@
 use agatehill_peer::{
     keeper::{AcceptedContract, FeedPage, KeeperError},
     keeper_client::KeeperLink,
-    link::LinkError,
+    link::{LinkError, RetryLimits},
 };
 use agatehill_process::clock::MonoClock;
 use agatehill_replica::{
@@ -28,8 +28,11 @@
 
 /// Number of the contract group; the claim groups have the numbers from 1.
 pub(crate) const CONTRACT_GROUP: u16 = 0;
-/// Timeout of a command forwarded to the leader.
-const FORWARD_TIMEOUT: Duration = Duration::from_millis(1_600);
+/// Timeouts of a command forwarded to the leader.
+const FORWARD_LIMITS: RetryLimits = RetryLimits {
+    total: Duration::from_millis(1_600),
+    attempt: Duration::from_millis(500),
+};
 /// Longest wait for other keepers to take over the leadership.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between two checks whether they have.
@@ -161,7 +164,7 @@
         let link = link.ok_or(KeeperError::NotLeader { leader: None })?;
         let command = postcard::to_stdvec(command).expect("commands are serialisable");
         let forwarded = link
-            .call(FORWARD_TIMEOUT, move |client, ctx| async move {
+            .call_idempotent(FORWARD_LIMITS, move |client, ctx| async move {
                 client.propose(ctx, group, command).await
             })
             .await;
--- a/crates/fleet/src/keeper/command.rs
+++ b/crates/fleet/src/keeper/command.rs
@@ -2,12 +2,19 @@
 
 use super::FleetKeeper;
 use agatehill_decide::config_history::{ConfigCommand, ConfigReply};
-use agatehill_peer::{fleet::CommandError, link::LinkError};
+use agatehill_peer::{
+    fleet::CommandError,
+    link::{LinkError, RetryLimits},
+};
 use agatehill_replica::group::ProposeError;
 use std::time::{Duration, Instant};
 
-/// Timeout of a command that is forwarded to the leader.
-const FORWARD_TIMEOUT: Duration = Duration::from_millis(1_600);
+/// Timeouts of a command that is forwarded to the leader. A try over a connection that has gone silent leaves time for another
+/// one within the second for which operators wait.
+const FORWARD_LIMITS: RetryLimits = RetryLimits {
+    total: Duration::from_millis(1_600),
+    attempt: Duration::from_millis(500),
+};
 /// Longest wait of a command for a leader; below the second for which operators wait for a response.
 const LEADER_WAIT: Duration = Duration::from_millis(800);
 /// Time between two tries of a command while there is no leader.
@@ -52,7 +59,7 @@
         let keeper = self.shared.keepers.get(&leader);
         let link = keeper.ok_or(CommandError::NotLeader)?.link;
         let command = command.clone();
-        let sent = link.call(FORWARD_TIMEOUT, |client, ctx| async move {
+        let sent = link.call_idempotent(FORWARD_LIMITS, |client, ctx| async move {
             client.run_command(ctx, command).await
         });
         sent.await.unwrap_or_else(|error| match error {
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -15,7 +15,7 @@
 use tokio::{
     net::TcpStream,
     task::AbortHandle,
-    time::{Instant, timeout_at},
+    time::{Instant, sleep, timeout_at},
 };
 use tokio_serde::{Deserializer, Serializer};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -26,6 +26,8 @@
 const KEEPALIVE_TIME: Duration = Duration::from_secs(2);
 /// Time between two keep-alive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause before a request is retried.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
 /// A format of messages; builds write different ones.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -127,6 +129,15 @@
     NoResponse,
 }
 
+/// Time limits of a request that is retried.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryLimits {
+    /// All tries together.
+    pub total: Duration,
+    /// One try.
+    pub attempt: Duration,
+}
+
 /// A connection to one process, replaced when it breaks or a request gets no reply in time.
 ///
 /// Each request runs in a task of its own until its reply arrives or its time limit passes. So a connection that is silent
@@ -197,6 +208,36 @@
     }
 }
 
+impl<C: LinkClient> PeerLink<C> {
+    /// Runs an idempotent `request`, again over a new connection each time it gets no reply, until the limits' total has
+    /// passed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no try has a reply; the process is called unreachable only if none may have arrived.
+    pub async fn call_idempotent<T, F, Fut>(
+        &self,
+        limits: RetryLimits,
+        request: F,
+    ) -> Result<T, LinkError>
+    where
+        T: Send + 'static,
+        F: FnOnce(C, Context) -> Fut + Clone + Send + 'static,
+        Fut: Future<Output = Result<T, RpcError>> + Send + 'static,
+    {
+        let end = Instant::now() + limits.total;
+        let mut result = self.call(limits.attempt, request.clone()).await;
+        while matches!(result, Err(LinkError::NoResponse)) && Instant::now() + RETRY_PAUSE < end {
+            sleep(RETRY_PAUSE).await;
+            let remaining = end - Instant::now();
+            let retried = self.call(limits.attempt.min(remaining), request.clone());
+            // The first try may have arrived.
+            result = retried.await.or(Err(LinkError::NoResponse));
+        }
+        result
+    }
+}
+
 impl<C: LinkClient> LinkShared<C> {
     async fn exchange<T, F, Fut>(
         self: Arc<Self>,
