Store a leave again when the connections to keepers are silent

A server that left right after connections to keepers had gone silent was refused with 503 after 0.85 s, and had to come back: the daemon asked each keeper once, with the whole time for that one try. It now tries for 0.4 s, and asks again over a new connection until the 0.85 s have passed.

Test: a_leave_is_acknowledged_in_time_after_connections_went_silent (real processes): 503 before, 200 within the second that a server waits now. Polls that are not for leaves keep their limits; one whose connection breaks at once is repeated within them.

--- a/crates/fleet/src/sync/leave.rs
+++ b/crates/fleet/src/sync/leave.rs
@@ -3,6 +3,7 @@
 use super::{FleetSync, poll::PollPurpose};
 use crate::keeper_map::KnownKeeper;
 use agatehill_decide::{host_directory::HostRecord, server_tracker::ServerIdentity};
+use agatehill_peer::link::RetryLimits;
 use futures_util::{
     future::ready,
     stream::{FuturesUnordered, StreamExt},
@@ -13,7 +14,12 @@
 
 /// Longest wait for the keepers that a leave is stored at; below the second for which a server waits for its
 /// acknowledgement.
-pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(850);
+const STORE_TIMEOUT: Duration = Duration::from_millis(850);
+/// Timeouts of a poll that stores a leave. A try over a connection that has gone silent leaves time for another one.
+pub(super) const STORE_LIMITS: RetryLimits = RetryLimits {
+    total: STORE_TIMEOUT,
+    attempt: Duration::from_millis(400),
+};
 
 /// What is known of the servers that have left.
 #[derive(Debug, Default)]
--- a/crates/fleet/src/sync/poll.rs
+++ b/crates/fleet/src/sync/poll.rs
@@ -1,6 +1,6 @@
 //! One poll of a keeper: what a daemon asks, and what it takes over from the reply.
 
-use super::{FleetSync, leave::STORE_TIMEOUT};
+use super::{FleetSync, leave::STORE_LIMITS};
 use crate::{keeper_map::KnownKeeper, report_sender};
 use agatehill_decide::{
     config_history::AcceptedConfig,
@@ -8,7 +8,10 @@
     keeper_poller::{LONG_POLL_GRACE, LONG_POLL_WAIT, POLL_ALL_TIMEOUT},
     name::{Incarnation, KeeperName},
 };
-use agatehill_peer::fleet::{SyncReply, SyncRequest, record_skipped};
+use agatehill_peer::{
+    fleet::{SyncReply, SyncRequest, record_skipped},
+    link::RetryLimits,
+};
 use parking_lot::MutexGuard;
 use std::{collections::HashMap, time::Duration};
 
@@ -47,13 +50,17 @@
         }
     }
 
-    /// Returns the time limit of the poll. The link applies it, so that no caller stops waiting before the link has
+    /// Returns the time limits of the poll. The link applies them, so that no caller stops waiting before the link has
     /// noticed that the connection is dead.
-    fn timeout(self) -> Duration {
-        match self {
+    fn limits(self) -> RetryLimits {
+        let limit = match self {
             PollPurpose::Changes => LONG_POLL_WAIT + LONG_POLL_GRACE,
             PollPurpose::ChangesSoFar | PollPurpose::Contact => POLL_ALL_TIMEOUT,
-            PollPurpose::Store => STORE_TIMEOUT,
+            PollPurpose::Store => return STORE_LIMITS,
+        };
+        RetryLimits {
+            total: limit,
+            attempt: limit,
         }
     }
 }
@@ -79,10 +86,12 @@
             keepers_digest: self.shared.keepers.digest(),
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
         };
-        let limit = purpose.timeout();
-        let sent = keeper.link.call(limit, |client, ctx| async move {
-            client.sync(ctx, request).await
-        });
+        let limits = purpose.limits();
+        let sent = keeper
+            .link
+            .call_idempotent(limits, |client, ctx| async move {
+                client.sync(ctx, request).await
+            });
         let reply = sent.await.ok()?;
         self.apply(&reply);
         if reply.is_current {
