Cut a response without an end also on the product's own path

Here, a body without an end was passed on until the caller closed: 40 calls with a deadline of 2 s were still open after 60 s, the server's slots with them, for calls that may be repeated and for those that run once. A head without an end was ended by the library's limit of 0.4 MB a connection.

Cause: nothing bounded for how long a body is streamed; the platform's path had been mended, this one not. A body ends 0.1 s after the deadline that the server was given now (agatehill_backend_bodies_cut); what is collected to be stored keeps its later limit, so that late responses are still recorded. A head may have 64 KiB. Both paths share one body with a time limit; a timer for each streamed response is its cost.

--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -22,6 +22,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time limit for opening a connection on this host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Largest buffer of a connection, in bytes; also the largest response head.
+const READ_BUFFER_BYTES_MAX: usize = 64 * 1024;
 /// Time between two checks of a pending call for a stalled connection.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -133,6 +135,7 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
+            .http1_max_buf_size(READ_BUFFER_BYTES_MAX)
             .build(connector);
         ServerPool { client, detector }
     }
--- a/crates/backend/src/gate.rs
+++ b/crates/backend/src/gate.rs
@@ -24,18 +24,23 @@
 use agatehill_peer::{
     body::CallBody,
     forward::{FailureKind, ForwardHead, ForwardReport},
+    timed_body::TimedBody,
 };
 use agatehill_process::clock::MonoClock;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header::RETRY_AFTER};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use metrics::counter;
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::time::Instant;
 
 /// Remaining time of the caller in milliseconds, as sent to the backend server.
 pub const DEADLINE_HEADER: HeaderName = HeaderName::from_static("agatehill-deadline-ms");
 
 /// Retry-after, before jitter, of a call whose server was lost or refused it itself.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Time after the deadline of a call in which the rest of its response may still arrive.
+const BODY_GRACE: Duration = Duration::from_millis(100);
 
 /// Result of a call at the gate.
 #[derive(Debug)]
@@ -175,6 +180,12 @@
         }
     }
 
+    /// Returns the time at which a body of the response to `call` is cut. The server was told the deadline; what it still
+    /// sends afterwards need not be a response.
+    fn body_end(&self, call: GateCall) -> Instant {
+        Instant::now() + call.deadline.since(self.clock.now()) + BODY_GRACE
+    }
+
     async fn run_idempotent(
         &self,
         addr: SocketAddr,
@@ -190,7 +201,7 @@
             .client
             .send(addr, req, is_buffered.then_some(remaining / 2));
         match tokio::time::timeout(remaining, sent).await {
-            Ok(Ok(response)) => pass_response(response, run),
+            Ok(Ok(response)) => pass_response(response, run, self.body_end(call)),
             Ok(Err(failure)) => {
                 let kind = run.record_lost(failure).await;
                 let outcome = match failure {
@@ -265,16 +276,28 @@
     }
 }
 
-/// Passes the response on; the run ends with its body.
-fn pass_response(response: Response<Incoming>, mut run: RunGuard) -> GateResponse {
+/// Bounds the time for which `body` may go on.
+fn ending_at<B>(body: B, ends_at: Instant) -> TimedBody<B> {
+    TimedBody::new(
+        body,
+        Some(ends_at),
+        counter!("agatehill_backend_bodies_cut"),
+    )
+}
+
+/// Passes the response on; the run ends with its body, at `ends_at` at the latest.
+fn pass_response(
+    response: Response<Incoming>,
+    mut run: RunGuard,
+    ends_at: Instant,
+) -> GateResponse {
     if is_shed(&response) {
         run.record_shed();
         return failed(FailureKind::Shed, CallOutcome::NotRun, Some(&run));
     }
     let report = report(CallOutcome::Answered, None, Some(&run));
     let guard_body = |body: Incoming| {
-        let body = body.map_err(io::Error::other);
-        CallBody::Stream(GuardedBody::new(body, run).boxed_unsync())
+        CallBody::Stream(GuardedBody::new(ending_at(body, ends_at), run).boxed_unsync())
     };
     GateResponse {
         report,
--- a/crates/backend/src/gate/claimed.rs
+++ b/crates/backend/src/gate/claimed.rs
@@ -1,7 +1,8 @@
 //! Runs of non-idempotent calls under a claim.
 
 use super::{
-    CallGate, GateResponse, RunGuard, failed, is_shed, report, report_only, with_deadline,
+    CallGate, GateResponse, RunGuard, ending_at, failed, is_shed, report, report_only,
+    with_deadline,
 };
 use crate::{
     at_most_once::{
@@ -76,7 +77,7 @@
         let req = with_deadline(req, call.deadline.since(self.clock.now()));
         run.quarantine.record_sent();
         match self.client.send(addr, req, None).await {
-            Ok(response) => pass_response(response, run).await,
+            Ok(response) => pass_response(response, run, self.body_end(call)).await,
             Err(failure) => {
                 let kind = run.record_lost(failure).await;
                 lost(kind, failure, &run)
@@ -93,10 +94,12 @@
     }
 }
 
-/// Passes the response on with its stored form; the run ends with its body.
+/// Passes the response on with its stored form; the run ends with its body. A body that is too large to be stored ends at
+/// `ends_at` at the latest; until then, the claim runner limits the time.
 async fn pass_response(
     response: Response<Incoming>,
     mut run: RunGuard,
+    ends_at: Instant,
 ) -> RunOutcome<GateResponse> {
     if is_shed(&response) {
         run.record_shed();
@@ -106,7 +109,10 @@
     let stream = |body: Incoming| CallBody::Stream(body.map_err(io::Error::other).boxed_unsync());
     match collect_response(response.map(stream)).await {
         Ok((response, stored)) => {
-            let guard_body = |body| CallBody::Stream(GuardedBody::new(body, run).boxed_unsync());
+            let guard_body = |body| {
+                let body = ending_at(body, ends_at);
+                CallBody::Stream(GuardedBody::new(body, run).boxed_unsync())
+            };
             let response = response.map(guard_body);
             RunOutcome::Answered(GateResponse { report, response }, stored)
         }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod keeper_client;
 pub mod link;
 mod listener;
+pub mod timed_body;
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -1,16 +1,15 @@
 //! Reads bodies: small ones into memory, larger ones as streams.
 
-use agatehill_peer::body::CallBody;
+use agatehill_peer::{body::CallBody, timed_body::TimedBody};
 use bytes::Bytes;
 use http_body::{Body, Frame};
 use metrics::counter;
 use std::{
-    future::Future,
     io,
     pin::Pin,
     task::{Context, Poll, ready},
 };
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::time::Instant;
 
 /// Size limits of a body.
 #[derive(Clone, Copy, Debug)]
@@ -46,6 +45,7 @@
 ) -> Result<CallBody, BodyError>
 where
     B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: std::error::Error + Send + Sync + 'static,
     G: Send + Unpin + 'static,
 {
     if body.size_hint().lower() > limits.size_max {
@@ -68,9 +68,8 @@
         if start.len() > limits.buffered_max {
             return Ok(CallBody::stream(StartedBody {
                 start: Some(start.into()),
-                rest: body,
+                rest: TimedBody::new(body, limits.ends_at, counter!("agatehill_relay_bodies_cut")),
                 remaining,
-                timer: limits.ends_at.map(|end| Box::pin(sleep_until(end))),
                 _guard: guard,
             }));
         }
@@ -80,17 +79,16 @@
 /// A streamed body whose first bytes have been read.
 struct StartedBody<B, G> {
     start: Option<Bytes>,
-    rest: B,
+    rest: TimedBody<B>,
     /// Bytes that may still follow `start` within the size limit.
     remaining: u64,
-    /// Fires at the time by which the body must have ended.
-    timer: Option<Pin<Box<Sleep>>>,
     _guard: G,
 }
 
 impl<B, G> Body for StartedBody<B, G>
 where
     B: Body<Data = Bytes> + Unpin,
+    B::Error: std::error::Error + Send + Sync + 'static,
     G: Unpin,
 {
     type Data = Bytes;
@@ -103,15 +101,9 @@
         if let Some(start) = self.start.take() {
             return Poll::Ready(Some(Ok(Frame::data(start))));
         }
-        if let Some(timer) = &mut self.timer
-            && timer.as_mut().poll(cx).is_ready()
-        {
-            counter!("agatehill_relay_bodies_cut").increment(1);
-            return Poll::Ready(Some(Err(body_error("it goes on past the deadline"))));
-        }
         let frame = match ready!(Pin::new(&mut self.rest).poll_frame(cx)) {
             None => return Poll::Ready(None),
-            Some(Err(_)) => return Poll::Ready(Some(Err(body_error("the sender interrupted it")))),
+            Some(Err(error)) => return Poll::Ready(Some(Err(error))),
             Some(Ok(frame)) => frame,
         };
         let len = frame.data_ref().map_or(0, Bytes::len) as u64;
