Ask the owner of an account's tokens over new connections once it gave no reply

Requests of accounts with limits waited 0.3 s for tokens, one request each second, for as long as idle connections to the owner were left that had gone silent: each failure avoided the owner for a second, and the next question went out over the next silent connection. A question without a reply now closes the idle connections to that host too.

Test: few_requests_wait_for_an_owner_whose_connections_went_silent: 4 of the requests in 4 s waited before, 1 at most now.

--- a/crates/relay/src/quota.rs
+++ b/crates/relay/src/quota.rs
@@ -326,7 +326,12 @@
             let (head, _) = response.read((), None).await.ok()?;
             QuotaOutcome::read(&head.headers)
         };
-        tokio::time::timeout(limit, exchange).await.ok()?
+        let outcome = tokio::time::timeout(limit, exchange).await.ok().flatten();
+        if outcome.is_none() {
+            // What kept the reply away may keep away those on all connections that are open now.
+            self.shared.pool.close_idle(host);
+        }
+        outcome
     }
 
     /// Returns the hosts of this zone in the order in which they are asked for `account`. A host that the
--- a/crates/relay/tests/faults/main.rs
+++ b/crates/relay/tests/faults/main.rs
@@ -4,4 +4,5 @@
 mod endless;
 mod server_faults;
 mod silent_gate;
+mod silent_owner;
 mod support;
