--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -2,11 +2,10 @@
 
 mod connection;
 mod traffic;
+mod transport;
 
-use crate::codec::{PostcardCodec, message_framing};
 use connection::LinkConnection;
 use parking_lot::Mutex;
-use socket2::{SockRef, TcpKeepalive};
 use std::{fmt, future::Future, net::SocketAddr, sync::Arc, time::Duration};
 use tarpc::{
     client::{NewClient, RpcError},
@@ -17,15 +16,11 @@
     task::AbortHandle,
     time::{Instant, sleep, timeout_at},
 };
-use tokio_serde::{Deserializer, Serializer};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
 pub use traffic::LinkReport;
 use traffic::LinkTraffic;
+pub(crate) use transport::codec_transport;
+pub use transport::postcard_transport;
 
-/// Idle time after which the kernel sends the first keep-alive probe.
-const KEEPALIVE_TIME: Duration = Duration::from_secs(2);
-/// Time between two keep-alive probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause before a request is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
@@ -88,38 +83,6 @@
     }
 }
 
-/// Returns a tarpc transport over `stream` with messages in postcard.
-pub fn postcard_transport<In, Out>(
-    stream: TcpStream,
-) -> tarpc::serde_transport::Transport<TcpStream, In, Out, PostcardCodec>
-where
-    In: serde::de::DeserializeOwned,
-    Out: serde::Serialize,
-{
-    codec_transport(stream, PostcardCodec)
-}
-
-/// Returns a tarpc transport over `stream` with messages in `codec`.
-pub(crate) fn codec_transport<In, Out, C>(
-    stream: TcpStream,
-    codec: C,
-) -> tarpc::serde_transport::Transport<TcpStream, In, Out, C>
-where
-    In: serde::de::DeserializeOwned,
-    Out: serde::Serialize,
-    C: Deserializer<In> + Serializer<Out>,
-{
-    // Otherwise small messages wait for the peer's delayed acknowledgement.
-    let _ = stream.set_nodelay(true);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_TIME)
-        .with_interval(KEEPALIVE_INTERVAL);
-    // An error is ignored: without probes, the time limits of requests detect a dead connection.
-    let _ = SockRef::from(&stream).set_tcp_keepalive(&keepalive);
-    let frames: Framed<TcpStream, LengthDelimitedCodec> = Framed::new(stream, message_framing());
-    tarpc::serde_transport::new(frames, codec)
-}
-
 /// Why a request over a link has no reply.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LinkError {
@@ -206,9 +169,7 @@
         // The task fails only if the runtime shuts down.
         ended.unwrap_or(Err(LinkError::NoResponse))
     }
-}
 
-impl<C: LinkClient> PeerLink<C> {
     /// Runs an idempotent `request`, again over a new connection each time it gets no reply, until the limits' total has
     /// passed.
     ///
--- /dev/null
+++ b/crates/peer/src/link/transport.rs
@@ -0,0 +1,45 @@
+//! Transports of control messages over TCP.
+
+use crate::codec::{PostcardCodec, message_framing};
+use socket2::{SockRef, TcpKeepalive};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio_serde::{Deserializer, Serializer};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// Idle time after which the kernel sends the first keep-alive probe.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(2);
+/// Time between two keep-alive probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Returns a tarpc transport over `stream` with messages in postcard.
+pub fn postcard_transport<In, Out>(
+    stream: TcpStream,
+) -> tarpc::serde_transport::Transport<TcpStream, In, Out, PostcardCodec>
+where
+    In: serde::de::DeserializeOwned,
+    Out: serde::Serialize,
+{
+    codec_transport(stream, PostcardCodec)
+}
+
+/// Returns a tarpc transport over `stream` with messages in `codec`.
+pub(crate) fn codec_transport<In, Out, C>(
+    stream: TcpStream,
+    codec: C,
+) -> tarpc::serde_transport::Transport<TcpStream, In, Out, C>
+where
+    In: serde::de::DeserializeOwned,
+    Out: serde::Serialize,
+    C: Deserializer<In> + Serializer<Out>,
+{
+    // Otherwise small messages wait for the peer's delayed acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_TIME)
+        .with_interval(KEEPALIVE_INTERVAL);
+    // An error is ignored: without probes, the time limits of requests detect a dead connection.
+    let _ = SockRef::from(&stream).set_tcp_keepalive(&keepalive);
+    let frames: Framed<TcpStream, LengthDelimitedCodec> = Framed::new(stream, message_framing());
+    tarpc::serde_transport::new(frames, codec)
+}
