--- a/crates/backend/src/gate.rs
+++ b/crates/backend/src/gate.rs
@@ -1,25 +1,24 @@
 //! Gate of the backend servers on this host: every call to them is admitted and run here.
 
 mod claimed;
+mod response;
+mod run;
 
 use crate::{
     admission::SlotGuard,
     at_most_once::{ClaimRunner, KeeperClaims, read_prefix},
     chain::{ChainHandle, RunningChain},
     client::{BackendClient, CallFailure},
-    guarded_body::{BodyGuard, GuardedBody},
-    quarantine::{QuarantineGuard, QuarantineRefusal, ZoneQuarantine, ZoneTransport},
+    guarded_body::GuardedBody,
+    quarantine::{QuarantineGuard, ZoneQuarantine, ZoneTransport},
     registry::ServerRegistry,
 };
 use agatehill_decide::{
-    chain::{ChainBudget, ChainIndex, ChainRecord},
+    chain::{ChainIndex, ChainRecord},
     claim::{DIGEST_BODY_BYTES_MAX, RequestDigest},
-    gate::{GateCall, GateLoad, GateRefusal, RefusalReason, RunResult},
-    level::ServiceHash,
-    name::ServiceName,
+    gate::GateCall,
     outcome::CallOutcome,
     quarantine::RequestFingerprint,
-    retry::jitter_retry_after,
 };
 use agatehill_peer::{
     body::CallBody,
@@ -34,11 +33,12 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
+use response::{failed, quarantined, refused, report, report_only, with_level};
+use run::RunGuard;
+
 /// Remaining time of the caller in milliseconds, as sent to the backend server.
 pub const DEADLINE_HEADER: HeaderName = HeaderName::from_static("agatehill-deadline-ms");
 
-/// Retry-after, before jitter, of a call whose server was lost or refused it itself.
-const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Time after the deadline of a call in which the rest of its response may still arrive.
 const BODY_GRACE: Duration = Duration::from_millis(100);
 
@@ -215,67 +215,6 @@
     }
 }
 
-/// A call that runs at a server; the run ends on drop.
-#[derive(Debug)]
-struct RunGuard {
-    addr: SocketAddr,
-    registry: Arc<ServerRegistry>,
-    chain: RunningChain,
-    slot: SlotGuard,
-    quarantine: QuarantineGuard<ZoneTransport>,
-    retries: u32,
-}
-
-impl RunGuard {
-    /// Returns the number of retries that are spent or still leased to child calls.
-    fn retries_used(&self) -> u32 {
-        self.retries.saturating_sub(self.chain.handle.remaining())
-    }
-
-    /// Records that the server refused the call without starting to process it.
-    fn record_shed(&mut self) {
-        self.slot.set_result(RunResult::Shed);
-        self.quarantine.record_rejection();
-    }
-
-    /// Records that the call got no response and returns why.
-    ///
-    /// A server where nothing listens any more is removed from the registry at once. If the server
-    /// crashed after the call was sent, returns only after the zone has been notified.
-    async fn record_lost(&mut self, failure: CallFailure) -> FailureKind {
-        self.slot.set_result(RunResult::Lost);
-        let is_down = match failure {
-            CallFailure::Lost => self.quarantine.record_lost().await,
-            CallFailure::NotSent => self.quarantine.record_unsent().await,
-        };
-        if is_down {
-            self.registry.remove(self.addr);
-        }
-        match failure {
-            CallFailure::NotSent if is_down => FailureKind::NoServer,
-            _ => FailureKind::Lost,
-        }
-    }
-}
-
-impl BodyGuard for RunGuard {
-    fn complete(&mut self) {
-        self.slot.set_result(RunResult::Answered);
-        self.quarantine.record_answer();
-    }
-
-    fn aborted(&mut self) {
-        self.slot.set_result(RunResult::Lost);
-        self.quarantine.record_aborted();
-    }
-}
-
-impl Drop for RunGuard {
-    fn drop(&mut self) {
-        self.slot.set_child_time(self.chain.handle.child_time());
-    }
-}
-
 /// Bounds the time for which `body` may go on.
 fn ending_at<B>(body: B, ends_at: Instant) -> TimedBody<B> {
     TimedBody::new(
@@ -334,73 +273,3 @@
     response.status() == StatusCode::SERVICE_UNAVAILABLE
         && response.headers().contains_key(RETRY_AFTER)
 }
-
-/// Returns the response to a call that was not admitted.
-fn refused(refusal: &GateRefusal, load: GateLoad) -> GateResponse {
-    let kind = match refusal.reason {
-        RefusalReason::Deadline => FailureKind::Deadline,
-        RefusalReason::Full | RefusalReason::Level => FailureKind::Shed,
-        RefusalReason::Leaving | RefusalReason::Starting => FailureKind::NoServer,
-    };
-    let mut report = report(CallOutcome::NotRun, Some(kind), None);
-    report.retry_after_ms = millis(jitter_retry_after(refusal.retry_after, rand::random()));
-    report.load = load_permille(load);
-    report.level = load.level;
-    report_only(report)
-}
-
-/// Returns the response to a suspect that was not run.
-fn quarantined(refusal: QuarantineRefusal) -> GateResponse {
-    match refusal {
-        QuarantineRefusal::Quarantined(remaining) => {
-            let mut response = failed(FailureKind::Quarantined, CallOutcome::NotRun, None);
-            response.report.retry_after_ms = millis(remaining);
-            response
-        }
-        QuarantineRefusal::Deadline => failed(FailureKind::Deadline, CallOutcome::NotRun, None),
-    }
-}
-
-fn failed(kind: FailureKind, outcome: CallOutcome, run: Option<&RunGuard>) -> GateResponse {
-    let mut report = report(outcome, Some(kind), run);
-    report.retry_after_ms = millis(jitter_retry_after(RETRY_DELAY, rand::random()));
-    report_only(report)
-}
-
-fn report(
-    outcome: CallOutcome,
-    failure: Option<FailureKind>,
-    run: Option<&RunGuard>,
-) -> ForwardReport {
-    let mut report = ForwardReport::new(outcome, failure);
-    if let Some(run) = run {
-        let load = run.slot.admission().load();
-        report.load = load_permille(load);
-        report.level = load.level;
-        report.retries_used = run.retries_used();
-    }
-    report
-}
-
-fn report_only(report: ForwardReport) -> GateResponse {
-    GateResponse {
-        report,
-        response: Response::new(CallBody::empty()),
-    }
-}
-
-/// Adds the level of this gate to those of the gates that the child calls have passed.
-fn with_level(mut response: GateResponse, service: &ServiceName, load: GateLoad) -> GateResponse {
-    let levels = &mut response.report.levels;
-    levels.record(ServiceHash::of(service), load.level);
-    response
-}
-
-fn load_permille(load: GateLoad) -> u16 {
-    let calls = u64::from(load.running) + u64::from(load.queued);
-    u16::try_from(calls * 1_000 / u64::from(load.limit.max(1))).unwrap_or(u16::MAX)
-}
-
-fn millis(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
