--- a/crates/backend/src/gate.rs
+++ b/crates/backend/src/gate.rs
@@ -23,7 +23,7 @@
 use agatehill_peer::{
     body::CallBody,
     forward::{FailureKind, ForwardHead, ForwardReport},
-    timed_body::TimedBody,
+    timed_body::{BODY_GRACE, TimedBody},
 };
 use agatehill_process::clock::MonoClock;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header::RETRY_AFTER};
@@ -39,9 +39,6 @@
 /// Remaining time of the caller in milliseconds, as sent to the backend server.
 pub const DEADLINE_HEADER: HeaderName = HeaderName::from_static("agatehill-deadline-ms");
 
-/// Time after the deadline of a call in which the rest of its response may still arrive.
-const BODY_GRACE: Duration = Duration::from_millis(100);
-
 /// Result of a call at the gate.
 #[derive(Debug)]
 pub struct GateResponse {
--- a/crates/peer/src/timed_body.rs
+++ b/crates/peer/src/timed_body.rs
@@ -8,9 +8,13 @@
     io,
     pin::Pin,
     task::{Context, Poll},
+    time::Duration,
 };
 use tokio::time::{Instant, Sleep, sleep_until};
 
+/// Time after the deadline that a backend server was given in which the rest of its response may still arrive.
+pub const BODY_GRACE: Duration = Duration::from_millis(100);
+
 /// Passes a body through; fails if it goes on past a time.
 #[derive(Debug)]
 pub struct TimedBody<B> {
--- a/crates/relay/src/gate/exchange.rs
+++ b/crates/relay/src/gate/exchange.rs
@@ -12,14 +12,11 @@
 use agatehill_decide::{
     call_parent::ParentRequest, server_tracker::ServerHeartbeat, time::MonoTime,
 };
-use agatehill_peer::body::CallBody;
+use agatehill_peer::{body::CallBody, timed_body::BODY_GRACE};
 use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_ENCODING, response::Parts};
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
 
-/// Time after the deadline of a request in which the rest of a streamed body may still arrive.
-const BODY_GRACE: Duration = Duration::from_millis(100);
-
 /// A request that the server runs.
 pub(super) struct GateRun {
     pub(super) permit: ServerPermit,
