Don't take a server for crashed because the daemon stood still

A lost connection counts as a crash if no response comes within 40 ms and the server can't be reached. The time was read from the clock: a daemon that stood still for as long looked once and decided, though a response had arrived meanwhile; its request was struck as one that crashes servers. The checks are counted now, 8 in 40 ms, so that what has arrived is read before the last one.

--- a/crates/backend/src/quarantine/detection.rs
+++ b/crates/backend/src/quarantine/detection.rs
@@ -66,9 +66,10 @@
             runs.record_lost(run);
             runs.response_count()
         });
-        // A crash ends all connections, and no response comes after it.
-        let end = lost_at + self.options.response_wait;
-        while self.clock.now() < end {
+        // A crash ends all connections, and no response comes after it. The checks are counted, as this process may have
+        // stood still while a response arrived.
+        let checks = self.options.response_wait.as_millis() / RESPONSE_POLL_INTERVAL.as_millis();
+        for _ in 0..checks {
             let (has_responded, has_connected_run) = self.change(|state, _| {
                 let runs = state.runs_at(addr);
                 (runs.response_count() != responses, runs.has_connected_run())
--- a/crates/backend/tests/quarantine.rs
+++ b/crates/backend/tests/quarantine.rs
@@ -92,6 +92,26 @@
     assert!(!monitor.has_suspects());
 }
 
+/// A daemon that stood still for a while took a server for crashed whose response had arrived meanwhile.
+#[tokio::test]
+async fn a_pause_of_the_daemon_is_no_silence_of_the_server() {
+    let monitor = monitor();
+    let (addr, listener) = listening_server().await;
+    drop(listener);
+    let mut lost = send(&monitor, addr, "/1");
+    let mut answered = send(&monitor, addr, "/2");
+    let answer = async {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        std::thread::sleep(2 * QuarantineOptions::FLEET.response_wait);
+        tokio::task::yield_now().await;
+        answered.record_answer();
+        drop(answered);
+    };
+    let (has_crashed, ()) = tokio::join!(lost.record_lost(), answer);
+    assert!(!has_crashed);
+    assert!(!monitor.has_suspects());
+}
+
 /// A server at its limit of connections resets each new one, also that of a probe.
 #[tokio::test]
 async fn probe_ends_at_a_server_that_closes_each_connection() {
