Bound what a listener keeps of a request head without an end by the configured size

What callers saw: with 400 connections whose heads have no end, a daemon held 94 MB (callers' port) and 69 MB (other daemons' port) of a host's 160 MB, growing with each connection; at the port for heartbeats it read them over and over, so that the server's own heartbeats came too late and a request got 503. Cause: the buffers of a connection had the library's default, about 400 KB, whatever head size the configuration allows. The product's own listeners, which have no such setting, take heads of 64 KiB.

--- a/crates/process/src/connection.rs
+++ b/crates/process/src/connection.rs
@@ -1,6 +1,7 @@
-//! Timeouts of a caller's connection: for receiving a request head and for idling between requests.
+//! Limits of a caller's connection: the size of a request head, and timeouts for receiving one and for idling between
+//! requests.
 //!
-//! The stream below hyper enforces them, as hyper has a single timeout for both. They don't apply
+//! The stream below hyper enforces the timeouts, as hyper has a single timeout for both. They don't apply
 //! while a request is in flight, nor to HTTP/2, whose pings detect dead connections.
 
 use http_body::{Body, Frame, SizeHint};
@@ -8,6 +9,7 @@
 use std::{
     future::Future,
     io::{self, IoSlice},
+    ops::RangeInclusive,
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
@@ -28,43 +30,57 @@
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Shortest timeout; a shorter one would close new connections before their first byte.
 const TIMEOUT_MIN: Duration = Duration::from_millis(100);
+/// Smallest and largest buffer of a connection, in bytes; it holds a request head, or a part of a body.
+const BUFFER_BYTES: RangeInclusive<usize> = 64 * 1024..=400 * 1024;
 
-/// Timeouts of a connection.
+/// Limits of a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct ConnectionTimeouts {
+pub struct ConnectionLimits {
     /// Time to receive a request head, from its first byte.
-    pub head: Duration,
+    pub head_timeout: Duration,
     /// Time without a request in flight.
-    pub idle: Duration,
+    pub idle_timeout: Duration,
+    /// Size of the largest request head that is responded to, in bytes.
+    pub head_bytes_max: usize,
 }
 
-impl Default for ConnectionTimeouts {
-    fn default() -> ConnectionTimeouts {
-        ConnectionTimeouts {
-            head: Duration::from_secs(60),
-            idle: Duration::from_secs(60),
+impl ConnectionLimits {
+    /// Returns the size of the connection's buffers, in bytes.
+    pub(crate) fn buffer_bytes(&self) -> usize {
+        let (min, max) = (*BUFFER_BYTES.start(), *BUFFER_BYTES.end());
+        self.head_bytes_max.clamp(min, max)
+    }
+}
+
+impl Default for ConnectionLimits {
+    fn default() -> ConnectionLimits {
+        ConnectionLimits {
+            head_timeout: Duration::from_secs(60),
+            idle_timeout: Duration::from_secs(60),
+            head_bytes_max: *BUFFER_BYTES.start(),
         }
     }
 }
 
-/// The timeouts of all connections of a listener, including open ones; clones share them.
+/// The limits of all connections of a listener; clones share them. Timeouts apply to open connections, too.
 #[derive(Clone, Debug, Default)]
-pub struct SharedTimeouts {
-    timeouts: Arc<Mutex<ConnectionTimeouts>>,
+pub struct SharedLimits {
+    limits: Arc<Mutex<ConnectionLimits>>,
 }
 
-impl SharedTimeouts {
-    /// Applies `timeouts`; a wait already in progress may still end by the timeout it started with.
-    pub fn set(&self, timeouts: ConnectionTimeouts) {
-        let timeouts = ConnectionTimeouts {
-            head: timeouts.head.max(TIMEOUT_MIN),
-            idle: timeouts.idle.max(TIMEOUT_MIN),
+impl SharedLimits {
+    /// Applies `limits`; a wait already in progress may still end by the timeout it started with.
+    pub fn set(&self, limits: ConnectionLimits) {
+        let limits = ConnectionLimits {
+            head_timeout: limits.head_timeout.max(TIMEOUT_MIN),
+            idle_timeout: limits.idle_timeout.max(TIMEOUT_MIN),
+            ..limits
         };
-        *self.timeouts.lock() = timeouts;
+        *self.limits.lock() = limits;
     }
 
-    fn get(&self) -> ConnectionTimeouts {
-        *self.timeouts.lock()
+    pub(crate) fn get(&self) -> ConnectionLimits {
+        *self.limits.lock()
     }
 }
 
@@ -176,7 +192,7 @@
 pub(crate) struct TimeoutStream {
     io: TcpStream,
     tracker: PhaseTracker,
-    timeouts: SharedTimeouts,
+    limits: SharedLimits,
     timer: Option<Pin<Box<Sleep>>>,
     /// Whether the caller speaks HTTP/2; `None` until the first bytes arrive.
     is_http2: Option<bool>,
@@ -184,16 +200,16 @@
 }
 
 impl TimeoutStream {
-    /// Returns `stream` under `timeouts`.
+    /// Returns `stream` under the timeouts of `limits`.
     pub(crate) fn new(
         stream: TcpStream,
         tracker: PhaseTracker,
-        timeouts: SharedTimeouts,
+        limits: SharedLimits,
     ) -> TimeoutStream {
         TimeoutStream {
             io: stream,
             tracker,
-            timeouts,
+            limits,
             timer: None,
             is_http2: None,
             is_closed: false,
@@ -206,10 +222,10 @@
             return None;
         }
         let phase = *self.tracker.lock();
-        let timeouts = self.timeouts.get();
+        let limits = self.limits.get();
         match phase {
-            ConnectionPhase::Idle(since) => Some(since + timeouts.idle),
-            ConnectionPhase::Head(since) => Some(since + timeouts.head),
+            ConnectionPhase::Idle(since) => Some(since + limits.idle_timeout),
+            ConnectionPhase::Head(since) => Some(since + limits.head_timeout),
             ConnectionPhase::Busy(_) => None,
         }
     }
--- a/crates/process/src/serve.rs
+++ b/crates/process/src/serve.rs
@@ -1,6 +1,6 @@
 //! HTTP listeners that run a gotham handler over HTTP/1.1 and h2c, with a graceful stop.
 
-use crate::connection::{GuardedBody, PhaseTracker, SharedTimeouts, TimeoutStream};
+use crate::connection::{GuardedBody, PhaseTracker, SharedLimits, TimeoutStream};
 use gotham::{
     handler::NewHandler,
     service::call_handler,
@@ -60,20 +60,20 @@
         HttpServer::bind_with_connection_limit(addr, handler, Semaphore::MAX_PERMITS).await
     }
 
-    /// Binds `addr` and serves `handler` with connection timeouts that can be changed later.
+    /// Binds `addr` and serves `handler` with connection limits that can be changed later.
     ///
     /// # Errors
     ///
     /// Fails if the address can't be bound.
-    pub async fn bind_with_timeouts<H>(
+    pub async fn bind_with_limits<H>(
         addr: SocketAddr,
         handler: H,
-        timeouts: SharedTimeouts,
+        limits: SharedLimits,
     ) -> io::Result<HttpServer>
     where
         H: NewHandler + 'static,
     {
-        HttpServer::spawn(addr, handler, timeouts, Semaphore::MAX_PERMITS).await
+        HttpServer::spawn(addr, handler, limits, Semaphore::MAX_PERMITS).await
     }
 
     /// Binds `addr` and serves `handler`; with `connections_max` connections open, new ones wait.
@@ -89,13 +89,13 @@
     where
         H: NewHandler + 'static,
     {
-        HttpServer::spawn(addr, handler, SharedTimeouts::default(), connections_max).await
+        HttpServer::spawn(addr, handler, SharedLimits::default(), connections_max).await
     }
 
     async fn spawn<H>(
         addr: SocketAddr,
         handler: H,
-        timeouts: SharedTimeouts,
+        limits: SharedLimits,
         connections_max: usize,
     ) -> io::Result<HttpServer>
     where
@@ -107,7 +107,7 @@
         let task = tokio::spawn(accept_loop(
             listener,
             Arc::new(handler),
-            timeouts,
+            limits,
             Arc::new(Semaphore::new(connections_max)),
             stopped,
         ));
@@ -130,7 +130,7 @@
 async fn accept_loop<H>(
     listener: TcpListener,
     handler: Arc<H>,
-    timeouts: SharedTimeouts,
+    limits: SharedLimits,
     permits: Arc<Semaphore>,
     mut stopped: oneshot::Receiver<()>,
 ) where
@@ -141,7 +141,7 @@
         tokio::select! {
             accepted = accept(&listener, &permits) => match accepted {
                 Ok(accepted) => {
-                    spawn_connection(accepted, handler.clone(), timeouts.clone(), &graceful);
+                    spawn_connection(accepted, handler.clone(), limits.clone(), &graceful);
                 }
                 Err(_) => tokio::time::sleep(ACCEPT_RETRY_PAUSE).await,
             },
@@ -179,7 +179,7 @@
 fn spawn_connection<H>(
     accepted: AcceptedConnection,
     handler: Arc<H>,
-    timeouts: SharedTimeouts,
+    limits: SharedLimits,
     graceful: &GracefulShutdown,
 ) where
     H: NewHandler + 'static,
@@ -191,7 +191,8 @@
     } = accepted;
     set_socket_options(&stream);
     let tracker = PhaseTracker::open();
-    let stream = TimeoutStream::new(stream, tracker.clone(), timeouts);
+    let builder = connection_builder(limits.get().buffer_bytes());
+    let stream = TimeoutStream::new(stream, tracker.clone(), limits);
     let service = service_fn(move |req: Request<Incoming>| {
         let guard = tracker.begin_request();
         let response = handle_request(handler.clone(), req, peer);
@@ -201,7 +202,7 @@
             )
         }
     });
-    let conn = connection_builder()
+    let conn = builder
         .serve_connection(TokioIo::new(stream), service)
         .into_owned();
     let watched = graceful.watch(conn);
@@ -272,16 +273,19 @@
     }
 }
 
-fn connection_builder() -> Builder<TokioExecutor> {
+/// Returns a builder of connections whose buffers take up `buffer_bytes` at most.
+fn connection_builder(buffer_bytes: usize) -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
+        .max_buf_size(buffer_bytes)
         // `TimeoutStream` enforces the timeouts.
         .header_read_timeout(None);
     builder
         .http2()
         .timer(TokioTimer::new())
+        .max_send_buf_size(buffer_bytes)
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT);
     builder
--- a/crates/process/tests/serve.rs
+++ b/crates/process/tests/serve.rs
@@ -1,7 +1,7 @@
 //! Limits of a listener's connections: their number, head timeout and idle timeout.
 
 use agatehill_process::{
-    connection::{ConnectionTimeouts, SharedTimeouts},
+    connection::{ConnectionLimits, SharedLimits},
     serve::HttpServer,
 };
 use gotham::{
@@ -82,9 +82,9 @@
     })
 }
 
-async fn connect(timeouts: &SharedTimeouts) -> (HttpServer, TcpStream) {
+async fn connect(limits: &SharedLimits) -> (HttpServer, TcpStream) {
     let addr = "127.0.0.1:0".parse().expect("an address");
-    let server = HttpServer::bind_with_timeouts(addr, || Ok(slow_ok), timeouts.clone())
+    let server = HttpServer::bind_with_limits(addr, || Ok(slow_ok), limits.clone())
         .await
         .expect("a free port");
     let stream = TcpStream::connect(server.local_addr())
@@ -93,10 +93,14 @@
     (server, stream)
 }
 
-fn shared_timeouts(head: Duration, idle: Duration) -> SharedTimeouts {
-    let timeouts = SharedTimeouts::default();
-    timeouts.set(ConnectionTimeouts { head, idle });
-    timeouts
+fn shared_limits(head_timeout: Duration, idle_timeout: Duration) -> SharedLimits {
+    let shared = SharedLimits::default();
+    shared.set(ConnectionLimits {
+        head_timeout,
+        idle_timeout,
+        ..ConnectionLimits::default()
+    });
+    shared
 }
 
 /// Reads until the connection ends.
@@ -109,14 +113,14 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_incomplete_head_times_out_with_408() {
-    let (_server, mut stream) = connect(&shared_timeouts(SHORT_TIMEOUT, LONG_TIMEOUT)).await;
+    let (_server, mut stream) = connect(&shared_limits(SHORT_TIMEOUT, LONG_TIMEOUT)).await;
     stream.write_all(b"GET / HTTP/1.1\r\nhost").await.unwrap();
     assert!(read_all(&mut stream).await.starts_with("HTTP/1.1 408 "));
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_incomplete_head_on_a_reused_connection_times_out_with_408() {
-    let (_server, mut stream) = connect(&shared_timeouts(SHORT_TIMEOUT, LONG_TIMEOUT)).await;
+    let (_server, mut stream) = connect(&shared_limits(SHORT_TIMEOUT, LONG_TIMEOUT)).await;
     assert!(request(&mut stream, TEST_TIMEOUT).await);
     // The head timeout doesn't apply between two requests.
     tokio::time::sleep(SHORT_TIMEOUT * 2).await;
@@ -127,7 +131,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_idle_connection_is_closed_without_a_response() {
-    let (_server, mut stream) = connect(&shared_timeouts(LONG_TIMEOUT, SHORT_TIMEOUT)).await;
+    let (_server, mut stream) = connect(&shared_limits(LONG_TIMEOUT, SHORT_TIMEOUT)).await;
     // A request takes longer than the idle timeout, which doesn't apply while it is in flight.
     assert!(request(&mut stream, TEST_TIMEOUT).await);
     assert_eq!(read_all(&mut stream).await, "");
@@ -135,17 +139,46 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn new_timeouts_apply_to_open_connections() {
-    let shared = shared_timeouts(LONG_TIMEOUT, LONG_TIMEOUT);
+    let shared = shared_limits(LONG_TIMEOUT, LONG_TIMEOUT);
     let (_server, mut stream) = connect(&shared).await;
     assert!(request(&mut stream, TEST_TIMEOUT).await);
-    shared.set(ConnectionTimeouts {
-        head: SHORT_TIMEOUT,
-        idle: LONG_TIMEOUT,
+    shared.set(ConnectionLimits {
+        head_timeout: SHORT_TIMEOUT,
+        idle_timeout: LONG_TIMEOUT,
+        ..ConnectionLimits::default()
     });
     stream.write_all(b"GET / HT").await.unwrap();
     assert!(read_all(&mut stream).await.starts_with("HTTP/1.1 408 "));
 }
 
+/// A head without an end is kept in memory up to the configured size only; a valid head of that size is served.
+#[rstest]
+#[case::default_size(16 * 1024, 60 * 1024, "200")]
+#[case::too_large(16 * 1024, 100 * 1024, "431")]
+#[case::configured_size(300 * 1024, 250 * 1024, "200")]
+#[case::larger_than_any(1 << 40, 600 * 1024, "431")]
+#[tokio::test(flavor = "multi_thread")]
+async fn heads_are_read_up_to_the_configured_size(
+    #[case] head_bytes_max: usize,
+    #[case] head_bytes: usize,
+    #[case] status: &str,
+) {
+    let shared = SharedLimits::default();
+    shared.set(ConnectionLimits {
+        head_bytes_max,
+        ..ConnectionLimits::default()
+    });
+    let (_server, mut stream) = connect(&shared).await;
+    let filling = "a".repeat(head_bytes);
+    let head = format!("GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\nx-a: {filling}\r\n\r\n");
+    // The server may respond and close the connection before it has read everything.
+    let _ = stream.write_all(head.as_bytes()).await;
+    let mut start = [0; 12];
+    let read = tokio::time::timeout(TEST_TIMEOUT, stream.read_exact(&mut start));
+    read.await.expect("a response in time").expect("a response");
+    assert_eq!(&start, format!("HTTP/1.1 {status}").as_bytes());
+}
+
 /// Gotham reads `x-request-id` for its own logs; any number and value of it must reach the handler.
 #[rstest]
 #[case::none(b"", b"")]
