Bound the memory that the buffered bodies of all requests take up together

What callers saw: 600 callers whose bodies stop short of 250 KB each took 278 MB of a daemon, where a host has 160 MB; the requests of others would end with it. Cause: a body of up to 256 KiB is buffered so that it can be sent again, each for itself, with no bound for all.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -1,5 +1,6 @@
 //! Reads bodies: small ones into memory, larger ones as streams.
 
+use crate::buffer_budget::BufferReservation;
 use agatehill_peer::{body::CallBody, timed_body::TimedBody};
 use bytes::Bytes;
 use http_body::{Body, Frame};
@@ -31,9 +32,9 @@
     TooLarge,
 }
 
-/// Reads `body`. A body of up to `limits.buffered_max` bytes is buffered; a larger one is returned
-/// as a stream that holds `guard` until it is dropped and fails once it exceeds `limits.size_max` or goes
-/// on past `limits.ends_at`.
+/// Reads `body`. A body of up to `limits.buffered_max` bytes for which `buffer` can be reserved is buffered; another
+/// one is returned as a stream that holds `guard` until it is dropped and fails once it exceeds `limits.size_max` or
+/// goes on past `limits.ends_at`. Without a `buffer`, nothing is reserved.
 ///
 /// # Errors
 ///
@@ -41,6 +42,7 @@
 pub async fn read_body<B, G>(
     mut body: B,
     limits: BodyLimits,
+    mut buffer: Option<&mut BufferReservation>,
     guard: G,
 ) -> Result<CallBody, BodyError>
 where
@@ -65,7 +67,11 @@
         }
         let remaining = limits.size_max.checked_sub(start.len() as u64);
         let remaining = remaining.ok_or(BodyError::TooLarge)?;
-        if start.len() > limits.buffered_max {
+        let is_reserved = match &mut buffer {
+            Some(buffer) => buffer.try_hold(start.len()),
+            None => true,
+        };
+        if start.len() > limits.buffered_max || !is_reserved {
             return Ok(CallBody::stream(StartedBody {
                 start: Some(start.into()),
                 rest: TimedBody::new(body, limits.ends_at, counter!("agatehill_relay_bodies_cut")),
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -171,7 +171,9 @@
             size_max: table.config().limits.body_bytes_max,
             ends_at: None,
         };
-        let read = tokio::time::timeout(self.time_limit, read_body(body, limits, ())).await;
+        let mut buffer = self.entry.request_buffers.reservation();
+        let reading = read_body(body, limits, Some(&mut buffer), ());
+        let read = tokio::time::timeout(self.time_limit, reading).await;
         let body = match read {
             Ok(Ok(body)) => body,
             Ok(Err(BodyError::TooLarge)) => return Err(RelayError::BodyTooLarge),
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     body::{BodyLimits, read_body},
+    buffer_budget::BufferBudget,
     call::{BUFFERED_REQUEST_MAX, RequestCall},
     decision_log::DecisionLog,
     error::RelayError,
@@ -54,6 +55,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time between two removals of expired connections.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Memory for the buffered bodies of all requests in flight, in bytes.
+const REQUEST_BUFFERS_BYTES: usize = 16 << 20;
 /// In the response of a gate that reads a request's body only when it begins to handle it.
 const HOLDS: HeaderName = HeaderName::from_static("agatehill-holds");
 
@@ -83,6 +86,8 @@
 pub struct RequestEntry {
     pub(crate) options: EntryOptions,
     pub(crate) pool: ConnectionPool,
+    /// Memory for the bodies of requests in flight; beyond it they are passed on as they arrive, and can't be sent again.
+    pub(crate) request_buffers: BufferBudget,
     pub(crate) quotas: AccountQuotas,
     pub(crate) table: ArcSwapOption<RouteTable>,
     state: Mutex<EntryState>,
@@ -117,6 +122,7 @@
                 connect_timeout: CONNECT_TIMEOUT,
                 idle_timeout: IDLE_TIMEOUT,
             }),
+            request_buffers: BufferBudget::open(REQUEST_BUFFERS_BYTES),
             table: ArcSwapOption::empty(),
             state: Mutex::default(),
             is_draining: AtomicBool::new(false),
@@ -212,7 +218,8 @@
             size_max: u64::MAX,
             ends_at: None,
         };
-        let Ok(body) = read_body(body, limits, ()).await else {
+        let mut buffer = self.request_buffers.reservation();
+        let Ok(body) = read_body(body, limits, Some(&mut buffer), ()).await else {
             return RelayError::BadRequest.response();
         };
         self.learn_strikes(&mut head.headers);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -3,6 +3,7 @@
 //! server.
 
 pub mod body;
+pub mod buffer_budget;
 mod call;
 mod content;
 mod credentials;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -218,7 +218,7 @@
             size_max: u64::MAX,
             ends_at,
         };
-        let read = read_body(body, limits, guard).await;
+        let read = read_body(body, limits, None, guard).await;
         let body = read.map_err(|_| SendError::Lost)?;
         strip_hop_by_hop(&mut head.headers);
         if matches!(body, CallBody::Buffered(_)) {
