Send a held request again over a new connection when the open one is silent

What callers saw: after connections between daemons have gone silent, a request that may run once met one silent connection after the other and was refused with 503; requests that may be repeated waited at the next silent connections for all their time and got 504. Cause: that a connection is silent was taken for a fault of its gate alone. The next gate was tried over a connection that may be silent, too, and idle connections to all others stayed in use until the kernel ended them. Change: a request whose gate does not begin to read it is sent there again over a new connection; it has not run, as its body was held back. If the gate reads it now, the connection was silent: all idle connections of the entry are closed, counted (agatehill_relay_connections_silent) and logged. Ruled out in a trial: to hold every request.

--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -13,7 +13,7 @@
     held_body::{BodyHold, HeldEnd},
     hop::{HopContext, HopOutcome},
     notice::{self, KnownNotices},
-    pool::{ConnectionPool, PoolOptions, SendError},
+    pool::{ConnectionPool, PoolOptions, PooledResponse, SendError},
     quota::{AccountQuotas, QUOTA, QuotaOptions},
 };
 use agatehill_decide::{
@@ -95,6 +95,9 @@
     is_closed: AtomicBool,
 }
 
+/// How a request whose body was held back ended.
+type HeldResponse = HeldEnd<Result<PooledResponse, SendError>>;
+
 /// State that requests of an entry share.
 #[derive(Default)]
 pub(crate) struct EntryState {
@@ -285,11 +288,9 @@
         }
         let sent_at = self.options.clock.now();
         let is_held = !is_idempotent && self.lock().holding_gates.contains(&gate);
-        let hold = is_held.then(|| BodyHold::begin(&mut req));
-        let sent = self.pool.send(gate, req);
-        let end = match hold {
-            Some(hold) => hold.watch(sent).await,
-            None => HeldEnd::Sent(sent.await),
+        let end = match is_held {
+            true => self.send_held(gate, req).await,
+            false => HeldEnd::Sent(self.pool.send(gate, req).await),
         };
         let response = match end {
             HeldEnd::Sent(Ok(response)) => response,
@@ -331,6 +332,28 @@
         }
     }
 
+    /// Sends a request whose body is held back until `gate` reads it; again over a new connection if one that was open
+    /// before is silent.
+    async fn send_held(&self, gate: SocketAddr, mut req: Request<CallBody>) -> HeldResponse {
+        let is_reused = self.pool.has_idle(gate);
+        let copy = if is_reused { try_clone(&req) } else { None };
+        let hold = BodyHold::begin(&mut req);
+        let end = hold.watch(self.pool.send(gate, req)).await;
+        let (HeldEnd::Unread, Some(mut copy)) = (&end, copy) else {
+            return end;
+        };
+        self.pool.close_idle(gate);
+        let hold = BodyHold::begin(&mut copy);
+        let end = hold.watch(self.pool.send(gate, copy)).await;
+        if matches!(end, HeldEnd::Sent(Ok(_))) {
+            // The gate reads, the connection was silent: so may be those to other gates.
+            metrics::counter!("agatehill_relay_connections_silent").increment(1);
+            spdlog::warn!("connection silent", kv: { gate = gate.to_string() });
+            self.pool.close_all_idle();
+        }
+        end
+    }
+
     /// Returns the result of a request that `gate` has not read, and avoids the gate for a while.
     fn refuse_unread(&self, gate: SocketAddr, reason: &'static str) -> GateResult {
         let now = self.options.clock.now();
@@ -356,6 +379,16 @@
     }
 }
 
+/// Returns a copy of `req`; `None` if its body is streamed.
+fn try_clone(req: &Request<CallBody>) -> Option<Request<CallBody>> {
+    let mut copy = Request::new(req.body().try_clone()?);
+    *copy.method_mut() = req.method().clone();
+    *copy.uri_mut() = req.uri().clone();
+    *copy.version_mut() = req.version();
+    *copy.headers_mut() = req.headers().clone();
+    Some(copy)
+}
+
 async fn close_expired(pool: ConnectionPool) {
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -135,11 +135,21 @@
         }
     }
 
+    /// Returns whether there is an idle connection to `addr`.
+    pub fn has_idle(&self, addr: SocketAddr) -> bool {
+        self.lock().contains_key(&addr)
+    }
+
     /// Closes the idle connections to `addr`.
     pub fn close_idle(&self, addr: SocketAddr) {
         self.lock().remove(&addr);
     }
 
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.lock().clear();
+    }
+
     /// Closes connections that have been idle for longer than the timeout.
     pub fn close_expired(&self) {
         let timeout = self.options.idle_timeout;
--- a/crates/relay/tests/faults/main.rs
+++ b/crates/relay/tests/faults/main.rs
@@ -4,5 +4,6 @@
 mod endless;
 mod server_faults;
 mod silent_gate;
+mod silent_gates;
 mod silent_owner;
 mod support;
