Bound what the operators' tool keeps of a response without an end

What callers saw: the tool kept all that a faulty keeper or daemon sent until its time limit of 10 s, and would have run out of memory at the speed of the network. Cause: the body was collected without a limit; the head had the library's 0.4 MB. Change: 64 MiB for a body, 64 KiB for a head; the tool says that there is no answer.

--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -7,7 +7,7 @@
 use agatehill_decide::{contract::ContractSpec, name::CustomerName};
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -17,6 +17,10 @@
 
 /// Timeout of one request to one keeper.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest response body, in bytes; a dump of a large fleet has several MB.
+const RESPONSE_BYTES_MAX: usize = 64 << 20;
+/// Largest response head, in bytes.
+const HEAD_BYTES_MAX: usize = 64 * 1024;
 /// Rounds over all keepers before a request fails if none of them responds.
 const UNREACHABLE_ROUNDS: u32 = 3;
 /// Rounds before a request fails if keepers respond without a leader; an election takes this long.
@@ -63,7 +67,9 @@
 impl ContractClient {
     /// Returns a client of the keepers with these operator addresses.
     pub fn new(addresses: Vec<SocketAddr>) -> ContractClient {
-        let http = Client::builder(TokioExecutor::new()).build_http();
+        let http = Client::builder(TokioExecutor::new())
+            .http1_max_buf_size(HEAD_BYTES_MAX)
+            .build_http();
         ContractClient { addresses, http }
     }
 
@@ -176,7 +182,8 @@
         let exchange = async {
             let response = self.http.request(request).await?;
             let status = response.status();
-            let body = response.into_body().collect().await;
+            let body = Limited::new(response.into_body(), RESPONSE_BYTES_MAX);
+            let body = body.collect().await;
             Ok::<_, hyper_util::client::legacy::Error>((status, body))
         };
         let outcome = tokio::time::timeout(REQUEST_TIMEOUT, exchange).await;
--- a/crates/operator/tests/contract_api.rs
+++ b/crates/operator/tests/contract_api.rs
@@ -25,6 +25,10 @@
         atomic::{AtomicUsize, Ordering},
     },
 };
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
 
 const TEXT: &str = "customer = \"dansk\"\nrevision = 4\ncalls_per_second = 10\n\
     calls_in_flight = 5\nretries_per_request = 2\nremember_hours = 48\n";
@@ -193,3 +197,36 @@
         "{failed:?}"
     );
 }
+
+/// An operator's tool kept all that a faulty process sent, for as long as it waited for the end.
+#[rstest]
+#[case::head("HTTP/1.1 200 OK\r\nx-a: ", 64 << 10)]
+#[case::body("HTTP/1.1 200 OK\r\n\r\n", 64 << 20)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_without_an_end_is_read_up_to_its_limit(
+    #[case] start: &'static str,
+    #[case] bytes_max: usize,
+) {
+    /// Bytes that the two ends of a connection buffer, at most.
+    const SOCKET_BYTES: usize = 16 << 20;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let sending = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let _ = stream.read(&mut [0; 1024]).await;
+        let mut sent = stream.write_all(start.as_bytes()).await;
+        let mut bytes = 0;
+        while sent.is_ok() && bytes <= 4 * bytes_max + SOCKET_BYTES {
+            sent = stream.write_all(&[b'a'; 64 * 1024]).await;
+            bytes += 64 * 1024;
+        }
+        bytes
+    });
+    let fetched = ContractClient::new(Vec::new()).fetch_dump(addr).await;
+    assert!(
+        matches!(fetched, Err(ClientError::Unavailable(_))),
+        "{fetched:?}"
+    );
+    let bytes = sending.await.unwrap();
+    assert!(bytes <= bytes_max + SOCKET_BYTES, "{bytes} bytes");
+}
