--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -30,15 +30,17 @@
     Interrupted,
     /// It exceeds [`BodyLimits::size_max`].
     TooLarge,
+    /// Other bodies take up the memory for it.
+    NoRoom,
 }
 
-/// Reads `body`. A body of up to `limits.buffered_max` bytes for which `buffer` can be reserved is buffered; another
-/// one is returned as a stream that holds `guard` until it is dropped and fails once it exceeds `limits.size_max` or
-/// goes on past `limits.ends_at`. Without a `buffer`, nothing is reserved.
+/// Reads `body`. A body of up to `limits.buffered_max` bytes is buffered; a larger one is returned
+/// as a stream that holds `guard` until it is dropped and fails once it exceeds `limits.size_max` or goes
+/// on past `limits.ends_at`. What is buffered is reserved from `buffer`, if there is one.
 ///
 /// # Errors
 ///
-/// The body is interrupted or turns out too large before it is returned.
+/// The body is interrupted, turns out too large or finds no memory before it is returned.
 pub async fn read_body<B, G>(
     mut body: B,
     limits: BodyLimits,
@@ -67,11 +69,11 @@
         }
         let remaining = limits.size_max.checked_sub(start.len() as u64);
         let remaining = remaining.ok_or(BodyError::TooLarge)?;
-        let is_reserved = match &mut buffer {
-            Some(buffer) => buffer.try_hold(start.len()),
-            None => true,
-        };
-        if start.len() > limits.buffered_max || !is_reserved {
+        let reserved = buffer.as_mut().map(|buffer| buffer.try_hold(start.len()));
+        if reserved == Some(false) {
+            return Err(BodyError::NoRoom);
+        }
+        if start.len() > limits.buffered_max {
             return Ok(CallBody::stream(StartedBody {
                 start: Some(start.into()),
                 rest: TimedBody::new(body, limits.ends_at, counter!("agatehill_relay_bodies_cut")),
--- a/crates/relay/src/buffer_budget.rs
+++ b/crates/relay/src/buffer_budget.rs
@@ -53,7 +53,7 @@
         let needed = len.saturating_sub(UNRESERVED_BYTES);
         let more = needed.saturating_sub(self.bytes);
         if !self.budget.try_take(more) {
-            metrics::counter!("agatehill_relay_bodies_unbuffered").increment(1);
+            metrics::counter!("agatehill_relay_bodies_refused").increment(1);
             return false;
         }
         self.bytes += more;
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -177,6 +177,7 @@
         let body = match read {
             Ok(Ok(body)) => body,
             Ok(Err(BodyError::TooLarge)) => return Err(RelayError::BodyTooLarge),
+            Ok(Err(BodyError::NoRoom)) => return Err(unavailable(RETRY_AFTER_MIN)),
             Ok(Err(BodyError::Interrupted)) => return Err(RelayError::BadRequest),
             Err(_) => return Err(RelayError::BodyTimeout),
         };
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -2,7 +2,7 @@
 //! of other daemons forward to the backend server on this host.
 
 use crate::{
-    body::{BodyLimits, read_body},
+    body::{BodyError, BodyLimits, read_body},
     buffer_budget::BufferBudget,
     call::{BUFFERED_REQUEST_MAX, RequestCall},
     decision_log::DecisionLog,
@@ -86,7 +86,7 @@
 pub struct RequestEntry {
     pub(crate) options: EntryOptions,
     pub(crate) pool: ConnectionPool,
-    /// Memory for the bodies of requests in flight; beyond it they are passed on as they arrive, and can't be sent again.
+    /// Memory for the bodies of requests in flight.
     pub(crate) request_buffers: BufferBudget,
     pub(crate) quotas: AccountQuotas,
     pub(crate) table: ArcSwapOption<RouteTable>,
@@ -222,8 +222,10 @@
             ends_at: None,
         };
         let mut buffer = self.request_buffers.reservation();
-        let Ok(body) = read_body(body, limits, Some(&mut buffer), ()).await else {
-            return RelayError::BadRequest.response();
+        let body = match read_body(body, limits, Some(&mut buffer), ()).await {
+            Ok(body) => body,
+            Err(BodyError::NoRoom) => return refuse_forwarded(),
+            Err(_) => return RelayError::BadRequest.response(),
         };
         self.learn_strikes(&mut head.headers);
         let server = self.options.gate.server();
@@ -379,6 +381,14 @@
     }
 }
 
+/// Returns the response to a forwarded request whose body finds no memory.
+fn refuse_forwarded() -> Response<CallBody> {
+    let retry_after = RETRY_AFTER_MIN;
+    let mut response = RelayError::Unavailable { retry_after }.response();
+    HopOutcome::Refused.write(response.headers_mut());
+    response
+}
+
 /// Returns a copy of `req`; `None` if its body is streamed.
 fn try_clone(req: &Request<CallBody>) -> Option<Request<CallBody>> {
     let mut copy = Request::new(req.body().try_clone()?);
