--- a/review/stand-ins-2/bed.rs
+++ b/review/stand-ins-2/bed.rs
@@ -102,6 +102,8 @@
     net: u8,
     port: u16,
     machines: Vec<Machine>,
+    /// Core machines that may be lost at once: two of five or six, as on the users' sites.
+    tolerate: usize,
     children: HashMap<u8, Child>,
 }
 
@@ -130,6 +132,7 @@
             net: 0,
             port: 0,
             machines: core.chain(side).collect(),
+            tolerate: (usize::from(keepers) - 1) / 2,
             children: HashMap::new(),
         };
         deployment.find_ports(pid);
@@ -184,11 +187,15 @@
 
     fn settings(&self, machine: &Machine, is_first_start: bool) -> String {
         let idx = machine.idx;
-        let core: Vec<_> = self.machines.iter().filter(|m| m.service.is_none()).collect();
+        let core = self.machines.iter().filter(|m| m.service.is_none() && m.idx != idx);
+        let core: Vec<_> = if is_first_start {
+            self.machines.iter().filter(|m| m.service.is_none()).collect()
+        } else {
+            core.filter(|m| self.children.contains_key(&m.idx)).collect()
+        };
         let seeds = core.iter().take(3).map(|m| format!("\"{}\"", self.control(m.idx)));
         let seeds: Vec<_> = seeds.collect();
-        // With five keepers or more, two may be lost, as on the users' sites.
-        let tolerate = (core.len() - 1) / 2;
+        let tolerate = self.tolerate;
         let (class, listen, data, service) = match &machine.service {
             Some(service) => (
                 "sidecar",
@@ -264,6 +271,26 @@
         self.children.get_mut(&idx)?.try_wait().ok()?
     }
 
+    /// Removes the core machine `idx` for good: its process is killed, and nothing listens at its address again.
+    pub fn remove(&mut self, idx: u8) {
+        self.kill(idx);
+        self.children.remove(&idx);
+        self.machines.retain(|machine| machine.idx != idx);
+        self.record.line(&format!("machine={idx} is gone for good"));
+    }
+
+    /// Adds a core machine with an empty disk, at an address that nobody has had.
+    pub fn add_core(&mut self, idx: u8) {
+        self.machines.push(Machine { idx, service: None });
+        self.start_process(idx, false);
+    }
+
+    /// Empties the disk of machine `idx`, whose process has ended.
+    pub fn lose_disk(&mut self, idx: u8) {
+        self.record.line(&format!("machine={idx} loses its disk"));
+        fs::remove_dir_all(self.dir.join(format!("data-{idx}"))).expect("the data folder is there");
+    }
+
     /// Returns the memory that the process of machine `idx` uses, in MB; 0 if it has ended.
     pub fn memory_mb(&self, idx: u8) -> u64 {
         let pid = self.children[&idx].id();
