Keep the headers of the system though a caller lists them in Connection

Cause: the entry set the account's name and removed the listed headers after it; any name could be listed, in requests of callers and in answers of servers, whose seal was taken off in the same way. Two functions did this, one for each path.

Change: one strip_hop_by_hop, in crates/peer, which keeps the protocol's names, agatehill's own and those of published standards that every recipient needs; the entry calls it before it sets anything. Trailers of streamed bodies are dropped like those of buffered ones.

It works because no name of the system can be in the list that is acted on, whatever the order.

--- a/crates/backend/src/at_most_once/response.rs
+++ b/crates/backend/src/at_most_once/response.rs
@@ -1,7 +1,7 @@
 //! Reads request prefixes and responses, and converts responses from and to their stored form.
 
 use agatehill_decide::claim::{STORED_RESPONSE_BYTES_MAX, StoredBody, StoredResponse};
-use agatehill_peer::{body::CallBody, headers::strip_hop_by_hop};
+use agatehill_peer::{body::CallBody, headers::strip_call_headers};
 use bytes::{Bytes, BytesMut};
 use futures_util::{StreamExt, stream};
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header::CONTENT_LENGTH};
@@ -42,7 +42,7 @@
     response: Response<CallBody>,
 ) -> io::Result<(Response<CallBody>, StoredResponse)> {
     let (mut parts, body) = response.into_parts();
-    strip_hop_by_hop(&mut parts.headers);
+    strip_call_headers(&mut parts.headers);
     let limit = usize::try_from(STORED_RESPONSE_BYTES_MAX).unwrap_or(usize::MAX);
     let (prefix, body) = read_prefix(body, limit).await?;
     let stored_body = match &body {
--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -26,7 +26,7 @@
         ATTEMPT_STATUS_HEADER, FailureKind, ForwardHead, ForwardHeaderError, ForwardReport,
         attempt_status_value, queried_attempt,
     },
-    headers::strip_hop_by_hop,
+    headers::strip_call_headers,
 };
 use gotham::helpers::http::Body;
 use http::{HeaderMap, Method, Request, Response};
@@ -135,7 +135,7 @@
         req: Request<Body>,
     ) -> Result<GateResponse, CallProblem> {
         let (mut parts, body) = req.into_parts();
-        strip_hop_by_hop(&mut parts.headers);
+        strip_call_headers(&mut parts.headers);
         let body = self.read_body(body).await?;
         let req = Request::from_parts(parts, body);
         if head.server.is_some() {
--- a/crates/caller/src/message.rs
+++ b/crates/caller/src/message.rs
@@ -10,7 +10,7 @@
 use agatehill_backend::{
     attempt_tracker::AttemptGuard, gate::GateResponse, guarded_body::GuardedBody,
 };
-use agatehill_peer::{body::CallBody, forward::REPORT_HEADER, headers::strip_hop_by_hop};
+use agatehill_peer::{body::CallBody, forward::REPORT_HEADER, headers::strip_call_headers};
 use gotham::helpers::http::Body;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
@@ -31,7 +31,7 @@
     call: &ActiveCall,
     body: CallBody,
 ) -> Result<Request<CallBody>, CallProblem> {
-    strip_hop_by_hop(&mut headers);
+    strip_call_headers(&mut headers);
     let span = rand::random::<u64>();
     headers
         .entry(TRACE_HEADER)
@@ -68,7 +68,7 @@
         return Err(CallProblem::from_report(kind, &gate_response.report));
     }
     let mut response = gate_response.response;
-    strip_hop_by_hop(response.headers_mut());
+    strip_call_headers(response.headers_mut());
     let outcome = HeaderValue::from_static(gate_response.report.outcome.as_str());
     response.headers_mut().insert(OUTCOME_HEADER, outcome);
     Ok(response)
@@ -83,7 +83,7 @@
         report,
         mut response,
     } = gate_response;
-    strip_hop_by_hop(response.headers_mut());
+    strip_call_headers(response.headers_mut());
     if report.failure.is_some() {
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     }
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -109,10 +109,14 @@
         if let Some(start) = self.start.take() {
             return Poll::Ready(Some(Ok(Frame::data(start))));
         }
-        let frame = match ready!(Pin::new(&mut self.rest).poll_frame(cx)) {
-            None => return Poll::Ready(None),
-            Some(Err(error)) => return Poll::Ready(Some(Err(error))),
-            Some(Ok(frame)) => frame,
+        let frame = loop {
+            match ready!(Pin::new(&mut self.rest).poll_frame(cx)) {
+                None => return Poll::Ready(None),
+                Some(Err(error)) => return Poll::Ready(Some(Err(error))),
+                // As of a buffered body: they could hold headers that the system sets.
+                Some(Ok(frame)) if frame.is_trailers() => {}
+                Some(Ok(frame)) => break frame,
+            }
         };
         let len = frame.data_ref().map_or(0, Bytes::len) as u64;
         match self.remaining.checked_sub(len) {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -14,7 +14,7 @@
     decision_log::{EntryDecision, request_id},
     entry::RequestEntry,
     error::RelayError,
-    headers::{head_bytes, parse_millis, strip_hop_by_hop},
+    headers::{head_bytes, parse_millis},
     notice::NOTICE,
     quota::QUOTA,
 };
@@ -134,6 +134,7 @@
         if head_bytes(&self.head) > table.config().limits.head_bytes_max {
             return Err(RelayError::HeadTooLarge);
         }
+        self.strip_headers();
         let rule = find_rule(&table, &self.head).ok_or(RelayError::NoRoute)?;
         let route = route_key(rule);
         self.identify(&table, rule, route)?;
@@ -145,11 +146,6 @@
         self.target = Some(target.clone());
         let response_limit = self.time_limit.saturating_sub(RESPONSE_RESERVE);
         self.time_limit = response_limit.min(rule.timeout + TIMEOUT_GRACE);
-        strip_hop_by_hop(&mut self.head.headers);
-        // Only daemons send these.
-        self.head.headers.remove(CRASH_REPORT_HEADER);
-        self.head.headers.remove(NOTICE);
-        self.head.headers.remove(QUOTA);
         let limits = BodyLimits {
             buffered_max: BUFFERED_REQUEST_MAX,
             size_max: table.config().limits.body_bytes_max,
@@ -180,6 +176,16 @@
         }
     }
 
+    /// Removes the headers that concern the caller's connection only, and those that only daemons send. Comes before
+    /// any header is set.
+    fn strip_headers(&mut self) {
+        let headers = &mut self.head.headers;
+        self.entry.options.names.strip_hop_by_hop(headers);
+        headers.remove(CRASH_REPORT_HEADER);
+        headers.remove(NOTICE);
+        headers.remove(QUOTA);
+    }
+
     fn remaining(&self) -> Duration {
         let end = self.started + self.time_limit;
         end.since(self.entry.options.clock.now())
--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -134,6 +134,7 @@
         let Ok((mut head, body)) = response.read((), None).await else {
             return GateResult::lost("answer-broken");
         };
+        self.options.names.strip_hop_by_hop(&mut head.headers);
         if head.headers.remove(HOLDS).is_some() {
             self.lock().holding_gates.insert(gate);
         }
--- a/crates/relay/src/gate/exchange.rs
+++ b/crates/relay/src/gate/exchange.rs
@@ -120,13 +120,14 @@
         // The server was told this deadline; what it still sends afterwards need not be an answer.
         let ends_at = Instant::now() + remaining + BODY_GRACE;
         let read = response.read(slot, Some(ends_at));
-        let (head, body) = match timeout(remaining, read).await {
+        let (mut head, body) = match timeout(remaining, read).await {
             Ok(Ok(read)) => read,
             Ok(Err(_)) => return self.end_lost(heartbeat, quarantine, "answer-broken").await,
             Err(_) => return GateResult::lost("answer-broken"),
         };
         // Of a streamed body the first part has arrived: the request has not crashed the server.
         quarantine.record_answer();
+        self.names.strip_hop_by_hop(&mut head.headers);
         GateResult {
             reason: "answered",
             outcome: HopOutcome::Answered,
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -2,14 +2,8 @@
 //! and filtering headers.
 
 use agatehill_decide::time::span_from_seconds;
-use http::{
-    HeaderMap, HeaderName, HeaderValue,
-    header::{
-        CONNECTION, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING,
-        UPGRADE,
-    },
-    request::Parts,
-};
+use agatehill_peer::headers;
+use http::{HeaderMap, HeaderName, HeaderValue, request::Parts};
 use std::time::Duration;
 
 /// Header names of the protocol between callers, daemons and backend servers.
@@ -35,34 +29,24 @@
     pub server_leaving: HeaderName,
 }
 
-// Hop-by-hop headers that the http crate has no names for.
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
-
-/// Removes the hop-by-hop headers, including those that `Connection` lists.
-pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let listed: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in listed {
-        headers.remove(name);
+impl HeaderNames {
+    /// Removes the hop-by-hop headers, including those that `Connection` lists, but none of the protocol's.
+    pub(crate) fn strip_hop_by_hop(&self, headers: &mut HeaderMap) {
+        headers::strip_hop_by_hop(headers, &self.all());
     }
-    for name in [
-        CONNECTION,
-        KEEP_ALIVE,
-        PROXY_AUTHENTICATE,
-        PROXY_AUTHORIZATION,
-        PROXY_CONNECTION,
-        TE,
-        TRAILER,
-        TRANSFER_ENCODING,
-        UPGRADE,
-    ] {
-        headers.remove(name);
+
+    fn all(&self) -> [&HeaderName; 9] {
+        [
+            &self.request_id,
+            &self.deadline_ms,
+            &self.account,
+            &self.caller_service,
+            &self.expected_server,
+            &self.response_seal,
+            &self.not_executed,
+            &self.server_limit,
+            &self.server_leaving,
+        ]
     }
 }
 
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,10 +1,7 @@
 //! Pool of HTTP/1.1 connections. Each carries one request at a time and is closed after any error
 //! in a response.
 
-use crate::{
-    body::{BodyLimits, read_body},
-    headers::strip_hop_by_hop,
-};
+use crate::body::{BodyLimits, read_body};
 use agatehill_peer::body::CallBody;
 use bytes::Bytes;
 use http::{Request, header::CONTENT_LENGTH, response::Parts};
@@ -209,7 +206,7 @@
 
 impl PooledResponse {
     /// Reads the body into memory if it is small, else returns it as a stream that holds `guard`
-    /// until it is dropped and fails at `ends_at`. Removes the hop-by-hop headers from the head.
+    /// until it is dropped and fails at `ends_at`. The head keeps its hop-by-hop headers.
     ///
     /// # Errors
     ///
@@ -230,7 +227,6 @@
         };
         let read = read_body(body, limits, None, guard).await;
         let body = read.map_err(|_| SendError::Lost)?;
-        strip_hop_by_hop(&mut head.headers);
         if matches!(body, CallBody::Buffered(_)) {
             // The buffered body states its own length.
             head.headers.remove(CONTENT_LENGTH);
--- a/crates/relay/tests/faults/server_faults.rs
+++ b/crates/relay/tests/faults/server_faults.rs
@@ -45,6 +45,7 @@
 #[case::unsealed(ServerBehavior::Unsealed, 502, 1)]
 #[case::encoded(ServerBehavior::Encoded, 502, 1)]
 #[case::extra_response(ServerBehavior::ExtraResponse, 200, 1)]
+#[case::lists_headers(ServerBehavior::ListsHeaders, 200, 1)]
 #[case::unframed(ServerBehavior::Unframed, 200, 1)]
 #[case::unframed_reset(ServerBehavior::UnframedReset, 502, 1)]
 #[case::no_status(ServerBehavior::NoStatus, 502, 1)]
@@ -74,6 +75,11 @@
         header(&response.head, "retry-after").is_some(),
         status == 503
     );
+    assert_eq!(
+        header(&response.head, "x-own"),
+        None,
+        "it is for the daemon only"
+    );
     // No leftover bytes of the connection reach the next request.
     daemon.server.set_behavior(ServerBehavior::Respond);
     let next = send_request(&daemon, line, "r-2").await;
--- a/crates/relay/tests/faults/support/server.rs
+++ b/crates/relay/tests/faults/support/server.rs
@@ -64,6 +64,8 @@
     Silent,
     /// Rejects it before it reads the body.
     RejectEarly,
+    /// Runs it, and lists in `Connection` the headers by which its response is known.
+    ListsHeaders,
     /// Runs it and sends bytes without end until the connection closes.
     Endless(EndlessBytes),
 }
@@ -297,6 +299,11 @@
         ServerBehavior::ForeignId => complete("another", "200 OK", ""),
         ServerBehavior::Unsealed => complete(id, "200 OK", "").replace("x-seal", "x-other"),
         ServerBehavior::Encoded => complete(id, "200 OK", "content-encoding: gzip\r\n"),
+        ServerBehavior::ListsHeaders => complete(
+            id,
+            "200 OK",
+            "connection: x-seal, x-id, content-length, x-own\r\nx-own: 1\r\n",
+        ),
         ServerBehavior::ExtraResponse => complete(id, "200 OK", "") + &complete(id, "200 OK", ""),
         ServerBehavior::Unframed | ServerBehavior::UnframedReset => {
             format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s-{id}\r\n\r\nhello")
