--- a/bin/daemon/src/cmd/serve.rs
+++ b/bin/daemon/src/cmd/serve.rs
@@ -4,7 +4,9 @@
 //! `ready caller=ADDR forward=ADDR announce=ADDR operator=ADDR`.
 //! Exits with 0 after a graceful stop and with 1 when it can't start.
 
-use crate::{dump::DaemonDump, feed::ContractFeed, route_updater::RouteUpdater};
+use crate::{
+    budget::DaemonBudget, dump::DaemonDump, feed::ContractFeed, route_updater::RouteUpdater,
+};
 use agatehill_backend::{
     announce,
     at_most_once::{ClaimRunner, KeeperClaims},
@@ -28,7 +30,9 @@
     forward_client::ForwardClient, gossip::PeerSnapshot, keeper_client::KeeperClient,
 };
 use agatehill_process::{
+    budget::ListenerBudget,
     clock::MonoClock,
+    connection::SharedLimits,
     drain::DrainSignal,
     health::{self, ReadyFlag},
     serve::HttpServer,
@@ -82,13 +86,23 @@
     let drain = DrainSignal::open().wrap_err("cannot listen for signals")?;
     let ready = ReadyFlag::default();
     let keepers = KeeperClient::open(settings.keepers.clone());
-    let entry = Arc::new(open_entry(&settings, &keepers, clock));
+    let budget = DaemonBudget::open(&settings.limits);
+    let entry = Arc::new(open_entry(&settings, &keepers, clock, &budget));
     let forward = bind_forward(&settings, &entry).await?;
     let feed = ContractFeed::open(keepers, entry.contracts.clone());
-    let updater = join(&settings, &entry, forward.local_addr(), &feed).await?;
+    let updater = join(
+        &settings,
+        &entry,
+        forward.local_addr(),
+        &feed,
+        budget.control,
+    )
+    .await?;
     let dump = DaemonDump::new(&settings, entry.clone(), updater.subscribe());
-    let health = (ready.clone(), drain.clone());
-    let listeners = bind(&settings, &entry, forward, dump, health).await?;
+    let operators = operator_router(dump, ready.clone(), drain.clone());
+    let budgets = (budget.servers, budget.operators);
+    let listeners = bind(&settings, &entry, forward, operators, budgets).await?;
+    tokio::spawn(budget.all.report());
 
     let quarantine = entry.runner.gate.quarantine().clone();
     tokio::spawn(follow_peers(updater.subscribe(), quarantine));
@@ -125,7 +139,12 @@
     Ok(())
 }
 
-fn open_entry(settings: &DaemonSettings, keepers: &KeeperClient, clock: MonoClock) -> CallEntry {
+fn open_entry(
+    settings: &DaemonSettings,
+    keepers: &KeeperClient,
+    clock: MonoClock,
+    budget: &DaemonBudget,
+) -> CallEntry {
     let store = KeeperClaims::open(keepers.clone());
     let incarnation = incarnation();
     let claims = ClaimRunner::open(store, settings.name.clone(), incarnation);
@@ -153,6 +172,8 @@
         ))),
         levels: EntryLevels::default(),
         body_bytes_max: settings.limits.body_bytes_max,
+        callers: budget.callers.clone(),
+        daemons: budget.daemons.clone(),
     }
 }
 
@@ -161,7 +182,8 @@
     entry: &Arc<CallEntry>,
 ) -> eyre::Result<HttpServer> {
     let addr = settings.listen.forward;
-    HttpServer::bind(addr, forward_handler(entry.clone()))
+    let (handler, budget) = (forward_handler(entry.clone()), entry.daemons.clone());
+    HttpServer::bind_within(addr, handler, SharedLimits::default(), budget)
         .await
         .wrap_err_with(|| format!("cannot bind listen.forward {addr}"))
 }
@@ -171,19 +193,22 @@
     entry: &CallEntry,
     forward: SocketAddr,
     feed: &ContractFeed,
+    budget: ListenerBudget,
 ) -> eyre::Result<RouteUpdater> {
     let runner = &entry.runner;
     let (registry, routes) = (runner.gate.registry(), runner.routes.clone());
     let listen = settings.listen;
     let (contracts, clock) = (feed.subscribe(), runner.gate.clock());
-    RouteUpdater::bind(settings, registry, routes, forward, contracts, clock)
-        .await
-        .wrap_err_with(|| {
-            format!(
-                "cannot bind listen.gossip {} or listen.control {}",
-                listen.gossip, listen.control
-            )
-        })
+    RouteUpdater::bind(
+        settings, registry, routes, forward, contracts, clock, budget,
+    )
+    .await
+    .wrap_err_with(|| {
+        format!(
+            "cannot bind listen.gossip {} or listen.control {}",
+            listen.gossip, listen.control
+        )
+    })
 }
 
 /// Keeps the quarantine monitor's list of peers up to date.
@@ -211,24 +236,23 @@
     settings: &DaemonSettings,
     entry: &Arc<CallEntry>,
     forward: HttpServer,
-    dump: DaemonDump,
-    (ready, drain): (ReadyFlag, DrainSignal),
+    operators: Router,
+    (server_budget, operator_budget): (ListenerBudget, ListenerBudget),
 ) -> eyre::Result<DaemonListeners> {
     let listen = settings.listen;
     let gate = &entry.runner.gate;
     let announce = announce::router(gate.registry().clone());
-    let operator = operator_router(dump, ready, drain);
     let callers = caller_router(entry.clone());
-    let connections_max = settings.limits.connections_max;
+    let (limits, budget) = (SharedLimits::default(), entry.callers.clone());
     Ok(DaemonListeners {
-        caller: HttpServer::bind_with_connection_limit(listen.caller, callers, connections_max)
+        caller: HttpServer::bind_within(listen.caller, callers, limits.clone(), budget)
             .await
             .wrap_err_with(|| format!("cannot bind listen.caller {}", listen.caller))?,
         forward,
-        announce: HttpServer::bind(listen.announce, announce)
+        announce: HttpServer::bind_within(listen.announce, announce, limits.clone(), server_budget)
             .await
             .wrap_err_with(|| format!("cannot bind listen.announce {}", listen.announce))?,
-        operator: HttpServer::bind(listen.operator, operator)
+        operator: HttpServer::bind_within(listen.operator, operators, limits, operator_budget)
             .await
             .wrap_err_with(|| format!("cannot bind listen.operator {}", listen.operator))?,
     })
--- a/bin/daemon/src/main.rs
+++ b/bin/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! The daemon, which runs on every backend server host.
 
+mod budget;
 mod cmd;
 mod dump;
 mod feed;
--- a/bin/daemon/src/route_updater.rs
+++ b/bin/daemon/src/route_updater.rs
@@ -15,7 +15,7 @@
     gossip::{GossipHandle, GossipSettings, PeerSnapshot, PeerZone},
     keeper::FeedPage,
 };
-use agatehill_process::clock::MonoClock;
+use agatehill_process::{budget::ListenerBudget, clock::MonoClock};
 use std::{
     collections::HashSet,
     io,
@@ -41,7 +41,7 @@
 
 impl RouteUpdater {
     /// Joins the zone as a daemon that accepts forwarded calls at `forward`, and spawns the task
-    /// that updates `routes`.
+    /// that updates `routes`. Other daemons may hold what `budget` allows.
     ///
     /// # Errors
     ///
@@ -53,9 +53,10 @@
         forward: SocketAddr,
         contracts: watch::Receiver<Arc<FeedPage>>,
         clock: MonoClock,
+        budget: ListenerBudget,
     ) -> io::Result<RouteUpdater> {
-        let gossip =
-            Arc::new(GossipHandle::bind(gossip_settings(settings, forward, contracts)).await?);
+        let gossip_settings = gossip_settings(settings, forward, contracts);
+        let gossip = Arc::new(GossipHandle::bind(gossip_settings, budget).await?);
         let (leaving, is_leaving) = watch::channel(false);
         let task = UpdateTask {
             host: LocalHost {
--- a/bin/keeper/src/cmd/serve.rs
+++ b/bin/keeper/src/cmd/serve.rs
@@ -5,6 +5,7 @@
 use agatehill_operator::{contracts::contract_routes, inspect::inspect_routes};
 use agatehill_peer::keeper::KeeperServer;
 use agatehill_process::{
+    connection::SharedLimits,
     drain::DrainSignal,
     health::{self, ReadyFlag},
     serve::HttpServer,
@@ -35,14 +36,16 @@
     let ready = ReadyFlag::default();
     let hub = KeeperHub::open(&settings)?;
     let addr = settings.listen.peer;
-    let peer = KeeperServer::bind(addr, hub.clone())
+    let peer = KeeperServer::bind(addr, hub.clone(), hub.budget().peers.clone())
         .await
         .wrap_err_with(|| format!("cannot listen on peer address {addr}"))?;
     let addr = settings.listen.operator;
     let router = operator_router(hub.clone(), ready.clone(), drain.clone());
-    let operator = HttpServer::bind(addr, router)
+    let budget = hub.budget().operators.clone();
+    let operator = HttpServer::bind_within(addr, router, SharedLimits::default(), budget)
         .await
         .wrap_err_with(|| format!("cannot listen on operator address {addr}"))?;
+    tokio::spawn(hub.budget().all.clone().report());
     ready.set(true);
     println!(
         "ready operator={} peer={}",
--- a/bin/keeper/src/hub.rs
+++ b/bin/keeper/src/hub.rs
@@ -1,5 +1,6 @@
 //! The groups of a keeper, and the forwarding of commands to their leaders.
 
+use crate::budget::KeeperBudget;
 use agatehill_config::KeeperSettings;
 use agatehill_decide::{
     claim::{ClaimCommand, ClaimReply, ClaimTable},
@@ -52,6 +53,7 @@
 
 struct HubShared {
     settings: KeeperSettings,
+    budget: KeeperBudget,
     _folder: DataFolder,
     links: HashMap<KeeperName, Arc<KeeperLink>>,
     contracts: GroupHandle<ContractHistory>,
@@ -89,6 +91,7 @@
         Ok(KeeperHub {
             shared: Arc::new(HubShared {
                 settings: settings.clone(),
+                budget: KeeperBudget::open(&settings.limits),
                 contracts,
                 claims: claims?,
                 _folder: folder,
@@ -121,6 +124,11 @@
         &self.shared.settings
     }
 
+    /// Returns what the clients of the keeper may hold.
+    pub(crate) fn budget(&self) -> &KeeperBudget {
+        &self.shared.budget
+    }
+
     /// Returns the claim groups.
     pub(crate) fn claims(&self) -> &[GroupHandle<ClaimTable>] {
         &self.shared.claims
--- a/bin/keeper/src/main.rs
+++ b/bin/keeper/src/main.rs
@@ -1,5 +1,6 @@
 //! The keeper: stores agatehill's replicated state on hosts with a disk.
 
+mod budget;
 mod cmd;
 mod hub;
 mod service;
--- a/bin/keeper/src/service.rs
+++ b/bin/keeper/src/service.rs
@@ -12,6 +12,7 @@
     inspect::StateDump,
 };
 use agatehill_peer::keeper::{FeedPage, KeeperError, KeeperService};
+use agatehill_process::budget::ListenerBudget;
 use agatehill_replica::group::GroupHandle;
 use serde::{Serialize, de::DeserializeOwned};
 use serde_json::json;
@@ -102,6 +103,10 @@
 }
 
 impl ContractService for KeeperHub {
+    fn budget(&self) -> &ListenerBudget {
+        &KeeperHub::budget(self).operators
+    }
+
     async fn put(&self, customer: CustomerName, text: String) -> Result<ContractReply, PutError> {
         let put = self.put_contract(customer, text).await;
         put.map_err(|error| match error {
--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -20,7 +20,7 @@
     time::MonoTime,
 };
 use agatehill_peer::{
-    body::CallBody,
+    body::{BUFFERED_BODY_BYTES_MAX, CallBody},
     crash_report::{CRASH_REPORT_HEADER, crash_report_value, crash_reports},
     forward::{
         ATTEMPT_STATUS_HEADER, FailureKind, ForwardHead, ForwardHeaderError, ForwardReport,
@@ -28,6 +28,7 @@
     },
     headers::strip_call_headers,
 };
+use agatehill_process::budget::{ClientUsage, ListenerBudget};
 use gotham::helpers::http::Body;
 use http::{HeaderMap, Method, Request, Response};
 use metrics::counter;
@@ -37,6 +38,9 @@
 /// Retry-after, before jitter, of a request that is shed at the entry.
 const SHED_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
+/// Memory of a request body, in bytes: of a small one, or of the part of a large one that is being passed on.
+const BODY_BYTES: usize = 2 * BUFFERED_BODY_BYTES_MAX as usize;
+
 /// Largest number of times that a call is sent to another server because the chosen one is gone or
 /// leaving; these are
 /// not retries.
@@ -57,6 +61,10 @@
     pub levels: EntryLevels,
     /// Largest request body, in bytes.
     pub body_bytes_max: u64,
+    /// What callers may hold.
+    pub callers: ListenerBudget,
+    /// What other daemons may hold.
+    pub daemons: ListenerBudget,
 }
 
 impl CallEntry {
@@ -106,7 +114,7 @@
         let (parts, body) = req.into_parts();
         let head = CallerRequest::parse(&parts.uri, &parts.headers)?;
         let call = self.start_call(&head, &parts.method)?;
-        let body = self.read_body(body).await?;
+        let (body, _usage) = self.read_body(body, &self.callers).await?;
         let class = call.priority.class();
         let req = backend_request(parts.method, &head.target, parts.headers, &call, body)?;
         let operation = call.operation;
@@ -136,7 +144,7 @@
     ) -> Result<GateResponse, CallProblem> {
         let (mut parts, body) = req.into_parts();
         strip_call_headers(&mut parts.headers);
-        let body = self.read_body(body).await?;
+        let (body, _usage) = self.read_body(body, &self.daemons).await?;
         let req = Request::from_parts(parts, body);
         if head.server.is_some() {
             return Ok(self.runner.gate.run(head, req).await);
@@ -212,16 +220,31 @@
         counter.record(hash, head.attempt, now)
     }
 
-    async fn read_body(&self, body: Body) -> Result<CallBody, CallProblem> {
+    /// Reads a body that is small, which counts in `budget` as long as the returned usage is held; a large one is
+    /// streamed.
+    async fn read_body(
+        &self,
+        body: Body,
+        budget: &ListenerBudget,
+    ) -> Result<(CallBody, ClientUsage), CallProblem> {
         let limit = self.body_bytes_max;
         let is_too_large = http_body::Body::size_hint(&body).lower() > limit;
         if is_too_large {
             return Err(CallProblem::BodyTooLarge { limit });
         }
         let unreadable = |e: std::io::Error| CallProblem::Malformed(format!("body: {e}"));
-        CallBody::read(limited(body, limit))
-            .await
-            .map_err(unreadable)
+        let usage = budget.body();
+        if !usage.try_hold(BODY_BYTES) {
+            return Err(CallProblem::NoRoom);
+        }
+        let body = tokio::select! {
+            body = CallBody::read(limited(body, limit)) => body.map_err(unreadable)?,
+            () = usage.given_way() => return Err(CallProblem::NoRoom),
+        };
+        match usage.set_busy() {
+            true => Ok((body, usage)),
+            false => Err(CallProblem::NoRoom),
+        }
     }
 
     /// Makes attempts until one is answered or no further attempt is allowed.
--- a/crates/caller/src/problem.rs
+++ b/crates/caller/src/problem.rs
@@ -18,6 +18,9 @@
 /// Time after which the caller may retry, in milliseconds.
 pub const RETRY_AFTER_MS_HEADER: HeaderName = HeaderName::from_static("agatehill-retry-after-ms");
 
+/// Retry-after of a request whose body finds no memory.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+
 /// Why a caller gets no response from a backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CallProblem {
@@ -43,6 +46,8 @@
     Malformed(String),
     /// The request names no customer and belongs to no chain that does.
     CustomerMissing,
+    /// The body finds no memory, or gives way to other callers.
+    NoRoom,
     /// A backend server resent a child call and its chain has no retry left.
     RetriesSpent,
     /// No contract is in force for the customer.
@@ -90,6 +95,7 @@
             CallProblem::CustomerMissing | CallProblem::KeyMissing | CallProblem::Malformed(_) => {
                 StatusCode::BAD_REQUEST
             }
+            CallProblem::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
             CallProblem::UnknownCustomer(_) => StatusCode::FORBIDDEN,
             CallProblem::UnknownOperation { .. } => StatusCode::NOT_FOUND,
             CallProblem::Failed { kind, .. } => failure_status(*kind),
@@ -132,16 +138,24 @@
             HeaderValue::from_static("application/problem+json"),
         );
         headers.insert(OUTCOME_HEADER, HeaderValue::from_static(outcome.as_str()));
-        if let CallProblem::Failed { retry_after, .. } = self
-            && !retry_after.is_zero()
-        {
-            headers.insert(RETRY_AFTER, HeaderValue::from(whole_seconds(*retry_after)));
+        let retry_after = self.retry_after();
+        if !retry_after.is_zero() {
+            headers.insert(RETRY_AFTER, HeaderValue::from(whole_seconds(retry_after)));
             let millis = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
             headers.insert(RETRY_AFTER_MS_HEADER, HeaderValue::from(millis));
         }
         response
     }
 
+    /// Returns the time after which the caller may retry, zero if there is none to name.
+    fn retry_after(&self) -> Duration {
+        match self {
+            CallProblem::Failed { retry_after, .. } => *retry_after,
+            CallProblem::NoRoom => NO_ROOM_RETRY_AFTER,
+            _ => Duration::ZERO,
+        }
+    }
+
     fn body(&self, outcome: CallOutcome) -> ProblemBody {
         ProblemBody {
             kind: format!("urn:agatehill:problem:{}", self.slug()),
@@ -159,6 +173,7 @@
             CallProblem::CustomerMissing => "customer-missing",
             CallProblem::KeyMissing => "key-missing",
             CallProblem::Malformed(_) => "malformed",
+            CallProblem::NoRoom => "no-room",
             CallProblem::RetriesSpent => "retries-spent",
             CallProblem::UnknownCustomer(_) => "unknown-customer",
             CallProblem::UnknownOperation { .. } => "unknown-operation",
@@ -181,6 +196,9 @@
                 "header \"idempotency-key\" is missing and the operation is not idempotent",
             ),
             CallProblem::Malformed(reason) => f.write_str(reason),
+            CallProblem::NoRoom => {
+                f.write_str("other callers take up the daemon's memory; this request was not run")
+            }
             CallProblem::RetriesSpent => {
                 f.write_str("the retry budget of the call chain is spent; this resend was not run")
             }
--- a/crates/config/src/daemon.rs
+++ b/crates/config/src/daemon.rs
@@ -14,6 +14,9 @@
 /// Default of [`CallLimits::connections_max`].
 pub const DEFAULT_CONNECTIONS_MAX: usize = 4096;
 
+/// Default of [`CallLimits::client_memory_mb`], in MB.
+pub const DEFAULT_CLIENT_MEMORY_MB: u64 = 256;
+
 /// Settings of `agatehill-daemon`.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -75,6 +78,8 @@
     pub body_bytes_max: u64,
     /// Largest number of open connections from callers.
     pub connections_max: usize,
+    /// Memory for all that callers, servers, operators and other daemons hold together, in MB.
+    pub client_memory_mb: u64,
 }
 
 impl Default for CallLimits {
@@ -82,6 +87,7 @@
         CallLimits {
             body_bytes_max: DEFAULT_BODY_BYTES_MAX,
             connections_max: DEFAULT_CONNECTIONS_MAX,
+            client_memory_mb: DEFAULT_CLIENT_MEMORY_MB,
         }
     }
 }
@@ -164,6 +170,12 @@
                 "must be above 0",
             ));
         }
+        if self.client_memory_mb == 0 {
+            return Err(SettingsFault::new(
+                "limits.client_memory_mb",
+                "must be above 0",
+            ));
+        }
         Ok(())
     }
 }
--- a/crates/config/src/keeper.rs
+++ b/crates/config/src/keeper.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     LogSettings, SettingsCheck, SettingsFault,
+    daemon::{DEFAULT_CLIENT_MEMORY_MB, DEFAULT_CONNECTIONS_MAX},
     listen::{KeyedAddress, check_distinct, check_ports, check_reachable},
 };
 use agatehill_decide::name::{KeeperName, RegionName, ZoneName};
@@ -33,11 +34,51 @@
     /// All keepers of the installation, including this one.
     #[serde(rename = "keeper")]
     pub keepers: Vec<KeeperPeer>,
+    /// Limits on what others hold.
+    #[serde(default)]
+    pub limits: KeeperLimits,
     /// Its log.
     #[serde(default)]
     pub log: LogSettings,
 }
 
+/// Limits on what operators, daemons and other keepers hold at a keeper.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct KeeperLimits {
+    /// Largest number of open connections of daemons and other keepers.
+    pub connections_max: usize,
+    /// Memory for all that they and operators hold together, in MB.
+    pub client_memory_mb: u64,
+}
+
+impl Default for KeeperLimits {
+    fn default() -> KeeperLimits {
+        KeeperLimits {
+            connections_max: DEFAULT_CONNECTIONS_MAX,
+            client_memory_mb: DEFAULT_CLIENT_MEMORY_MB,
+        }
+    }
+}
+
+impl KeeperLimits {
+    fn check(&self) -> Result<(), SettingsFault> {
+        if self.connections_max == 0 {
+            return Err(SettingsFault::new(
+                "limits.connections_max",
+                "must be above 0",
+            ));
+        }
+        if self.client_memory_mb == 0 {
+            return Err(SettingsFault::new(
+                "limits.client_memory_mb",
+                "must be above 0",
+            ));
+        }
+        Ok(())
+    }
+}
+
 /// Addresses that a keeper listens on; port 0 selects any free port.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -78,6 +119,7 @@
         self.check_voters()?;
         self.check_self()?;
         self.check_peers()?;
+        self.limits.check()?;
         self.log.check()
     }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,7 +11,7 @@
 pub use self::{
     daemon::{CallLimits, DaemonListen, DaemonSettings, SeedAddress},
     error::SettingsError,
-    keeper::{KeeperListen, KeeperPeer, KeeperSettings},
+    keeper::{KeeperLimits, KeeperListen, KeeperPeer, KeeperSettings},
     kind::SettingsKind,
     log::LogSettings,
 };
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -19,7 +19,7 @@
     replica::{ReplicaEnvelope, ReplicaStatus},
 };
 use agatehill_peer::fleet::{FleetLink, FleetServer, KeeperRecord};
-use agatehill_process::clock::MonoClock;
+use agatehill_process::{budget::ListenerBudget, clock::MonoClock};
 use agatehill_replica::{
     group::GroupHandle,
     monitor::report_group,
@@ -74,17 +74,19 @@
 }
 
 impl FleetKeeper {
-    /// Opens the data folder, starts the replica and listens on the address.
+    /// Opens the data folder, starts the replica and listens on the address, where daemons and other keepers may hold what
+    /// `peers` allows.
     ///
     /// # Errors
     ///
     /// The data folder can't be used or the address can't be bound.
     pub async fn spawn(
         options: &KeeperOptions,
+        peers: ListenerBudget,
     ) -> Result<(FleetKeeper, FleetServer), KeeperOpenError> {
         let keeper = FleetKeeper::open(options)?;
         let addr = SocketAddr::new(options.host, options.port);
-        let server = FleetServer::bind(addr, keeper.clone()).await;
+        let server = FleetServer::bind(addr, keeper.clone(), peers).await;
         let server = server.map_err(|error| KeeperOpenError::Bind(addr, error))?;
         let group = keeper.shared.group.clone();
         tokio::spawn(report_group(CONFIG_GROUP, group));
--- a/crates/fleet/tests/crash_log.rs
+++ b/crates/fleet/tests/crash_log.rs
@@ -7,6 +7,7 @@
 };
 use agatehill_fleet::keeper::{FleetKeeper, KeeperOptions};
 use agatehill_peer::fleet::FleetService;
+use agatehill_process::budget::ListenerBudget;
 use std::{net::IpAddr, path::Path, time::Duration};
 
 /// Longest wait until strikes are saved.
@@ -42,7 +43,9 @@
 #[tokio::test]
 async fn strikes_that_arrive_as_the_keeper_starts_are_saved() {
     let dir = tempfile::tempdir().unwrap();
-    let (keeper, _server) = FleetKeeper::spawn(&options(dir.path())).await.unwrap();
+    let (keeper, _server) = FleetKeeper::spawn(&options(dir.path()), ListenerBudget::unlimited())
+        .await
+        .unwrap();
     keeper.share_crash_reports(vec![report()]).await;
     let file = dir.path().join("strikes");
     let saved = tokio::time::timeout(SAVE_TIMEOUT, async {
--- a/crates/fleet/tests/sync.rs
+++ b/crates/fleet/tests/sync.rs
@@ -17,7 +17,7 @@
     CommandError, FleetServer, FleetService, KeeperExchange, KeeperExchangeReply, KeeperRecord,
     SharedHosts, SyncReply, SyncRequest,
 };
-use agatehill_process::clock::MonoClock;
+use agatehill_process::{budget::ListenerBudget, clock::MonoClock};
 use std::{
     net::{IpAddr, SocketAddr, TcpListener},
     sync::{
@@ -203,7 +203,11 @@
     let mut listeners = Vec::new();
     for keeper in &keepers {
         let addr = SocketAddr::new(keeper.host, port);
-        listeners.push(FleetServer::bind(addr, keeper.clone()).await.unwrap());
+        listeners.push(
+            FleetServer::bind(addr, keeper.clone(), ListenerBudget::unlimited())
+                .await
+                .unwrap(),
+        );
     }
     let sent = || -> usize { keepers.iter().map(|k| k.sent.load(Ordering::SeqCst)).sum() };
     let replies = || -> usize {
--- a/crates/operator/src/contracts.rs
+++ b/crates/operator/src/contracts.rs
@@ -6,6 +6,7 @@
     contract_history::{AcceptedRevision, ContractReply},
     name::CustomerName,
 };
+use agatehill_process::budget::ListenerBudget;
 use gotham::{
     helpers::http::Body,
     pipeline::PipelineHandleChain,
@@ -26,6 +27,9 @@
 const NOT_CURRENT: &str =
     "this keeper is not in touch with the leader; send the request to another one";
 
+/// Detail of the response to a contract that finds no memory.
+const NO_ROOM: &str = "too many contracts are being received; nothing was proposed";
+
 /// One accepted revision of a contract.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RevisionReport {
@@ -95,6 +99,9 @@
         text: String,
     ) -> impl Future<Output = Result<ContractReply, PutError>> + Send;
 
+    /// Returns what operators may hold.
+    fn budget(&self) -> &ListenerBudget;
+
     /// Returns whether this keeper is in touch with the leader and so has the latest contracts.
     fn is_current(&self) -> bool;
 
@@ -170,7 +177,7 @@
 }
 
 async fn put_contract<S: ContractService>(service: S, mut state: State) -> (State, Response<Body>) {
-    let response = match read_put(&mut state).await {
+    let response = match read_put(&service, &mut state).await {
         Ok((customer, text)) => run_put(service, customer, text).await,
         Err(error) => error.into(),
     };
@@ -270,6 +277,13 @@
 }
 
 impl RequestError {
+    fn no_room() -> RequestError {
+        RequestError {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            detail: NO_ROOM.to_owned(),
+        }
+    }
+
     fn bad(detail: impl Into<String>) -> RequestError {
         RequestError {
             status: StatusCode::BAD_REQUEST,
@@ -280,6 +294,9 @@
 
 impl From<RequestError> for Response<Body> {
     fn from(error: RequestError) -> Response<Body> {
+        if error.status == StatusCode::SERVICE_UNAVAILABLE {
+            return retry_later(&error.detail);
+        }
         problem_response(error.status, error.detail)
     }
 }
@@ -290,10 +307,21 @@
     CustomerName::try_from(name).map_err(|e| RequestError::bad(e.to_string()))
 }
 
-async fn read_put(state: &mut State) -> Result<(CustomerName, String), RequestError> {
+async fn read_put<S: ContractService>(
+    service: &S,
+    state: &mut State,
+) -> Result<(CustomerName, String), RequestError> {
     let customer = path_customer(state)?;
+    let usage = service.budget().body();
+    if !usage.try_hold(CONTRACT_BYTES_MAX) {
+        return Err(RequestError::no_room());
+    }
     let body = Limited::new(Body::take_from(state), CONTRACT_BYTES_MAX);
-    let body = body.collect().await.map_err(|e| {
+    let collected = tokio::select! {
+        collected = body.collect() => collected,
+        () = usage.given_way() => return Err(RequestError::no_room()),
+    };
+    let body = collected.map_err(|e| {
         if !e.is::<http_body_util::LengthLimitError>() {
             return RequestError::bad(format!("the body is incomplete: {e}"));
         }
--- a/crates/operator/tests/contract_api.rs
+++ b/crates/operator/tests/contract_api.rs
@@ -11,7 +11,7 @@
         contract_routes, parse_contract,
     },
 };
-use agatehill_process::serve::HttpServer;
+use agatehill_process::{budget::ListenerBudget, serve::HttpServer};
 use agatehill_tests::raw_server::{spawn_resetting_server, spawn_server_with_status};
 use bytes::Bytes;
 use gotham::router::build_simple_router;
@@ -43,6 +43,7 @@
     outcome: Result<ContractReply, PutError>,
     is_current: bool,
     proposed: Arc<AtomicUsize>,
+    budget: ListenerBudget,
 }
 
 impl FakeKeeper {
@@ -51,6 +52,7 @@
             outcome,
             is_current: true,
             proposed: Arc::default(),
+            budget: ListenerBudget::unlimited(),
         }
     }
 }
@@ -70,6 +72,10 @@
         self.outcome.clone()
     }
 
+    fn budget(&self) -> &ListenerBudget {
+        &self.budget
+    }
+
     fn is_current(&self) -> bool {
         self.is_current
     }
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -9,6 +9,9 @@
 /// Largest message, in bytes.
 pub const MESSAGE_BYTES_MAX: usize = 16 << 20;
 
+/// Size of the length before each message, in bytes.
+pub(crate) const FRAME_HEADER_BYTES: usize = 4;
+
 /// Encodes and decodes messages as postcard.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PostcardCodec;
@@ -44,6 +47,7 @@
 /// Returns the codec that frames tarpc messages on a byte stream by a length prefix.
 pub fn message_framing() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
+        .length_field_length(FRAME_HEADER_BYTES)
         .max_frame_length(MESSAGE_BYTES_MAX)
         .new_codec()
 }
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -4,13 +4,15 @@
     codec::{PostcardCodec, message_framing},
     dial::dial,
     keeper::FeedPage,
-    link::postcard_transport,
+    link::served_transport,
     listener::{PeerListener, run_calls},
+    metered_stream::MeteredStream,
 };
 use agatehill_decide::{
     digest::{DigestReply, DigestRequest},
     member::MemberExchange,
 };
+use agatehill_process::budget::ListenerBudget;
 use parking_lot::Mutex;
 use std::{
     collections::HashMap,
@@ -96,7 +98,7 @@
 }
 
 impl ControlServer {
-    /// Serves `service` on `listener`.
+    /// Serves `service` on `listener` within `budget`.
     ///
     /// # Errors
     ///
@@ -104,8 +106,11 @@
     pub fn spawn<S: ControlService>(
         listener: TcpListener,
         service: S,
+        budget: ListenerBudget,
     ) -> io::Result<ControlServer> {
-        let listener = PeerListener::spawn(listener, move |stream| serve(stream, service.clone()))?;
+        let listener = PeerListener::spawn(listener, budget, move |stream| {
+            serve(stream, service.clone())
+        })?;
         Ok(ControlServer { listener })
     }
 
@@ -115,11 +120,12 @@
     }
 }
 
-async fn serve<S: ControlService>(stream: TcpStream, service: S) {
-    let transport = postcard_transport::<
+async fn serve<S: ControlService>(stream: MeteredStream, service: S) {
+    let transport = served_transport::<
         tarpc::ClientMessage<PeerControlRequest>,
         tarpc::Response<PeerControlResponse>,
-    >(stream);
+        _,
+    >(stream, PostcardCodec);
     let channel = BaseChannel::with_defaults(transport);
     run_calls(
         channel.execute(ControlAdapter(service).serve()),
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -6,8 +6,9 @@
 mod first_format;
 
 use crate::{
-    link::{LinkClient, MessageFormat, PeerLink, RunningClient, codec_transport},
+    link::{LinkClient, MessageFormat, PeerLink, RunningClient, codec_transport, served_transport},
     listener::{PeerListener, run_calls},
+    metered_stream::MeteredStream,
 };
 use agatehill_decide::{
     config_history::{AcceptedConfig, ConfigCommand, ConfigReply},
@@ -16,6 +17,7 @@
     quarantine::CrashReport,
     replica::ReplicaEnvelope,
 };
+use agatehill_process::budget::ListenerBudget;
 use serde::{Deserialize, Serialize};
 use std::{future::Future, io, net::SocketAddr, time::Duration};
 use tarpc::{
@@ -265,14 +267,20 @@
 }
 
 impl FleetServer {
-    /// Serves `service` on `addr`.
+    /// Serves `service` on `addr` within `budget`.
     ///
     /// # Errors
     ///
     /// Fails if the address can't be bound.
-    pub async fn bind<S: FleetService>(addr: SocketAddr, service: S) -> io::Result<FleetServer> {
+    pub async fn bind<S: FleetService>(
+        addr: SocketAddr,
+        service: S,
+        budget: ListenerBudget,
+    ) -> io::Result<FleetServer> {
         let listener = TcpListener::bind(addr).await?;
-        let listener = PeerListener::spawn(listener, move |stream| serve(stream, service.clone()))?;
+        let listener = PeerListener::spawn(listener, budget, move |stream| {
+            serve(stream, service.clone())
+        })?;
         Ok(FleetServer { listener })
     }
 
@@ -282,8 +290,8 @@
     }
 }
 
-async fn serve<S: FleetService>(stream: TcpStream, service: S) {
-    let transport = codec_transport::<
+async fn serve<S: FleetService>(stream: MeteredStream, service: S) {
+    let transport = served_transport::<
         tarpc::ClientMessage<FleetControlRequest>,
         tarpc::Response<FleetControlResponse>,
         KeeperCodec,
--- a/crates/peer/src/gossip.rs
+++ b/crates/peer/src/gossip.rs
@@ -16,6 +16,7 @@
     name::{DaemonName, Incarnation, RegionName, ServiceName, ZoneName},
     time::MonoTime,
 };
+use agatehill_process::budget::ListenerBudget;
 use rand::{SeedableRng, rngs::StdRng};
 use serde::Serialize;
 use std::{io, net::SocketAddr, sync::Arc};
@@ -109,19 +110,23 @@
 }
 
 impl GossipHandle {
-    /// Binds the addresses of `settings` and joins the zone.
+    /// Binds the addresses of `settings` and joins the zone; other daemons may hold what `budget` allows.
     ///
     /// # Errors
     ///
     /// Fails if an address can't be bound.
-    pub async fn bind(mut settings: GossipSettings) -> io::Result<GossipHandle> {
+    pub async fn bind(
+        mut settings: GossipSettings,
+        budget: ListenerBudget,
+    ) -> io::Result<GossipHandle> {
         let socket = UdpSocket::bind(settings.gossip).await?;
         let listener = TcpListener::bind(settings.control).await?;
         settings.gossip = socket.local_addr()?;
         settings.control = listener.local_addr()?;
         let (events, receiver) = mpsc::channel(EVENT_QUEUE_MAX);
         let (publish, snapshot) = watch::channel(Arc::default());
-        let control = ControlServer::spawn(listener, EventForwarder::new(&events, &settings))?;
+        let forwarder = EventForwarder::new(&events, &settings);
+        let control = ControlServer::spawn(listener, forwarder, budget)?;
         let gossip = settings.gossip;
         let task = GossipTask::new(settings, socket, events.downgrade(), publish);
         tokio::spawn(task.run(receiver));
--- a/crates/peer/src/keeper.rs
+++ b/crates/peer/src/keeper.rs
@@ -1,8 +1,10 @@
 //! The service of keepers for daemons and other keepers: contracts, claims and replication.
 
 use crate::{
-    link::postcard_transport,
+    codec::PostcardCodec,
+    link::served_transport,
     listener::{PeerListener, run_calls},
+    metered_stream::MeteredStream,
 };
 use agatehill_decide::{
     claim::{ClaimCommand, ClaimReply},
@@ -10,13 +12,14 @@
     name::CustomerName,
     replica::ReplicaEnvelope,
 };
+use agatehill_process::budget::ListenerBudget;
 use serde::{Deserialize, Serialize};
 use std::{fmt, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
 use tarpc::{
     context::Context,
     server::{BaseChannel, Channel},
 };
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
 /// Time without a request after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
@@ -181,14 +184,20 @@
 }
 
 impl KeeperServer {
-    /// Serves `service` on `addr`.
+    /// Serves `service` on `addr` within `budget`.
     ///
     /// # Errors
     ///
     /// Fails if the address can't be bound.
-    pub async fn bind<S: KeeperService>(addr: SocketAddr, service: S) -> io::Result<KeeperServer> {
+    pub async fn bind<S: KeeperService>(
+        addr: SocketAddr,
+        service: S,
+        budget: ListenerBudget,
+    ) -> io::Result<KeeperServer> {
         let listener = TcpListener::bind(addr).await?;
-        let listener = PeerListener::spawn(listener, move |stream| serve(stream, service.clone()))?;
+        let listener = PeerListener::spawn(listener, budget, move |stream| {
+            serve(stream, service.clone())
+        })?;
         Ok(KeeperServer { listener })
     }
 
@@ -198,11 +207,12 @@
     }
 }
 
-async fn serve<S: KeeperService>(stream: TcpStream, service: S) {
-    let transport = postcard_transport::<
+async fn serve<S: KeeperService>(stream: MeteredStream, service: S) {
+    let transport = served_transport::<
         tarpc::ClientMessage<KeeperControlRequest>,
         tarpc::Response<KeeperControlResponse>,
-    >(stream);
+        _,
+    >(stream, PostcardCodec);
     let channel = BaseChannel::with_defaults(transport);
     run_calls(
         channel.execute(ControlAdapter(service).serve()),
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod keeper_client;
 pub mod link;
 mod listener;
+mod metered_stream;
 pub mod timed_body;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -18,8 +18,8 @@
 };
 pub use traffic::LinkReport;
 use traffic::LinkTraffic;
-pub(crate) use transport::codec_transport;
 pub use transport::postcard_transport;
+pub(crate) use transport::{codec_transport, served_transport};
 
 /// Pause before a request is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/peer/src/listener.rs
+++ b/crates/peer/src/listener.rs
@@ -1,9 +1,11 @@
 //! Accepts the connections of the services between agatehill's own processes.
 
+use crate::metered_stream::MeteredStream;
+use agatehill_process::budget::ListenerBudget;
 use futures_util::{Stream, StreamExt};
 use std::{future::Future, io, net::SocketAddr, pin::pin, time::Duration};
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::TcpListener,
     sync::watch,
     time::{sleep, timeout},
 };
@@ -19,19 +21,23 @@
 }
 
 impl PeerListener {
-    /// Serves each connection of `listener` with `serve`.
+    /// Serves each connection of `listener` within `budget` with `serve`.
     ///
     /// # Errors
     ///
     /// Fails if the listener's address can't be read.
-    pub(crate) fn spawn<F, Fut>(listener: TcpListener, serve: F) -> io::Result<PeerListener>
+    pub(crate) fn spawn<F, Fut>(
+        listener: TcpListener,
+        budget: ListenerBudget,
+        serve: F,
+    ) -> io::Result<PeerListener>
     where
-        F: Fn(TcpStream) -> Fut + Send + 'static,
+        F: Fn(MeteredStream) -> Fut + Send + 'static,
         Fut: Future<Output = ()> + Send + 'static,
     {
         let addr = listener.local_addr()?;
         let (stop, stopped) = watch::channel(());
-        tokio::spawn(accept(listener, serve, stopped));
+        tokio::spawn(accept(listener, budget, serve, stopped));
         Ok(PeerListener { addr, _stop: stop })
     }
 
@@ -53,18 +59,22 @@
     }
 }
 
-async fn accept<F, Fut>(listener: TcpListener, serve: F, mut stopped: watch::Receiver<()>)
-where
-    F: Fn(TcpStream) -> Fut,
+async fn accept<F, Fut>(
+    listener: TcpListener,
+    budget: ListenerBudget,
+    serve: F,
+    mut stopped: watch::Receiver<()>,
+) where
+    F: Fn(MeteredStream) -> Fut,
     Fut: Future<Output = ()> + Send + 'static,
 {
     loop {
         let accepted = tokio::select! {
             _ = stopped.changed() => return,
-            accepted = listener.accept() => accepted,
+            accepted = accept_one(&listener, &budget) => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok(stream) => {
                 tokio::spawn(until_stopped(serve(stream), stopped.clone()));
             }
             Err(_) => sleep(ACCEPT_RETRY_PAUSE).await,
@@ -72,6 +82,12 @@
     }
 }
 
+async fn accept_one(listener: &TcpListener, budget: &ListenerBudget) -> io::Result<MeteredStream> {
+    let (stream, _) = listener.accept().await?;
+    let usage = budget.admit().await;
+    Ok(MeteredStream::new(stream, usage))
+}
+
 async fn until_stopped(serving: impl Future<Output = ()>, mut stopped: watch::Receiver<()>) {
     tokio::select! {
         _ = stopped.changed() => {}
--- a/crates/peer/tests/first_format.rs
+++ b/crates/peer/tests/first_format.rs
@@ -18,6 +18,7 @@
     },
     link::LinkError,
 };
+use agatehill_process::budget::ListenerBudget;
 use rstest::rstest;
 use std::{
     net::SocketAddr,
@@ -170,7 +171,9 @@
 async fn start_keeper() -> (TestKeeper, FleetServer) {
     let keeper = TestKeeper::default();
     let addr = "127.0.0.1:0".parse().unwrap();
-    let server = FleetServer::bind(addr, keeper.clone()).await.unwrap();
+    let server = FleetServer::bind(addr, keeper.clone(), ListenerBudget::unlimited())
+        .await
+        .unwrap();
     (keeper, server)
 }
 
--- a/crates/peer/tests/gossip.rs
+++ b/crates/peer/tests/gossip.rs
@@ -6,6 +6,7 @@
     route::ServerState,
 };
 use agatehill_peer::gossip::{GossipHandle, GossipSettings, PeerSnapshot};
+use agatehill_process::budget::ListenerBudget;
 use std::{net::SocketAddr, time::Duration};
 use tokio::net::{TcpStream, UdpSocket};
 
@@ -29,7 +30,9 @@
         seeds: seeds.iter().map(seed).collect(),
         contracts: tokio::sync::watch::channel(std::sync::Arc::default()).1,
     };
-    let handle = GossipHandle::bind(settings).await.unwrap();
+    let handle = GossipHandle::bind(settings, ListenerBudget::unlimited())
+        .await
+        .unwrap();
     handle
         .announce_servers(vec![server(ServerState::Serving)])
         .await;
--- a/crates/peer/tests/keeper_client.rs
+++ b/crates/peer/tests/keeper_client.rs
@@ -10,6 +10,7 @@
     keeper::{FeedPage, KeeperError, KeeperServer, KeeperService},
     keeper_client::KeeperClient,
 };
+use agatehill_process::budget::ListenerBudget;
 use rstest::rstest;
 use std::{future::pending, net::SocketAddr, time::Duration};
 use tokio::net::{TcpListener, TcpSocket};
@@ -91,7 +92,9 @@
         let addr = socket.local_addr().unwrap();
         return (addr, RunningKeeper::Refusing(socket));
     }
-    let server = KeeperServer::bind(any, keeper).await.unwrap();
+    let server = KeeperServer::bind(any, keeper, ListenerBudget::unlimited())
+        .await
+        .unwrap();
     (server.local_addr(), RunningKeeper::Served(server))
 }
 
--- a/crates/peer/tests/link.rs
+++ b/crates/peer/tests/link.rs
@@ -11,6 +11,7 @@
     keeper_client::KeeperLink,
     link::LinkError,
 };
+use agatehill_process::budget::ListenerBudget;
 use agatehill_tests::tcp_proxy::{StallDirection, StallingProxy};
 use futures_util::future::join_all;
 use rstest::rstest;
@@ -72,7 +73,11 @@
 }
 
 async fn start() -> (KeeperServer, StallingProxy, KeeperLink) {
-    let server = KeeperServer::bind(([127, 0, 0, 1], 0).into(), ReadyKeeper);
+    let server = KeeperServer::bind(
+        ([127, 0, 0, 1], 0).into(),
+        ReadyKeeper,
+        ListenerBudget::unlimited(),
+    );
     let server = server.await.unwrap();
     let proxy = StallingProxy::bind(server.local_addr()).await;
     let link = KeeperLink::open(proxy.local_addr());
@@ -121,7 +126,9 @@
     assert_eq!(call(&link).await, Ok(7));
     drop(server);
     sleep(PAUSE).await;
-    let _server = KeeperServer::bind(addr, ReadyKeeper).await.unwrap();
+    let _server = KeeperServer::bind(addr, ReadyKeeper, ListenerBudget::unlimited())
+        .await
+        .unwrap();
     assert_eq!(call(&link).await, Ok(7));
     assert_eq!(link.report().connections, 2);
 }
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -1,5 +1,6 @@
 //! Shared parts of all processes: monotonic clock, graceful stop, health checks, HTTP listeners.
 
+pub mod budget;
 pub mod clock;
 pub mod connection;
 pub mod drain;
--- a/crates/process/src/serve.rs
+++ b/crates/process/src/serve.rs
@@ -1,12 +1,24 @@
 //! HTTP listeners that run a gotham handler over HTTP/1.1 and h2c, with a graceful stop.
 
-use crate::connection::{GuardedBody, PhaseTracker, SharedLimits, TimeoutStream};
+use crate::{
+    budget::{ClientUsage, ListenerBudget},
+    connection::{
+        ConnectionLimits, GuardedBody, HTTP2_STREAMS_MAX, HTTP2_WINDOW_BYTES, LimitedStream,
+        PhaseTracker, SharedLimits,
+    },
+};
 use gotham::{
     handler::NewHandler,
+    helpers::http::Body,
     service::call_handler,
     state::{FromState, State},
 };
-use http::{HeaderMap, HeaderName, HeaderValue, Request, header::Entry};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode,
+    header::{CONNECTION, Entry, RETRY_AFTER},
+};
+use http_body::Body as _;
+use http_body_util::{BodyExt, Empty};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -18,7 +30,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore, oneshot},
+    sync::oneshot,
     task::JoinHandle,
 };
 
@@ -48,7 +60,7 @@
 }
 
 impl HttpServer {
-    /// Binds `addr` and serves `handler` until [`HttpServer::stop`], without a connection limit.
+    /// Binds `addr` and serves `handler` until [`HttpServer::stop`]; what its clients hold has no limit.
     ///
     /// # Errors
     ///
@@ -57,46 +69,20 @@
     where
         H: NewHandler + 'static,
     {
-        HttpServer::bind_with_connection_limit(addr, handler, Semaphore::MAX_PERMITS).await
-    }
-
-    /// Binds `addr` and serves `handler` with connection limits that can be changed later.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the address can't be bound.
-    pub async fn bind_with_limits<H>(
-        addr: SocketAddr,
-        handler: H,
-        limits: SharedLimits,
-    ) -> io::Result<HttpServer>
-    where
-        H: NewHandler + 'static,
-    {
-        HttpServer::spawn(addr, handler, limits, Semaphore::MAX_PERMITS).await
+        let budget = ListenerBudget::unlimited();
+        HttpServer::bind_within(addr, handler, SharedLimits::default(), budget).await
     }
 
-    /// Binds `addr` and serves `handler`; with `connections_max` connections open, new ones wait.
+    /// Binds `addr` and serves `handler` with `limits`, which can be changed later, and within `budget`.
     ///
     /// # Errors
     ///
     /// Fails if the address can't be bound.
-    pub async fn bind_with_connection_limit<H>(
-        addr: SocketAddr,
-        handler: H,
-        connections_max: usize,
-    ) -> io::Result<HttpServer>
-    where
-        H: NewHandler + 'static,
-    {
-        HttpServer::spawn(addr, handler, SharedLimits::default(), connections_max).await
-    }
-
-    async fn spawn<H>(
+    pub async fn bind_within<H>(
         addr: SocketAddr,
         handler: H,
         limits: SharedLimits,
-        connections_max: usize,
+        budget: ListenerBudget,
     ) -> io::Result<HttpServer>
     where
         H: NewHandler + 'static,
@@ -108,7 +94,7 @@
             listener,
             Arc::new(handler),
             limits,
-            Arc::new(Semaphore::new(connections_max)),
+            budget,
             stopped,
         ));
         Ok(HttpServer { addr, stop, task })
@@ -131,7 +117,7 @@
     listener: TcpListener,
     handler: Arc<H>,
     limits: SharedLimits,
-    permits: Arc<Semaphore>,
+    budget: ListenerBudget,
     mut stopped: oneshot::Receiver<()>,
 ) where
     H: NewHandler + 'static,
@@ -139,7 +125,7 @@
     let graceful = GracefulShutdown::new();
     loop {
         tokio::select! {
-            accepted = accept(&listener, &permits) => match accepted {
+            accepted = accept(&listener, &budget) => match accepted {
                 Ok(accepted) => {
                     spawn_connection(accepted, handler.clone(), limits.clone(), &graceful);
                 }
@@ -152,27 +138,21 @@
     graceful.shutdown().await;
 }
 
-/// An accepted connection with its permit under the connection limit.
+/// An accepted connection with its part of the budget.
 struct AcceptedConnection {
     stream: TcpStream,
     peer: SocketAddr,
-    permit: OwnedSemaphorePermit,
+    usage: ClientUsage,
 }
 
-async fn accept(
-    listener: &TcpListener,
-    permits: &Arc<Semaphore>,
-) -> io::Result<AcceptedConnection> {
-    let permit = permits
-        .clone()
-        .acquire_owned()
-        .await
-        .map_err(io::Error::other)?;
+async fn accept(listener: &TcpListener, budget: &ListenerBudget) -> io::Result<AcceptedConnection> {
     let (stream, peer) = listener.accept().await?;
+    // Only now, so that no other connection gives way before there is a newcomer.
+    let usage = budget.admit().await;
     Ok(AcceptedConnection {
         stream,
         peer,
-        permit,
+        usage,
     })
 }
 
@@ -187,19 +167,26 @@
     let AcceptedConnection {
         stream,
         peer,
-        permit,
+        usage,
     } = accepted;
     set_socket_options(&stream);
-    let tracker = PhaseTracker::open();
-    let builder = connection_builder(limits.get().buffer_bytes());
-    let stream = TimeoutStream::new(stream, tracker.clone(), limits);
+    let tracker = PhaseTracker::open(usage);
+    let builder = connection_builder(&limits.get());
+    let stream = LimitedStream::new(stream, tracker.clone(), limits);
     let service = service_fn(move |req: Request<Incoming>| {
-        let guard = tracker.begin_request();
-        let response = handle_request(handler.clone(), req, peer);
+        let tracker = tracker.clone();
+        let handler = handler.clone();
         async move {
-            Ok::<_, gotham::anyhow::Error>(
-                response.await?.map(|body| GuardedBody::new(body, guard)),
-            )
+            let Some(mut guard) = tracker.begin_request() else {
+                return Ok(refuse_request(&tracker));
+            };
+            if tracker.is_http2() && !guard.try_hold_request(head_bytes(&req)) {
+                return Ok(refuse_request(&tracker));
+            }
+            let response = handle_request(handler, req, peer).await?;
+            tracker.record_response(response.body().size_hint().exact());
+            let response = response.map(|body| GuardedBody::new(body, Some(guard)));
+            Ok::<_, gotham::anyhow::Error>(response)
         }
     });
     let conn = builder
@@ -209,10 +196,29 @@
     tokio::spawn(async move {
         // An error affects only the requests of this connection, and they report their own outcome.
         let _ = watched.await;
-        drop(permit);
     });
 }
 
+/// Returns the response to a request that finds no room; it has not run.
+fn refuse_request(tracker: &PhaseTracker) -> Response<GuardedBody<Body>> {
+    let body = Empty::new().map_err(|never| match never {}).boxed_unsync();
+    let mut response = Response::new(GuardedBody::new(body, None));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let headers = response.headers_mut();
+    headers.insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    if !tracker.is_http2() {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Returns the size of a request head, in bytes.
+fn head_bytes(req: &Request<Incoming>) -> usize {
+    let fields = req.headers().iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len());
+    fields.sum::<usize>() + req.uri().path().len()
+}
+
 /// Sets the socket options; errors are ignored, as the connection works without them.
 fn set_socket_options(stream: &TcpStream) {
     // Otherwise small responses wait for the peer's delayed acknowledgement.
@@ -230,7 +236,7 @@
     handler: Arc<H>,
     req: Request<Incoming>,
     peer: SocketAddr,
-) -> impl Future<Output = gotham::anyhow::Result<http::Response<gotham::helpers::http::Body>>>
+) -> impl Future<Output = gotham::anyhow::Result<Response<Body>>>
 where
     H: NewHandler + 'static,
 {
@@ -273,19 +279,24 @@
     }
 }
 
-/// Returns a builder of connections whose buffers take up `buffer_bytes` at most.
-fn connection_builder(buffer_bytes: usize) -> Builder<TokioExecutor> {
+/// Returns a builder of connections with these limits.
+fn connection_builder(limits: &ConnectionLimits) -> Builder<TokioExecutor> {
+    let buffer_bytes = limits.buffer_bytes();
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
         .max_buf_size(buffer_bytes)
-        // `TimeoutStream` enforces the timeouts.
+        // `LimitedStream` enforces the timeouts.
         .header_read_timeout(None);
     builder
         .http2()
         .timer(TokioTimer::new())
         .max_send_buf_size(buffer_bytes)
+        .max_header_list_size(u32::try_from(buffer_bytes).unwrap_or(u32::MAX))
+        .max_concurrent_streams(HTTP2_STREAMS_MAX)
+        .initial_stream_window_size(HTTP2_WINDOW_BYTES / 2)
+        .initial_connection_window_size(HTTP2_WINDOW_BYTES)
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT);
     builder
--- a/crates/process/tests/serve.rs
+++ b/crates/process/tests/serve.rs
@@ -1,6 +1,7 @@
 //! Limits of a listener's connections: their number, head timeout and idle timeout.
 
 use agatehill_process::{
+    budget::ListenerBudget,
     connection::{ConnectionLimits, SharedLimits},
     serve::HttpServer,
 };
@@ -52,21 +53,32 @@
     matches!(read, Ok(Ok(n)) if n > 0)
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn connections_beyond_the_limit_wait() {
+/// Returns a server that may have one connection open.
+async fn narrow_server() -> HttpServer {
     let addr = "127.0.0.1:0".parse().expect("an address");
-    let server = HttpServer::bind_with_connection_limit(addr, || Ok(ok), 1)
-        .await
-        .expect("a free port");
-    let mut first = TcpStream::connect(server.local_addr())
-        .await
-        .expect("a connection");
-    assert!(request(&mut first, TEST_TIMEOUT).await);
+    let budget = ListenerBudget::with_connections_max(1);
+    let limits = SharedLimits::default();
+    let server = HttpServer::bind_within(addr, || Ok(slow_ok), limits, budget);
+    server.await.expect("a free port")
+}
 
-    let mut second = TcpStream::connect(server.local_addr())
-        .await
-        .expect("a connection");
-    assert!(!request(&mut second, WAITING_TIME).await, "the limit is 1");
+async fn open(server: &HttpServer) -> TcpStream {
+    let stream = TcpStream::connect(server.local_addr()).await;
+    stream.expect("a connection")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_beyond_the_limit_wait_for_requests_in_flight() {
+    let server = narrow_server().await;
+    let mut first = open(&server).await;
+    assert!(!request(&mut first, WAITING_TIME).await, "it is in flight");
+    let mut second = open(&server).await;
+    assert!(
+        !request(&mut second, WAITING_TIME / 2).await,
+        "the limit is 1"
+    );
+    let read = tokio::time::timeout(TEST_TIMEOUT, first.read(&mut [0; 512])).await;
+    assert!(matches!(read, Ok(Ok(n)) if n > 0), "it is not cut");
     drop(first);
     let read = tokio::time::timeout(TEST_TIMEOUT, second.read(&mut [0; 512])).await;
     assert!(
@@ -75,6 +87,30 @@
     );
 }
 
+/// Guards against crowds that keep connections open and so keep others out.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_connection_gives_way_to_one_beyond_the_limit() {
+    let server = narrow_server().await;
+    let mut first = open(&server).await;
+    let mut second = open(&server).await;
+    assert!(request(&mut second, TEST_TIMEOUT).await);
+    assert_eq!(read_all(&mut first).await, "");
+}
+
+/// Guards against crowds that keep heads unfinished: what they have begun gives way, and is told that it has not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unfinished_head_gives_way_to_a_connection_beyond_the_limit() {
+    let server = narrow_server().await;
+    let mut first = open(&server).await;
+    first.write_all(b"GET / HTTP/1.1\r\nhost").await.unwrap();
+    tokio::time::sleep(WAITING_TIME).await;
+    let mut second = open(&server).await;
+    assert!(request(&mut second, TEST_TIMEOUT).await);
+    let text = read_all(&mut first).await;
+    assert!(text.starts_with("HTTP/1.1 503 "), "{text}");
+    assert!(text.contains("retry-after: "), "{text}");
+}
+
 fn slow_ok(state: State) -> Pin<Box<HandlerFuture>> {
     Box::pin(async move {
         tokio::time::sleep(SHORT_TIMEOUT * 4).await;
@@ -84,9 +120,14 @@
 
 async fn connect(limits: &SharedLimits) -> (HttpServer, TcpStream) {
     let addr = "127.0.0.1:0".parse().expect("an address");
-    let server = HttpServer::bind_with_limits(addr, || Ok(slow_ok), limits.clone())
-        .await
-        .expect("a free port");
+    let server = HttpServer::bind_within(
+        addr,
+        || Ok(slow_ok),
+        limits.clone(),
+        ListenerBudget::unlimited(),
+    )
+    .await
+    .expect("a free port");
     let stream = TcpStream::connect(server.local_addr())
         .await
         .expect("a connection");
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -10,7 +10,7 @@
 mod tries;
 
 use crate::{
-    body::{BodyError, BodyLimits, read_body},
+    body::{BodyError, BodyLimits, body_usage, read_body},
     decision_log::{EntryDecision, request_id},
     entry::RequestEntry,
     error::RelayError,
@@ -151,13 +151,13 @@
             size_max: table.config().limits.body_bytes_max,
             ends_at: None,
         };
-        let mut buffer = self.entry.request_buffers.reservation();
-        let reading = read_body(body, limits, Some(&mut buffer), ());
+        let usage = body_usage(&body, &self.entry.options.callers);
+        let reading = read_body(body, limits, usage.as_ref(), ());
         let read = tokio::time::timeout(self.time_limit, reading).await;
         let body = match read {
             Ok(Ok(body)) => body,
             Ok(Err(BodyError::TooLarge)) => return Err(RelayError::BodyTooLarge),
-            Ok(Err(BodyError::NoRoom)) => return Err(unavailable(RETRY_AFTER_MIN)),
+            Ok(Err(BodyError::NoRoom)) => return Err(no_room()),
             Ok(Err(BodyError::Interrupted)) => return Err(RelayError::BadRequest),
             Err(_) => return Err(RelayError::BodyTimeout),
         };
@@ -233,6 +233,13 @@
     }
 }
 
+/// Returns the error for a request whose body finds no memory, with jitter on its retry-after.
+fn no_room() -> RelayError {
+    RelayError::NoRoom {
+        retry_after: add_jitter(RETRY_AFTER_MIN),
+    }
+}
+
 fn find_rule<'a>(table: &'a RouteTable, head: &Parts) -> Option<&'a Arc<RouteRule>> {
     let host = match head.headers.get(HOST) {
         Some(value) => value.to_str().ok()?,
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -4,7 +4,6 @@
 mod forward;
 
 use crate::{
-    buffer_budget::BufferBudget,
     call::RequestCall,
     decision_log::DecisionLog,
     gate::RequestGate,
@@ -23,7 +22,7 @@
     weighted_round_robin::WeightedRoundRobin,
 };
 use agatehill_peer::body::CallBody;
-use agatehill_process::clock::MonoClock;
+use agatehill_process::{budget::ListenerBudget, clock::MonoClock};
 use arc_swap::ArcSwapOption;
 use gotham::helpers::http::Body;
 use http::{HeaderValue, Request, Response, header::CONNECTION};
@@ -44,8 +43,6 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time between two removals of expired connections.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
-/// Memory for the buffered bodies of all requests in flight, in bytes.
-const REQUEST_BUFFERS_BYTES: usize = 16 << 20;
 
 /// Options of an entry.
 pub struct EntryOptions {
@@ -63,6 +60,12 @@
     pub zones: Vec<ZoneName>,
     /// What client accounts may send beyond their limits.
     pub quota_tolerance: QuotaTolerance,
+    /// What callers may hold.
+    pub callers: ListenerBudget,
+    /// What other daemons may hold.
+    pub daemons: ListenerBudget,
+    /// The connections that the process may open to others.
+    pub outgoing: ListenerBudget,
     /// Records the decisions.
     pub log: Arc<DecisionLog>,
     /// Clock of deadlines and measured times.
@@ -73,8 +76,6 @@
 pub struct RequestEntry {
     pub(crate) options: EntryOptions,
     pub(crate) pool: ConnectionPool,
-    /// Memory for the bodies of requests in flight.
-    pub(crate) request_buffers: BufferBudget,
     pub(crate) quotas: AccountQuotas,
     pub(crate) table: ArcSwapOption<RouteTable>,
     state: Mutex<EntryState>,
@@ -97,19 +98,20 @@
     /// Starts an entry without a configuration.
     pub fn spawn(options: EntryOptions) -> Arc<RequestEntry> {
         let quotas = AccountQuotas::spawn(QuotaOptions {
+            outgoing: options.outgoing.clone(),
             zones: options.zones.clone(),
             tolerance: options.quota_tolerance,
             gate_addr: options.gate_addr,
             gates: options.gates.clone(),
         });
         let entry = Arc::new(RequestEntry {
-            options,
             quotas,
             pool: ConnectionPool::open(PoolOptions {
+                budget: options.outgoing.clone(),
                 connect_timeout: CONNECT_TIMEOUT,
                 idle_timeout: IDLE_TIMEOUT,
             }),
-            request_buffers: BufferBudget::open(REQUEST_BUFFERS_BYTES),
+            options,
             table: ArcSwapOption::empty(),
             state: Mutex::default(),
             is_draining: AtomicBool::new(false),
@@ -171,6 +173,11 @@
         self.is_closed.load(Ordering::Relaxed)
     }
 
+    /// Returns what callers and what other daemons may hold.
+    pub fn budgets(&self) -> (ListenerBudget, ListenerBudget) {
+        (self.options.callers.clone(), self.options.daemons.clone())
+    }
+
     /// Returns the gate on this host.
     pub fn gate(&self) -> &RequestGate {
         &self.options.gate
--- a/crates/relay/src/entry/forward.rs
+++ b/crates/relay/src/entry/forward.rs
@@ -2,10 +2,10 @@
 
 use super::RequestEntry;
 use crate::{
-    body::{BodyError, BodyLimits, read_body},
+    body::{BodyError, BodyLimits, body_usage, read_body},
     call::BUFFERED_REQUEST_MAX,
     error::RelayError,
-    gate::GateResult,
+    gate::{GateResult, NO_DESCRIPTOR},
     held_body::{BodyHold, HeldEnd},
     hop::{HopContext, HopOutcome},
     notice,
@@ -50,11 +50,16 @@
             size_max: u64::MAX,
             ends_at: None,
         };
-        let mut buffer = self.request_buffers.reservation();
-        let body = match read_body(body, limits, Some(&mut buffer), ()).await {
-            Ok(body) => body,
-            Err(BodyError::NoRoom) => return refuse_forwarded(),
-            Err(_) => return RelayError::BadRequest.response(),
+        let usage = body_usage(&body, &self.options.daemons);
+        let reading = read_body(body, limits, usage.as_ref(), ());
+        let body = match tokio::time::timeout(hop.remaining, reading).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(BodyError::NoRoom)) => {
+                let retry_after = RETRY_AFTER_MIN;
+                return refuse_forwarded(RelayError::NoRoom { retry_after });
+            }
+            Ok(Err(_)) => return RelayError::BadRequest.response(),
+            Err(_) => return refuse_forwarded(RelayError::BodyTimeout),
         };
         self.learn_strikes(&mut head.headers);
         let server = self.options.gate.server();
@@ -125,6 +130,9 @@
         };
         let response = match end {
             HeldEnd::Sent(Ok(response)) => response,
+            HeldEnd::Sent(Err(SendError::NoDescriptor)) => {
+                return GateResult::refused(NO_DESCRIPTOR, RETRY_AFTER_MIN);
+            }
             HeldEnd::Sent(Err(SendError::NotSent)) => {
                 return self.refuse_unread(gate, "gate-unreachable");
             }
@@ -199,10 +207,9 @@
     }
 }
 
-/// Returns the response to a forwarded request whose body finds no memory.
-fn refuse_forwarded() -> Response<CallBody> {
-    let retry_after = RETRY_AFTER_MIN;
-    let mut response = RelayError::Unavailable { retry_after }.response();
+/// Returns the response to a forwarded request whose body doesn't arrive or finds no memory; it has not run.
+fn refuse_forwarded(error: RelayError) -> Response<CallBody> {
+    let mut response = error.response();
     HopOutcome::Refused.write(response.headers_mut());
     response
 }
--- a/crates/relay/src/error.rs
+++ b/crates/relay/src/error.rs
@@ -43,6 +43,11 @@
     BodyTimeout,
     /// The request is malformed, or its body was interrupted.
     BadRequest,
+    /// The request body finds no memory, or gives way to other callers. The request has not run.
+    NoRoom {
+        /// Time after which a retry is likely to be accepted.
+        retry_after: Duration,
+    },
     /// No backend server accepts the request now. It has not run.
     Unavailable {
         /// Time after which a retry is likely to be accepted.
@@ -68,6 +73,7 @@
         match self {
             RelayError::NoConfig
             | RelayError::Stopping
+            | RelayError::NoRoom { .. }
             | RelayError::QuotaUnknown { .. }
             | RelayError::Unavailable { .. }
             | RelayError::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
@@ -96,7 +102,7 @@
             RelayError::BodyTooLarge => "too-large",
             RelayError::BodyTimeout => "slow-body",
             RelayError::BadRequest => "bad-request",
-            RelayError::Unavailable { .. } => RelayError::BUSY,
+            RelayError::NoRoom { .. } | RelayError::Unavailable { .. } => RelayError::BUSY,
             RelayError::Quarantined { .. } => "quarantined",
             RelayError::Lost => "lost",
             RelayError::DeadlineExceeded => "late",
@@ -114,6 +120,7 @@
             RelayError::NoConfig => Some(NO_CONFIG_RETRY_AFTER),
             RelayError::Stopping => Some(STOPPING_RETRY_AFTER),
             RelayError::OverLimit { retry_after }
+            | RelayError::NoRoom { retry_after }
             | RelayError::QuotaUnknown { retry_after }
             | RelayError::Unavailable { retry_after }
             | RelayError::Quarantined { retry_after } => Some(retry_after),
@@ -130,7 +137,10 @@
         }
         let has_unread_bytes = matches!(
             self,
-            RelayError::BodyTimeout | RelayError::BodyTooLarge | RelayError::HeadTooLarge
+            RelayError::BodyTimeout
+                | RelayError::BodyTooLarge
+                | RelayError::HeadTooLarge
+                | RelayError::NoRoom { .. }
         );
         if has_unread_bytes {
             // The rest of the request stays unread, so the connection can't be reused.
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -19,13 +19,14 @@
     server_tracker::{HeartbeatEffect, LeaveEffect, ServerHeartbeat},
 };
 use agatehill_peer::body::CallBody;
-use agatehill_process::clock::MonoClock;
+use agatehill_process::{budget::ListenerBudget, clock::MonoClock};
 use http::Request;
 use record::GateRecord;
 use std::{sync::Arc, time::Duration};
 
 use exchange::GateRun;
 pub use result::GateResult;
+pub(crate) use result::NO_DESCRIPTOR;
 
 /// Timeout for connecting to the server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -51,15 +52,17 @@
 }
 
 impl RequestGate {
-    /// Starts the gate of `server`.
+    /// Starts the gate of `server`, whose connections to it count in `outgoing`.
     pub fn spawn(
         names: Arc<HeaderNames>,
         server: HostServer,
         quarantine: FleetQuarantine,
         log: Arc<DecisionLog>,
         clock: MonoClock,
+        outgoing: ListenerBudget,
     ) -> RequestGate {
         let pool = ConnectionPool::open(PoolOptions {
+            budget: outgoing,
             connect_timeout: CONNECT_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
         });
--- a/crates/relay/src/gate/exchange.rs
+++ b/crates/relay/src/gate/exchange.rs
@@ -1,6 +1,6 @@
 //! The exchange of one request and its response with the backend server.
 
-use super::{GateResult, NO_SERVER_RETRY_AFTER, RequestGate};
+use super::{GateResult, NO_DESCRIPTOR, NO_SERVER_RETRY_AFTER, RequestGate};
 use crate::{
     headers::format_millis,
     hop::{HopContext, HopOutcome},
@@ -49,6 +49,11 @@
         let sent = timeout(remaining, self.pool.send(heartbeat.address, req));
         let response = match sent.await {
             Ok(Ok(response)) => response,
+            Ok(Err(SendError::NoDescriptor)) => {
+                run.slot.set_outcome(SlotOutcome::Failed);
+                run.quarantine.record_inconclusive();
+                return GateResult::refused(NO_DESCRIPTOR, NO_SERVER_RETRY_AFTER);
+            }
             Ok(Err(SendError::NotSent)) => {
                 run.slot.set_outcome(SlotOutcome::Failed);
                 self.server.mark_unreachable(&heartbeat.id);
--- a/crates/relay/src/gate/result.rs
+++ b/crates/relay/src/gate/result.rs
@@ -10,6 +10,9 @@
 /// Retry-after of a suspect whose turn to run alone does not come in time.
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Reason of a request that finds no descriptor for its connection.
+pub(crate) const NO_DESCRIPTOR: &str = "no-descriptor";
+
 /// How a request ended at a gate.
 #[derive(Debug)]
 pub struct GateResult {
--- a/crates/relay/src/held_body.rs
+++ b/crates/relay/src/held_body.rs
@@ -5,6 +5,7 @@
 //! when it begins to read it (`100 Continue`). So a request whose body has not been released has not run
 //! and never will.
 
+use crate::pool::SendError;
 use agatehill_peer::body::CallBody;
 use bytes::Bytes;
 use futures_util::task::AtomicWaker;
@@ -85,10 +86,10 @@
     }
 
     /// Waits for `sent`, the response to the request, but not for a receiver that doesn't read it.
-    pub(crate) async fn watch<T, E>(
+    pub(crate) async fn watch<T>(
         &self,
-        sent: impl Future<Output = Result<T, E>>,
-    ) -> HeldEnd<Result<T, E>> {
+        sent: impl Future<Output = Result<T, SendError>>,
+    ) -> HeldEnd<Result<T, SendError>> {
         let mut sent = pin!(sent);
         let result = tokio::select! {
             result = &mut sent => result,
@@ -100,7 +101,7 @@
             }
         };
         match result {
-            Err(_) if self.cancel() => HeldEnd::Unread,
+            Err(SendError::Lost | SendError::NotSent) if self.cancel() => HeldEnd::Unread,
             result => HeldEnd::Sent(result),
         }
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -3,7 +3,6 @@
 //! server.
 
 pub mod body;
-pub mod buffer_budget;
 mod call;
 mod content;
 mod credentials;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -3,6 +3,7 @@
 
 use crate::body::{BodyLimits, read_body};
 use agatehill_peer::body::CallBody;
+use agatehill_process::budget::{ClientUsage, ListenerBudget};
 use bytes::Bytes;
 use http::{Request, header::CONTENT_LENGTH, response::Parts};
 use http_body::{Body, Frame, SizeHint};
@@ -41,15 +42,19 @@
 /// Why a request got no complete response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SendError {
+    /// It was not sent, as no descriptor is free for a connection. This says nothing of the receiver.
+    NoDescriptor,
     /// It was not sent.
     NotSent,
     /// It was sent at least in part, and no complete response arrived.
     Lost,
 }
 
-/// Timeouts of a pool.
-#[derive(Clone, Copy, Debug)]
+/// Options of a pool.
+#[derive(Clone, Debug)]
 pub struct PoolOptions {
+    /// The connections that the process may open.
+    pub budget: ListenerBudget,
     /// Timeout for opening a connection.
     pub connect_timeout: Duration,
     /// Time after which an idle connection is closed.
@@ -70,6 +75,7 @@
     sender: SendRequest<CallBody>,
     task: JoinHandle<()>,
     idle_since: Instant,
+    _usage: ClientUsage,
 }
 
 impl Drop for PooledConnection {
@@ -174,7 +180,21 @@
         self.lock().entry(conn.addr).or_default().push(conn);
     }
 
+    /// Returns the usage of a further connection, for which idle ones are closed if need be.
+    fn admit(&self) -> Result<ClientUsage, SendError> {
+        let admitted = self.options.budget.try_admit();
+        let admitted = admitted.or_else(|| {
+            self.close_all_idle();
+            self.options.budget.try_admit()
+        });
+        if admitted.is_none() {
+            metrics::counter!("agatehill_relay_connections_refused").increment(1);
+        }
+        admitted.ok_or(SendError::NoDescriptor)
+    }
+
     async fn connect(&self, addr: SocketAddr) -> Result<PooledConnection, SendError> {
+        let usage = self.admit()?;
         let connecting = time::timeout(self.options.connect_timeout, TcpStream::connect(addr));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
@@ -196,6 +216,7 @@
             sender,
             task,
             idle_since: Instant::now(),
+            _usage: usage,
         })
     }
 
--- a/crates/relay/src/quota.rs
+++ b/crates/relay/src/quota.rs
@@ -18,7 +18,7 @@
     time::MonoTime,
 };
 use agatehill_peer::body::CallBody;
-use agatehill_process::clock::BootClock;
+use agatehill_process::{budget::ListenerBudget, clock::BootClock};
 use arc_swap::ArcSwapOption;
 use http::{HeaderMap, Request, Response};
 use message::{QuotaCommand, QuotaOutcome};
@@ -66,6 +66,8 @@
     pub gate_addr: SocketAddr,
     /// The gates of all hosts.
     pub gates: GateView,
+    /// The connections that the process may open to others.
+    pub outgoing: ListenerBudget,
 }
 
 /// The quotas of client accounts at one daemon; clones share them.
@@ -101,11 +103,12 @@
         };
         let quotas = AccountQuotas {
             shared: Arc::new(QuotaShared {
-                options,
                 pool: ConnectionPool::open(PoolOptions {
+                    budget: options.outgoing.clone(),
                     connect_timeout: CONNECT_TIMEOUT,
                     idle_timeout: IDLE_TIMEOUT,
                 }),
+                options,
                 clock,
                 is_draining: AtomicBool::new(false),
                 state: Mutex::new(QuotaState {
--- a/crates/relay/tests/faults/server_faults.rs
+++ b/crates/relay/tests/faults/server_faults.rs
@@ -3,8 +3,8 @@
 
 use crate::support::{
     BODY_BYTES_MAX, HEAD_BYTES_MAX, ServerBehavior, TestDaemon, TestResponse, header, one_daemon,
-    send, send_and_disconnect, send_bytes, send_slowly, two_daemons, unconfigured_daemon,
-    wait_until,
+    one_daemon_with_one_connection, send, send_and_disconnect, send_bytes, send_slowly,
+    two_daemons, unconfigured_daemon, wait_until,
 };
 use rstest::rstest;
 
@@ -31,6 +31,29 @@
     }
 }
 
+/// Guards against requests that take the last descriptors: one that finds none for its connection is refused, and the
+/// refusal is true.
+#[tokio::test]
+async fn a_request_without_a_descriptor_has_not_run() {
+    let daemon = one_daemon_with_one_connection().await;
+    assert_eq!(send_request(&daemon, POST, "r-0").await.status, 200);
+    daemon.server.set_behavior(ServerBehavior::Silent);
+    let (first, second) = tokio::join!(
+        send_request(&daemon, POST, "r-1"),
+        send_request(&daemon, POST, "r-2"),
+    );
+    let mut statuses = [first.status, second.status];
+    statuses.sort_unstable();
+    assert_eq!(statuses, [503, 504]);
+    assert_eq!(
+        daemon.server.runs(),
+        2,
+        "the first one and the one that got 504"
+    );
+    daemon.server.set_behavior(ServerBehavior::Respond);
+    assert_eq!(send_request(&daemon, POST, "r-3").await.status, 200);
+}
+
 /// Checks the status and the number of runs of one request at one server.
 #[rstest]
 #[case::respond(ServerBehavior::Respond, 200, 1)]
--- a/crates/relay/tests/faults/support/mod.rs
+++ b/crates/relay/tests/faults/support/mod.rs
@@ -13,7 +13,9 @@
     },
 };
 use agatehill_peer::handler::{client_addr, respond};
-use agatehill_process::{clock::MonoClock, health::AssertUnwindSafeHandler, serve::HttpServer};
+use agatehill_process::{
+    budget::ListenerBudget, clock::MonoClock, health::AssertUnwindSafeHandler, serve::HttpServer,
+};
 use agatehill_relay::{
     decision_log::DecisionLog,
     entry::{EntryOptions, RequestEntry},
@@ -58,6 +60,11 @@
 
 impl TestDaemon {
     async fn spawn(id: &str) -> TestDaemon {
+        TestDaemon::spawn_within(id, ListenerBudget::unlimited()).await
+    }
+
+    /// Starts a daemon that opens as many connections as `outgoing` allows.
+    async fn spawn_within(id: &str, outgoing: ListenerBudget) -> TestDaemon {
         let clock = MonoClock::open();
         let server = TestServer::spawn(id).await;
         let local = HostServer::open(Duration::from_secs(10), clock);
@@ -87,7 +94,15 @@
             QuarantineOptions::FLEET,
             CrashReportQueue::default(),
         );
-        let gate = RequestGate::spawn(names.clone(), local.clone(), quarantine, log.clone(), clock);
+        let budget = ListenerBudget::unlimited();
+        let gate = RequestGate::spawn(
+            names.clone(),
+            local.clone(),
+            quarantine,
+            log.clone(),
+            clock,
+            outgoing.clone(),
+        );
         let entry = RequestEntry::spawn(EntryOptions {
             gate,
             log,
@@ -97,6 +112,9 @@
             gates: gates.clone(),
             zones: vec![zone()],
             quota_tolerance: QuotaTolerance::NONE,
+            callers: budget.clone(),
+            daemons: budget,
+            outgoing,
             clock,
         });
         *entry_cell.lock().unwrap() = Some(entry.clone());
@@ -166,6 +184,15 @@
     daemon
 }
 
+/// Returns a daemon that knows only itself and opens one connection at a time, with a configuration in force.
+pub(crate) async fn one_daemon_with_one_connection() -> TestDaemon {
+    let outgoing = ListenerBudget::with_connections_max(1);
+    let daemon = TestDaemon::spawn_within("s-1", outgoing).await;
+    daemon.gates.set(&[daemon.record()]);
+    daemon.entry.set_table(config().into());
+    daemon
+}
+
 /// Returns two daemons that know each other, with these client accounts and one public route.
 pub(crate) async fn two_daemons_with(accounts: Vec<ClientAccount>) -> [TestDaemon; 2] {
     let daemons = two_daemons().await;
