Serve small bodies and heartbeats though the memory for clients is in use

What callers would have seen: beside long uploads that had been passed on in part and then stopped, a POST of a few bytes was refused, as the share of the memory for bodies was used up by requests that can't give way; and with all memory in use a heartbeat or a readiness check found no room for its connection.

Found by reading. Change: the first 32 KiB of each body don't count in that share; connections of servers, readiness checks and metrics, which are few, are admitted without memory. The buffer of a body grows to what is buffered at most, in place of up to twice that. A call of the product's own path without a body holds nothing.

--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -226,13 +226,16 @@
         &self,
         body: Body,
         budget: &ListenerBudget,
-    ) -> Result<(CallBody, ClientUsage), CallProblem> {
+    ) -> Result<(CallBody, Option<ClientUsage>), CallProblem> {
         let limit = self.body_bytes_max;
         let is_too_large = http_body::Body::size_hint(&body).lower() > limit;
         if is_too_large {
             return Err(CallProblem::BodyTooLarge { limit });
         }
         let unreadable = |e: std::io::Error| CallProblem::Malformed(format!("body: {e}"));
+        if http_body::Body::is_end_stream(&body) {
+            return Ok((CallBody::empty(), None));
+        }
         let usage = budget.body();
         if !usage.try_hold(BODY_BYTES) {
             return Err(CallProblem::NoRoom);
@@ -242,7 +245,7 @@
             () = usage.given_way() => return Err(CallProblem::NoRoom),
         };
         match usage.set_busy() {
-            true => Ok((body, usage)),
+            true => Ok((body, Some(usage))),
             false => Err(CallProblem::NoRoom),
         }
     }
--- a/crates/process/src/budget.rs
+++ b/crates/process/src/budget.rs
@@ -22,7 +22,7 @@
 
 /// Memory that a connection is counted with from its start, in bytes: its task and its first buffers.
 pub const CONNECTION_BYTES: usize = 16 * 1024;
-/// Largest share of the memory that bodies of requests take up; the rest is for connections.
+/// Largest share of the memory that large bodies take up; the rest is for connections and small requests.
 const BODY_SHARE: f64 = 0.5;
 /// Time between two updates of the gauges.
 const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
@@ -86,13 +86,25 @@
 
     /// Returns the part of the listener `name`, which may have `connections_max` connections open.
     pub fn listener(&self, name: &'static str, connections_max: usize) -> ListenerBudget {
+        self.add_listener(name, connections_max, false)
+    }
+
+    /// Does the same for a listener that the process needs to do its work: its few connections are admitted though the
+    /// memory is used up.
+    pub fn essential_listener(&self, name: &'static str, connections_max: usize) -> ListenerBudget {
+        self.add_listener(name, connections_max, true)
+    }
+
+    fn add_listener(
+        &self,
+        name: &'static str,
+        connections_max: usize,
+        is_essential: bool,
+    ) -> ListenerBudget {
+        let mut ledger = self.shared.ledger.lock();
         ListenerBudget {
             budget: self.clone(),
-            listener: self
-                .shared
-                .ledger
-                .lock()
-                .add_listener(name, connections_max),
+            listener: ledger.add_listener(name, connections_max, is_essential),
             closed: Arc::default(),
         }
     }
--- a/crates/process/src/budget/ledger.rs
+++ b/crates/process/src/budget/ledger.rs
@@ -17,6 +17,9 @@
     pub(super) struct ListenerKey;
 }
 
+/// Bytes of each body that its own share of the memory doesn't limit, so that small requests are served beside large
+/// ones that are in use.
+const SMALL_BODY_BYTES: usize = 32 * 1024;
 /// Part of the memory that usages which have given way may still hold when others take their place.
 const DROPPING_PARTS: usize = 8;
 /// Value of [`UsageState::waits_since_ms`] of a usage that must not give way.
@@ -66,6 +69,8 @@
     name: &'static str,
     connections: usize,
     connections_max: usize,
+    /// Whether its connections are admitted though the memory is used up.
+    is_essential: bool,
 }
 
 /// What the clients of one listener hold.
@@ -167,11 +172,13 @@
         &mut self,
         name: &'static str,
         connections_max: usize,
+        is_essential: bool,
     ) -> ListenerKey {
         self.listeners.insert(ListenerEntry {
             name,
             connections: 0,
             connections_max,
+            is_essential,
         })
     }
 
@@ -216,7 +223,8 @@
             self.end(chosen, GiveWayReason::Connections);
             return None;
         }
-        if !self.make_room(bytes, None, now_ms) {
+        let is_essential = entry.is_essential;
+        if !self.make_room(bytes, None, now_ms) && !is_essential {
             return None;
         }
         let entry = &mut self.listeners[listener];
@@ -241,13 +249,15 @@
         if more > 0 && !self.make_room(more, Some(key), now_ms) {
             return false;
         }
-        if is_body && more > 0 && !self.make_body_room(more, key, now_ms) {
+        let shared_before = shared_bytes(before);
+        let more_shared = shared_bytes(bytes).saturating_sub(shared_before);
+        if is_body && more_shared > 0 && !self.make_body_room(more_shared, key, now_ms) {
             return false;
         }
         self.usages[key].bytes = bytes;
         self.bytes = self.bytes + bytes - before;
         if is_body {
-            self.body_bytes = self.body_bytes + bytes - before;
+            self.body_bytes = self.body_bytes + shared_bytes(bytes) - shared_before;
         }
         true
     }
@@ -258,7 +268,7 @@
         self.bytes -= entry.bytes;
         self.dropping_bytes -= entry.dropping_bytes;
         if !entry.is_connection {
-            self.body_bytes -= entry.bytes;
+            self.body_bytes -= shared_bytes(entry.bytes);
             return false;
         }
         self.listeners[entry.listener].connections -= 1;
@@ -342,9 +352,14 @@
         let listener = self.listeners[entry.listener].name;
         self.bytes -= bytes;
         if is_body {
-            self.body_bytes -= bytes;
+            self.body_bytes -= shared_bytes(bytes);
         }
         self.gave_way.push(GaveWay { listener, reason });
         true
     }
 }
+
+/// Returns how much of a body of `bytes` counts in the share of the bodies.
+fn shared_bytes(bytes: usize) -> usize {
+    bytes.saturating_sub(SMALL_BODY_BYTES)
+}
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -79,7 +79,7 @@
             Some(Err(_)) => return Err(BodyError::Interrupted),
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
-                    reserve(&mut start, data.len(), usage)?;
+                    reserve(&mut start, data.len(), limits.buffered_max, usage)?;
                     start.extend_from_slice(&data);
                 }
             }
@@ -117,13 +117,18 @@
     Pin::new(body).poll_frame(cx).map(Ok)
 }
 
-/// Makes room in `start` for `more` bytes, counted as `usage`.
-fn reserve(start: &mut Vec<u8>, more: usize, usage: Option<&ClientUsage>) -> Result<(), BodyError> {
+/// Makes room in `start` for `more` bytes, counted as `usage`; for no more than `len_max` bytes in all if they are enough.
+fn reserve(
+    start: &mut Vec<u8>,
+    more: usize,
+    len_max: usize,
+    usage: Option<&ClientUsage>,
+) -> Result<(), BodyError> {
     let needed = start.len() + more;
     if needed <= start.capacity() {
         return Ok(());
     }
-    let capacity = needed.max(2 * start.capacity());
+    let capacity = needed.max(len_max.min(2 * start.capacity()));
     let is_held = usage.is_none_or(|usage| usage.try_hold(READ_BUFFER_BYTES + capacity));
     if !is_held {
         return Err(no_room());
