Show the crowds at the product's own listeners too, with shared parts of the tests

What callers would have seen there is what they saw on the users' platform. Change: the crowd moves to the test library; 13 cases at the listeners of the product's own daemon and keeper, by their settings. Peaks and descriptors of a process are read in one place, checks of settings above 0 as well (three cases more). A request is in flight from the call of its handler on, not from its first poll; its function is one of its own. Operators' and servers' listeners of the product take 64 connections.

--- a/bin/daemon/src/budget.rs
+++ b/bin/daemon/src/budget.rs
@@ -6,7 +6,7 @@
 /// Bytes of a megabyte.
 const MB: u64 = 1_000_000;
 /// Connections of backend servers, and of operators.
-const LOCAL_CONNECTIONS_MAX: usize = 256;
+const LOCAL_CONNECTIONS_MAX: usize = 64;
 /// Connections for control messages of other daemons.
 const CONTROL_CONNECTIONS_MAX: usize = 1_024;
 
--- a/bin/keeper/src/budget.rs
+++ b/bin/keeper/src/budget.rs
@@ -6,7 +6,7 @@
 /// Bytes of a megabyte.
 const MB: u64 = 1_000_000;
 /// Connections of operators.
-const OPERATOR_CONNECTIONS_MAX: usize = 256;
+const OPERATOR_CONNECTIONS_MAX: usize = 64;
 
 /// The budgets of a keeper's listeners.
 #[derive(Clone)]
--- a/crates/config/src/daemon.rs
+++ b/crates/config/src/daemon.rs
@@ -158,24 +158,16 @@
 
 impl CallLimits {
     fn check(&self) -> Result<(), SettingsFault> {
-        if self.body_bytes_max == 0 {
-            return Err(SettingsFault::new(
-                "limits.body_bytes_max",
-                "must be above 0",
-            ));
-        }
-        if self.connections_max == 0 {
-            return Err(SettingsFault::new(
-                "limits.connections_max",
-                "must be above 0",
-            ));
-        }
-        if self.client_memory_mb == 0 {
-            return Err(SettingsFault::new(
-                "limits.client_memory_mb",
-                "must be above 0",
-            ));
-        }
-        Ok(())
+        check_above_zero("limits.body_bytes_max", self.body_bytes_max)?;
+        check_above_zero("limits.connections_max", self.connections_max as u64)?;
+        check_above_zero("limits.client_memory_mb", self.client_memory_mb)
+    }
+}
+
+/// Checks that the value of `key` is above 0.
+pub(crate) fn check_above_zero(key: &str, value: u64) -> Result<(), SettingsFault> {
+    match value {
+        0 => Err(SettingsFault::new(key, "must be above 0")),
+        _ => Ok(()),
     }
 }
--- a/crates/config/src/keeper.rs
+++ b/crates/config/src/keeper.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     LogSettings, SettingsCheck, SettingsFault,
-    daemon::{DEFAULT_CLIENT_MEMORY_MB, DEFAULT_CONNECTIONS_MAX},
+    daemon::{DEFAULT_CLIENT_MEMORY_MB, DEFAULT_CONNECTIONS_MAX, check_above_zero},
     listen::{KeyedAddress, check_distinct, check_ports, check_reachable},
 };
 use agatehill_decide::name::{KeeperName, RegionName, ZoneName};
@@ -63,19 +63,8 @@
 
 impl KeeperLimits {
     fn check(&self) -> Result<(), SettingsFault> {
-        if self.connections_max == 0 {
-            return Err(SettingsFault::new(
-                "limits.connections_max",
-                "must be above 0",
-            ));
-        }
-        if self.client_memory_mb == 0 {
-            return Err(SettingsFault::new(
-                "limits.client_memory_mb",
-                "must be above 0",
-            ));
-        }
-        Ok(())
+        check_above_zero("limits.connections_max", self.connections_max as u64)?;
+        check_above_zero("limits.client_memory_mb", self.client_memory_mb)
     }
 }
 
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -148,6 +148,16 @@
     "line 17: key \"seed[0].control\": 127.0.0.2:0 must have the port"
 )]
 #[case::no_body("4096", "0", "line 20: key \"limits.body_bytes_max\": must be above 0")]
+#[case::no_connections(
+    "= 10",
+    "= 0",
+    "line 21: key \"limits.connections_max\": must be above 0"
+)]
+#[case::no_client_memory(
+    "connections_max = 10",
+    "client_memory_mb = 0",
+    "line 21: key \"limits.client_memory_mb\": must be above 0"
+)]
 #[case::negative("4096", "-1", "line 20: key \"limits.body_bytes_max\": invalid value")]
 #[case::log_level(
     "\"warn\"",
@@ -168,6 +178,11 @@
 
 #[rstest]
 #[case::no_groups("= 4", "= 0", "line 6: key \"claim_groups\": must be 1 to 1024")]
+#[case::no_client_memory(
+    "claim_groups = 4",
+    "claim_groups = 4\n[limits]\nclient_memory_mb = 0",
+    "line 8: key \"limits.client_memory_mb\": must be above 0"
+)]
 #[case::no_voter(
     "voter = true",
     "voter = false",
--- a/crates/process/src/serve.rs
+++ b/crates/process/src/serve.rs
@@ -174,20 +174,7 @@
     let builder = connection_builder(&limits.get());
     let stream = LimitedStream::new(stream, tracker.clone(), limits);
     let service = service_fn(move |req: Request<Incoming>| {
-        let tracker = tracker.clone();
-        let handler = handler.clone();
-        async move {
-            let Some(mut guard) = tracker.begin_request() else {
-                return Ok(refuse_request(&tracker));
-            };
-            if tracker.is_http2() && !guard.try_hold_request(head_bytes(&req)) {
-                return Ok(refuse_request(&tracker));
-            }
-            let response = handle_request(handler, req, peer).await?;
-            tracker.record_response(response.body().size_hint().exact());
-            let response = response.map(|body| GuardedBody::new(body, Some(guard)));
-            Ok::<_, gotham::anyhow::Error>(response)
-        }
+        serve_request(tracker.clone(), handler.clone(), req, peer)
     });
     let conn = builder
         .serve_connection(TokioIo::new(stream), service)
@@ -199,6 +186,30 @@
     });
 }
 
+/// Runs the handler on a request, which is in flight from now on until its response has been sent.
+fn serve_request<H>(
+    tracker: PhaseTracker,
+    handler: Arc<H>,
+    req: Request<Incoming>,
+    peer: SocketAddr,
+) -> impl Future<Output = gotham::anyhow::Result<Response<GuardedBody<Body>>>>
+where
+    H: NewHandler + 'static,
+{
+    let guard = tracker.begin_request();
+    async move {
+        let Some(mut guard) = guard else {
+            return Ok(refuse_request(&tracker));
+        };
+        if tracker.is_http2() && !guard.try_hold_request(head_bytes(&req)) {
+            return Ok(refuse_request(&tracker));
+        }
+        let response = handle_request(handler, req, peer).await?;
+        tracker.record_response(response.body().size_hint().exact());
+        Ok(response.map(|body| GuardedBody::new(body, Some(guard))))
+    }
+}
+
 /// Returns the response to a request that finds no room; it has not run.
 fn refuse_request(tracker: &PhaseTracker) -> Response<GuardedBody<Body>> {
     let body = Empty::new().map_err(|never| match never {}).boxed_unsync();
--- a/platform/tests/crowds/crowd.rs
+++ b/tests/src/crowd.rs
@@ -1,4 +1,4 @@
-//! A crowd of connections that send the same bytes and open again once they are closed.
+//! A crowd of connections that send the same bytes, and that open again once they are closed.
 
 use std::{
     io::{ErrorKind, Read, Write},
@@ -24,7 +24,7 @@
 
 /// What one connection sends: first `start`, then `repeated` over and over, `bytes_max` bytes in all.
 #[derive(Clone)]
-pub(crate) struct CrowdScript {
+pub struct CrowdScript {
     name: &'static str,
     start: Vec<u8>,
     repeated: Vec<u8>,
@@ -39,64 +39,43 @@
 
 impl CrowdScript {
     /// Heads without an end.
-    pub(crate) fn endless_head() -> CrowdScript {
+    pub fn endless_head() -> CrowdScript {
         CrowdScript::new("endless head", HEAD_START, &[b'a'; 1024], BYTES_MAX)
     }
 
     /// Heads whose last line doesn't come.
-    pub(crate) fn unfinished_head(len: usize) -> CrowdScript {
+    pub fn unfinished_head(len: usize) -> CrowdScript {
         CrowdScript::new("unfinished head", HEAD_START, &[b'a'; 1024], len)
     }
 
     /// Empty lines in place of a request.
-    pub(crate) fn empty_lines() -> CrowdScript {
+    pub fn empty_lines() -> CrowdScript {
         CrowdScript::new("empty lines", "", &b"\r\n".repeat(512), BYTES_MAX)
     }
 
-    /// Bodies of `len` bytes whose last byte doesn't come.
-    pub(crate) fn unfinished_body(len: usize) -> CrowdScript {
-        let start = post("/a/x", "", &format!("content-length: {len}"));
+    /// Requests whose body of `len` bytes lacks the last one; `head` is all that comes before the length.
+    pub fn unfinished_body(head: &str, len: usize) -> CrowdScript {
+        let start = format!("{head}content-length: {len}\r\n\r\n");
         CrowdScript::whole("unfinished body", &start, len - 1)
     }
 
-    /// The same as forwarded by a daemon.
-    pub(crate) fn unfinished_forward(len: usize) -> CrowdScript {
-        let hop = "agatehill-hop: techreg techreg 1 0 5000 5000 5000 0 0\r\n";
-        let start = post("/a/x", hop, &format!("content-length: {len}"));
-        CrowdScript::whole("unfinished forward", &start, len - 1)
-    }
-
-    /// The same as a heartbeat.
-    pub(crate) fn unfinished_heartbeat(len: usize) -> CrowdScript {
-        let path = "/-/Instances.Heartbeat/i-9";
-        let start = post(path, "", &format!("content-length: {len}"));
-        CrowdScript::whole("unfinished heartbeat", &start, len - 1)
-    }
-
-    /// The same as a document of an operator.
-    pub(crate) fn unfinished_document(len: usize) -> CrowdScript {
-        let start = post("/-/Config.Put", "", &format!("content-length: {len}"));
-        CrowdScript::whole("unfinished document", &start, len - 1)
-    }
-
-    /// The same as a message between keepers: its length, and less than that.
-    pub(crate) fn unfinished_message(len: u32) -> CrowdScript {
-        let bytes_max = len as usize;
-        let mut script = CrowdScript::new("unfinished message", "", &[0; 1024], bytes_max);
+    /// Messages that announce `len` bytes and lack the last of them.
+    pub fn unfinished_message(len: u32) -> CrowdScript {
+        let mut script = CrowdScript::new("unfinished message", "", &[0; 1024], len as usize);
         script.start = len.to_be_bytes().to_vec();
         script
     }
 
-    /// Bodies without an end in chunks of `len` bytes.
-    pub(crate) fn endless_chunks(len: usize) -> CrowdScript {
-        let start = post("/a/x", "", "transfer-encoding: chunked");
+    /// Requests whose body has no end, in chunks of `len` bytes; `head` is all that comes before its framing.
+    pub fn endless_chunks(head: &str, len: usize) -> CrowdScript {
+        let start = format!("{head}{CHUNKED}");
         let chunk = [format!("{len:x}\r\n").as_bytes(), &vec![b'a'; len], b"\r\n"].concat();
         let repeated = chunk.repeat((1024 / len).max(1));
         CrowdScript::new("endless chunks", &start, &repeated, BYTES_MAX)
     }
 
     /// Bodies without an end over HTTP/2, as many at once as a connection may have.
-    pub(crate) fn http2_bodies() -> CrowdScript {
+    pub fn http2_bodies() -> CrowdScript {
         let mut script = CrowdScript::new("bodies over h2c", "", &[], 0);
         script.start = http2_bytes();
         script.bytes_max = script.start.len();
@@ -104,37 +83,25 @@
     }
 
     /// Connections that send nothing.
-    pub(crate) fn silent() -> CrowdScript {
+    pub fn silent() -> CrowdScript {
         CrowdScript::new("nothing", "", &[], 0)
     }
 
-    /// A whole request whose head has `len` bytes more than usual.
-    pub(crate) fn whole_head(len: usize) -> CrowdScript {
-        let start = format!("{HEAD_START}{}\r\n{ID}\r\n", "a".repeat(len));
-        CrowdScript::whole("whole head", &start, 0)
-    }
-
-    /// A whole request with a body of `len` bytes.
-    pub(crate) fn whole_body(len: usize) -> CrowdScript {
-        let start = post("/a/x", ID, &format!("content-length: {len}"));
-        CrowdScript::whole("whole body", &start, len)
-    }
-
-    /// The same in chunks of `chunk` bytes.
-    pub(crate) fn whole_chunks(len: usize, chunk: usize) -> CrowdScript {
-        let mut script = CrowdScript::endless_chunks(chunk);
-        script.start = post("/a/x", ID, "transfer-encoding: chunked").into_bytes();
-        script.name = "whole chunks";
+    /// Whole requests whose body of `len` bytes is in chunks of `chunk` bytes; `head` is all that comes before its framing.
+    pub fn whole_chunks(head: &str, len: usize, chunk: usize) -> CrowdScript {
+        let mut script = CrowdScript::endless_chunks(head, chunk);
         let body = script.repeated.repeat(len / chunk);
+        script.name = "whole chunks";
         script.start.extend_from_slice(&body);
         script.start.extend_from_slice(b"0\r\n\r\n");
         script.bytes_max = script.start.len();
         script
     }
 
-    fn whole(name: &'static str, start: &str, body_len: usize) -> CrowdScript {
-        let bytes_max = start.len() + body_len;
-        CrowdScript::new(name, start, &[b'a'; 1024], bytes_max)
+    /// Whole requests: `head`, all of it, and `body_len` bytes.
+    pub fn whole(name: &'static str, head: &str, body_len: usize) -> CrowdScript {
+        let bytes_max = head.len() + body_len;
+        CrowdScript::new(name, head, &[b'a'; 1024], bytes_max)
     }
 
     fn new(name: &'static str, start: &str, repeated: &[u8], bytes_max: usize) -> CrowdScript {
@@ -147,7 +114,7 @@
     }
 
     /// Sends the request on a connection of its own; returns the status of the response.
-    pub(crate) fn send_alone(&self, addr: SocketAddr) -> Option<u16> {
+    pub fn send_alone(&self, addr: SocketAddr) -> Option<u16> {
         let mut stream = TcpStream::connect(addr).ok()?;
         stream.set_read_timeout(Some(RESPONSE_TIMEOUT)).unwrap();
         stream.set_write_timeout(Some(RESPONSE_TIMEOUT)).unwrap();
@@ -171,12 +138,8 @@
 
 /// Start of a head, up to the value of a header.
 const HEAD_START: &str = "GET /a/x HTTP/1.1\r\nhost: a.example\r\nx-a: ";
-/// Headers by which a server knows a request.
-const ID: &str = "x-agatehill-request-id: alone\r\nx-agatehill-deadline-ms: 9000\r\n";
-
-fn post(path: &str, headers: &str, framing: &str) -> String {
-    format!("POST {path} HTTP/1.1\r\nhost: a.example\r\n{headers}{framing}\r\n\r\n")
-}
+/// End of a head whose body is in chunks.
+const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
 
 /// Returns the start of a connection over HTTP/2 with [`STREAMS`] bodies, as far as windows allow (RFC 9113).
 fn http2_bytes() -> Vec<u8> {
@@ -206,13 +169,15 @@
 }
 
 /// One connection of a crowd.
+#[derive(Debug)]
 struct CrowdMember {
     stream: Option<TcpStream>,
     sent: usize,
 }
 
 /// The connections; they stay open until it is dropped.
-pub(crate) struct Crowd {
+#[derive(Debug)]
+pub struct Crowd {
     addr: SocketAddr,
     script: CrowdScript,
     members: Vec<CrowdMember>,
@@ -220,7 +185,7 @@
 
 impl Crowd {
     /// Returns a crowd of `count` connections, none of which is open yet.
-    pub(crate) fn open(addr: SocketAddr, script: CrowdScript, count: usize) -> Crowd {
+    pub fn open(addr: SocketAddr, script: CrowdScript, count: usize) -> Crowd {
         let members = (0..count).map(|_| CrowdMember {
             stream: None,
             sent: 0,
@@ -233,7 +198,7 @@
     }
 
     /// Opens what is closed, and sends, until `end`.
-    pub(crate) fn send_until(&mut self, end: Instant) {
+    pub fn send_until(&mut self, end: Instant) {
         while Instant::now() < end {
             let mut is_idle = true;
             for member in &mut self.members {
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -4,8 +4,10 @@
 pub mod bed;
 pub mod client;
 pub mod contract;
+pub mod crowd;
 pub mod member_simulation;
 pub mod process;
+pub mod process_usage;
 pub mod raw_server;
 pub mod stopped_thread;
 pub mod tcp_proxy;
--- a/tests/tests/endless_response.rs
+++ b/tests/tests/endless_response.rs
@@ -4,12 +4,11 @@
     bed::{SETTLE_TIMEOUT, TestBed, ZONE},
     client::{TestClient, eventually},
     contract::{TestOperation, contract_text},
-    process::ProcessGuard,
+    process_usage::peak_memory,
 };
 use rstest::rstest;
 use serde_json::json;
 use std::{
-    fs,
     net::SocketAddr,
     sync::{
         Arc,
@@ -143,14 +142,6 @@
     }
 }
 
-/// Returns the peak resident memory of a process, in KiB.
-fn peak_memory(process: &ProcessGuard) -> u64 {
-    let status = fs::read_to_string(format!("/proc/{}/status", process.pid())).unwrap();
-    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-    let size = line.unwrap().split_whitespace().nth(1);
-    size.unwrap().parse().unwrap()
-}
-
 /// Operators saw a machine run out of memory that kept the bytes of a response without an end, and its clients' requests end.
 #[rstest]
 #[case::head("GET", EndlessPart::Head)]
@@ -202,7 +193,7 @@
         || async { open.load(Ordering::SeqCst) == 0 },
     )
     .await;
-    let peak = peak_memory(&daemon);
+    let peak = peak_memory(daemon.pid());
     let allowed = BASE_KIB + REQUEST_KIB * REQUESTS as u64;
     println!("peak {peak} KiB, {allowed} KiB allowed");
     assert!(peak <= allowed, "{peak} KiB");
