Test idle connections over HTTP/2 and responses that nobody reads

What callers would have seen: connections over HTTP/2 that send nothing, and such whose responses aren't read, were kept without an end and held their part of the memory and a descriptor. Both are closed since; these tests show it.

The crowds at the product's own listeners are followed by a request on a connection of its own, as others would come; before, it may have come over one that was open.

--- a/crates/process/tests/serve.rs
+++ b/crates/process/tests/serve.rs
@@ -25,6 +25,10 @@
 const SHORT_TIMEOUT: Duration = Duration::from_millis(150);
 /// A timeout that does not pass within a test.
 const LONG_TIMEOUT: Duration = Duration::from_secs(600);
+/// Size of a long response, in bytes.
+const LONG_RESPONSE_BYTES: usize = 32 << 20;
+/// Start of a connection over HTTP/2 (RFC 9113).
+const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
 /// Time after which a test that hangs fails.
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -170,6 +174,50 @@
     assert!(read_all(&mut stream).await.starts_with("HTTP/1.1 408 "));
 }
 
+/// Responds with more than the buffers between a server and a client hold.
+fn respond_at_length(state: State) -> (State, http::Response<gotham::helpers::http::Body>) {
+    let body = vec![b'a'; LONG_RESPONSE_BYTES];
+    let response = create_response(&state, StatusCode::OK, mime::TEXT_PLAIN, body);
+    (state, response)
+}
+
+/// Guards against callers that don't read what they have asked for: their responses were held without an end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_whose_response_is_not_read_is_closed() {
+    let addr = "127.0.0.1:0".parse().expect("an address");
+    let limits = shared_limits(LONG_TIMEOUT, SHORT_TIMEOUT);
+    let budget = ListenerBudget::with_connections_max(1);
+    let server = HttpServer::bind_within(addr, || Ok(respond_at_length), limits, budget);
+    let server = server.await.expect("a free port");
+    let mut first = open(&server).await;
+    first
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .await
+        .unwrap();
+    tokio::time::sleep(4 * SHORT_TIMEOUT).await;
+    // The only connection that may be open.
+    let mut second = open(&server).await;
+    assert!(request(&mut second, TEST_TIMEOUT).await);
+    let mut received = Vec::new();
+    let read = tokio::time::timeout(TEST_TIMEOUT, first.read_to_end(&mut received)).await;
+    // It may end with a reset.
+    let _ = read.expect("the connection ends");
+    assert!(received.len() < LONG_RESPONSE_BYTES);
+}
+
+/// Guards against connections over HTTP/2 that are kept open and send nothing: they had no timeout.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_connection_over_http2_is_closed() {
+    let (_server, mut stream) = connect(&shared_limits(LONG_TIMEOUT, SHORT_TIMEOUT)).await;
+    let settings = [0, 0, 0, 4, 0, 0, 0, 0, 0];
+    stream.write_all(HTTP2_PREFACE).await.unwrap();
+    stream.write_all(&settings).await.unwrap();
+    let mut received = Vec::new();
+    let read = tokio::time::timeout(TEST_TIMEOUT, stream.read_to_end(&mut received)).await;
+    read.expect("the connection ends").expect("no reset");
+    assert!(!received.is_empty(), "it has been accepted");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_idle_connection_is_closed_without_a_response() {
     let (_server, mut stream) = connect(&shared_limits(LONG_TIMEOUT, SHORT_TIMEOUT)).await;
--- a/tests/tests/crowds.rs
+++ b/tests/tests/crowds.rs
@@ -3,6 +3,7 @@
 
 use agatehill_tests::{
     bed::{TestBed, ZONE},
+    client::TestClient,
     contract::{TestOperation, contract_text},
     crowd::{Crowd, CrowdScript},
     process::ProcessGuard,
@@ -136,6 +137,8 @@
 
     let (pid, addr) = door.of(&daemon, &keepers[0]);
     let (crowd, descriptors) = run_crowd(pid, addr, script).await;
+    // On a connection of its own, like others who come.
+    bed.client = TestClient::default();
     bed.wait_served(&daemon, "dansk", path).await;
     let peak = peak_memory(pid);
     let allowed = BASE_KIB + CLIENT_MEMORY_MB * 1_000_000 / 1024;
