--- a/bin/daemon/src/budget.rs
+++ b/bin/daemon/src/budget.rs
@@ -26,6 +26,7 @@
         let bytes = limits.client_memory_mb.saturating_mul(MB);
         let all = ClientBudget::open(BudgetLimits {
             bytes_max: usize::try_from(bytes).unwrap_or(usize::MAX),
+            shared_connections_max: 0,
         });
         DaemonBudget {
             callers: all.listener("callers", limits.connections_max),
--- a/bin/keeper/src/budget.rs
+++ b/bin/keeper/src/budget.rs
@@ -23,6 +23,7 @@
         let bytes = limits.client_memory_mb.saturating_mul(MB);
         let all = ClientBudget::open(BudgetLimits {
             bytes_max: usize::try_from(bytes).unwrap_or(usize::MAX),
+            shared_connections_max: 0,
         });
         KeeperBudget {
             operators: all.listener("operators", OPERATOR_CONNECTIONS_MAX),
--- a/crates/process/src/budget.rs
+++ b/crates/process/src/budget.rs
@@ -9,10 +9,11 @@
 mod report;
 mod usage;
 
-use ledger::{BudgetLedger, ListenerKey};
+use ledger::{BudgetLedger, ListenerKey, ListenerLimits};
 use parking_lot::Mutex;
 use report::{GiveWayReport, show_totals};
 use std::{
+    pin::pin,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -21,7 +22,7 @@
 pub use usage::ClientUsage;
 
 /// Memory that a connection is counted with from its start, in bytes: its task and its first buffers.
-pub const CONNECTION_BYTES: usize = 16 * 1024;
+pub const CONNECTION_BYTES: usize = 12 * 1024;
 /// Largest share of the memory that large bodies take up; the rest is for connections and small requests.
 const BODY_SHARE: f64 = 0.5;
 /// Time between two updates of the gauges.
@@ -34,6 +35,8 @@
 pub struct BudgetLimits {
     /// Memory, in bytes.
     pub bytes_max: usize,
+    /// Connections that listeners may have open beyond their own.
+    pub shared_connections_max: usize,
 }
 
 /// The budget of a process; clones share it.
@@ -47,14 +50,14 @@
 pub struct ListenerBudget {
     budget: ClientBudget,
     listener: ListenerKey,
-    /// Notified when a connection of the listener has closed.
-    closed: Arc<Notify>,
 }
 
 #[derive(Debug)]
 struct SharedBudget {
     opened: Instant,
     ledger: Mutex<BudgetLedger>,
+    /// Notified when a connection has closed.
+    closed: Notify,
     report: GiveWayReport,
 }
 
@@ -71,7 +74,8 @@
         ClientBudget {
             shared: Arc::new(SharedBudget {
                 opened: Instant::now(),
-                ledger: Mutex::new(BudgetLedger::open(limits.bytes_max, body_bytes_max)),
+                ledger: Mutex::new(BudgetLedger::open(limits, body_bytes_max)),
+                closed: Notify::new(),
                 report: GiveWayReport::default(),
             }),
         }
@@ -81,31 +85,49 @@
     pub fn unlimited() -> ClientBudget {
         ClientBudget::open(BudgetLimits {
             bytes_max: usize::MAX,
+            shared_connections_max: 0,
         })
     }
 
     /// Returns the part of the listener `name`, which may have `connections_max` connections open.
     pub fn listener(&self, name: &'static str, connections_max: usize) -> ListenerBudget {
-        self.add_listener(name, connections_max, false)
+        let own_connections = connections_max;
+        self.add_listener(name, own_connections, ListenerLimits::default())
     }
 
-    /// Does the same for a listener that the process needs to do its work: its few connections are admitted though the
+    /// Returns the part of the listener `name`, which may have `own_connections` open, and more as long as some are left of
+    /// those that listeners share.
+    pub fn sharing_listener(&self, name: &'static str, own_connections: usize) -> ListenerBudget {
+        let limits = ListenerLimits {
+            may_share: true,
+            ..ListenerLimits::default()
+        };
+        self.add_listener(name, own_connections, limits)
+    }
+
+    /// Returns the part of a listener that the process needs to do its work: its few connections are admitted though the
     /// memory is used up.
     pub fn essential_listener(&self, name: &'static str, connections_max: usize) -> ListenerBudget {
-        self.add_listener(name, connections_max, true)
+        let limits = ListenerLimits {
+            is_essential: true,
+            ..ListenerLimits::default()
+        };
+        self.add_listener(name, connections_max, limits)
     }
 
     fn add_listener(
         &self,
         name: &'static str,
-        connections_max: usize,
-        is_essential: bool,
+        own_connections: usize,
+        limits: ListenerLimits,
     ) -> ListenerBudget {
-        let mut ledger = self.shared.ledger.lock();
+        let limits = ListenerLimits {
+            own_connections,
+            ..limits
+        };
         ListenerBudget {
             budget: self.clone(),
-            listener: ledger.add_listener(name, connections_max, is_essential),
-            closed: Arc::default(),
+            listener: self.shared.ledger.lock().add_listener(name, limits),
         }
     }
 
@@ -143,11 +165,14 @@
     /// until [`ClientUsage::set_waiting`] is called.
     pub async fn admit(&self) -> ClientUsage {
         loop {
+            let mut closed = pin!(self.budget.shared.closed.notified());
+            // From now on, so that no connection closes unnoticed.
+            closed.as_mut().enable();
             if let Some(usage) = self.try_admit() {
                 return usage;
             }
-            // Memory may also be freed at another listener.
-            let _ = timeout(ADMIT_RETRY_PAUSE, self.closed.notified()).await;
+            // Memory is also freed without a connection that closes.
+            let _ = timeout(ADMIT_RETRY_PAUSE, closed).await;
         }
     }
 
--- a/crates/process/src/budget/ledger.rs
+++ b/crates/process/src/budget/ledger.rs
@@ -1,5 +1,6 @@
 //! All usages of a budget, and the choice of the one that gives way.
 
+use super::BudgetLimits;
 use futures_util::task::AtomicWaker;
 use slotmap::{SecondaryMap, SlotMap, new_key_type};
 use std::{
@@ -52,6 +53,17 @@
     waker: AtomicWaker,
 }
 
+/// Limits of one listener.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ListenerLimits {
+    /// Connections that no other listener takes.
+    pub(super) own_connections: usize,
+    /// Whether it may use the connections that listeners share.
+    pub(super) may_share: bool,
+    /// Whether its connections are admitted though the memory is used up.
+    pub(super) is_essential: bool,
+}
+
 /// One usage.
 #[derive(Debug)]
 struct UsageEntry {
@@ -68,9 +80,7 @@
 struct ListenerEntry {
     name: &'static str,
     connections: usize,
-    connections_max: usize,
-    /// Whether its connections are admitted though the memory is used up.
-    is_essential: bool,
+    limits: ListenerLimits,
 }
 
 /// What the clients of one listener hold.
@@ -81,11 +91,20 @@
     pub(super) bytes: usize,
 }
 
+impl ListenerEntry {
+    /// Returns how many of its connections use descriptors that listeners share.
+    fn shared_connections(&self) -> usize {
+        self.connections.saturating_sub(self.limits.own_connections)
+    }
+}
+
 /// The usages of a budget.
 #[derive(Debug)]
 pub(super) struct BudgetLedger {
     bytes_max: usize,
     body_bytes_max: usize,
+    /// Connections that listeners may have open beyond their own.
+    shared_connections_max: usize,
     bytes: usize,
     body_bytes: usize,
     /// What usages that have given way still hold, until they are polled.
@@ -155,10 +174,11 @@
 }
 
 impl BudgetLedger {
-    pub(super) fn open(bytes_max: usize, body_bytes_max: usize) -> BudgetLedger {
+    pub(super) fn open(limits: BudgetLimits, body_bytes_max: usize) -> BudgetLedger {
         BudgetLedger {
-            bytes_max,
+            bytes_max: limits.bytes_max,
             body_bytes_max,
+            shared_connections_max: limits.shared_connections_max,
             bytes: 0,
             body_bytes: 0,
             dropping_bytes: 0,
@@ -171,14 +191,12 @@
     pub(super) fn add_listener(
         &mut self,
         name: &'static str,
-        connections_max: usize,
-        is_essential: bool,
+        limits: ListenerLimits,
     ) -> ListenerKey {
         self.listeners.insert(ListenerEntry {
             name,
             connections: 0,
-            connections_max,
-            is_essential,
+            limits,
         })
     }
 
@@ -217,13 +235,12 @@
         bytes: usize,
         now_ms: u64,
     ) -> Option<(UsageKey, Arc<UsageState>)> {
-        let entry = &self.listeners[listener];
-        if entry.connections >= entry.connections_max {
-            let chosen = self.choose(now_ms, |entry| entry.listener == listener);
+        if !self.may_connect(listener) {
+            let chosen = self.choose(now_ms, |entry| self.shares_with(entry.listener, listener));
             self.end(chosen, GiveWayReason::Connections);
             return None;
         }
-        let is_essential = entry.is_essential;
+        let is_essential = self.listeners[listener].limits.is_essential;
         if !self.make_room(bytes, None, now_ms) && !is_essential {
             return None;
         }
@@ -233,6 +250,24 @@
         Some(self.add(listener, true, bytes))
     }
 
+    /// Returns whether `listener` may have a further connection: one of its own, or one of those that all share.
+    fn may_connect(&self, listener: ListenerKey) -> bool {
+        let entry = &self.listeners[listener];
+        if entry.connections < entry.limits.own_connections {
+            return true;
+        }
+        let listeners = self.listeners.values();
+        let shared: usize = listeners.map(ListenerEntry::shared_connections).sum();
+        entry.limits.may_share && shared < self.shared_connections_max
+    }
+
+    /// Returns whether a connection of `other` may give way to one of `listener`: one of its own, or one of those that
+    /// both may use.
+    fn shares_with(&self, other: ListenerKey, listener: ListenerKey) -> bool {
+        let may_share = self.listeners[listener].limits.may_share;
+        other == listener || may_share && self.listeners[other].shared_connections() > 0
+    }
+
     /// Adds a body that is received at `listener`.
     pub(super) fn add_body(&mut self, listener: ListenerKey) -> (UsageKey, Arc<UsageState>) {
         self.add(listener, false, 0)
--- a/crates/process/src/budget/usage.rs
+++ b/crates/process/src/budget/usage.rs
@@ -78,7 +78,7 @@
     fn drop(&mut self) {
         let is_connection = self.part.budget.shared.ledger.lock().remove(self.key);
         if is_connection {
-            self.part.closed.notify_one();
+            self.part.budget.shared.closed.notify_waiters();
         }
     }
 }
--- a/crates/process/tests/budget.rs
+++ b/crates/process/tests/budget.rs
@@ -6,6 +6,8 @@
 use rstest::rstest;
 use std::{thread::sleep, time::Duration};
 
+/// Bytes of a body that the share of the bodies doesn't limit.
+const SMALL_BODY_BYTES: usize = 32 * 1024;
 /// A time after which usages differ in age.
 const AGE: Duration = Duration::from_millis(30);
 /// Time in which a connection that finds no room must not be admitted.
@@ -15,6 +17,7 @@
 fn budget(connections: usize) -> (ClientBudget, ListenerBudget) {
     let budget = ClientBudget::open(BudgetLimits {
         bytes_max: connections * CONNECTION_BYTES,
+        shared_connections_max: 0,
     });
     let part = budget.listener("callers", connections);
     (budget, part)
@@ -81,6 +84,38 @@
     assert!(!second.has_given_way());
 }
 
+/// Returns a budget of two connections that two listeners share, which have one of their own each.
+fn sharing() -> [ListenerBudget; 2] {
+    let budget = ClientBudget::open(BudgetLimits {
+        bytes_max: usize::MAX,
+        shared_connections_max: 2,
+    });
+    ["callers", "daemons"].map(|name| budget.sharing_listener(name, 1))
+}
+
+#[test]
+fn a_listener_uses_shared_connections_but_none_that_another_has_of_its_own() {
+    let [callers, daemons] = sharing();
+    let crowd: Vec<_> = (0..3).map(|_| callers.try_admit().unwrap()).collect();
+    assert!(crowd.iter().all(ClientUsage::set_busy));
+    assert!(callers.try_admit().is_none());
+    let _own = daemons.try_admit().expect("one of its own");
+    assert!(daemons.try_admit().is_none());
+    drop(crowd);
+    assert!(daemons.try_admit().is_some());
+}
+
+/// Otherwise a crowd at one listener would keep the shared connections from the others.
+#[test]
+fn shared_connections_give_way_to_those_of_another_listener() {
+    let [callers, daemons] = sharing();
+    let crowd: Vec<_> = (0..3).map(|_| waiting(&callers)).collect();
+    let _own = daemons.try_admit().expect("one of its own");
+    assert!(daemons.try_admit().is_none(), "its place is not free yet");
+    let given_way = crowd.iter().filter(|usage| usage.has_given_way());
+    assert_eq!(given_way.count(), 1);
+}
+
 /// The one that has held most for longest gives way, at whichever listener; a small newcomer doesn't.
 #[test]
 fn when_memory_is_short_the_largest_and_oldest_gives_way() {
@@ -114,13 +149,13 @@
 fn bodies_leave_memory_for_connections() {
     let (_budget, part) = budget(64);
     let body = part.body();
-    assert!(body.try_hold(34 * CONNECTION_BYTES));
+    assert!(body.try_hold(32 * CONNECTION_BYTES + SMALL_BODY_BYTES));
     assert!(body.set_busy());
     let next = part.body();
-    assert!(!next.try_hold(3 * CONNECTION_BYTES), "half is the most");
+    assert!(!next.try_hold(SMALL_BODY_BYTES + 1), "half is the most");
     assert!(part.try_admit().is_some());
     drop(body);
-    assert!(next.try_hold(3 * CONNECTION_BYTES));
+    assert!(next.try_hold(SMALL_BODY_BYTES + 1));
 }
 
 /// Small requests are served beside large bodies that are in use.
@@ -128,11 +163,11 @@
 fn a_small_body_finds_room_beside_large_ones_in_use() {
     let (_budget, part) = budget(64);
     let large = part.body();
-    assert!(large.try_hold(34 * CONNECTION_BYTES));
+    assert!(large.try_hold(32 * CONNECTION_BYTES + SMALL_BODY_BYTES));
     assert!(large.set_busy());
     let small = part.body();
-    assert!(small.try_hold(2 * CONNECTION_BYTES));
-    assert!(!small.try_hold(3 * CONNECTION_BYTES));
+    assert!(small.try_hold(SMALL_BODY_BYTES));
+    assert!(!small.try_hold(SMALL_BODY_BYTES + 1));
 }
 
 /// Heartbeats and readiness checks are answered though requests in use have taken up all memory.
