--- a/crates/process/src/budget.rs
+++ b/crates/process/src/budget.rs
@@ -22,7 +22,7 @@
 pub use usage::ClientUsage;
 
 /// Memory that a connection is counted with from its start, in bytes: its task and its first buffers.
-pub const CONNECTION_BYTES: usize = 12 * 1024;
+pub const CONNECTION_BYTES: usize = 8 * 1024;
 /// Largest share of the memory that large bodies take up; the rest is for connections and small requests.
 const BODY_SHARE: f64 = 0.5;
 /// Time between two updates of the gauges.
--- a/crates/process/src/connection.rs
+++ b/crates/process/src/connection.rs
@@ -20,7 +20,7 @@
     time::Duration,
 };
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take},
     net::TcpStream,
     time::{Instant, Sleep, sleep_until},
 };
@@ -39,6 +39,8 @@
 const TIMEOUT_MIN: Duration = Duration::from_millis(100);
 /// Smallest and largest buffer of a connection, in bytes; it holds a request head, or a part of a body.
 const BUFFER_BYTES: RangeInclusive<usize> = 64 * 1024..=400 * 1024;
+/// Most bytes of one read; the buffer of a body, which idle connections keep, grows with the reads that fill it.
+const READ_BYTES_MAX: u64 = 16 * 1024;
 /// Memory for each byte that is read before it is used: a buffer that grows takes up twice its content.
 const BUFFER_FACTOR: usize = 2;
 /// Steps in which the memory of a buffer is counted, in bytes.
@@ -273,7 +275,7 @@
 
 /// A caller's stream that ends when a timeout has passed, or when it gives way to others.
 pub(crate) struct LimitedStream {
-    io: TcpStream,
+    io: Take<TcpStream>,
     tracker: PhaseTracker,
     limits: SharedLimits,
     timer: Option<Pin<Box<Sleep>>>,
@@ -295,7 +297,7 @@
         limits: SharedLimits,
     ) -> LimitedStream {
         LimitedStream {
-            io: stream,
+            io: stream.take(READ_BYTES_MAX),
             tracker,
             limits,
             timer: None,
@@ -346,7 +348,7 @@
         let phase = *self.tracker.lock();
         if matches!(phase, ConnectionPhase::Head(_)) {
             // The response is lost if the caller reads nothing.
-            let _ = Pin::new(&mut self.io).poll_write(cx, response);
+            let _ = Pin::new(self.io.get_mut()).poll_write(cx, response);
         }
     }
 
@@ -448,6 +450,7 @@
             return Poll::Ready(Ok(()));
         }
         let start = buf.filled().len();
+        self.io.set_limit(READ_BYTES_MAX);
         match Pin::new(&mut self.io).poll_read(cx, buf) {
             Poll::Ready(result) => {
                 if !self.record_read(&buf.filled()[start..]) {
@@ -471,18 +474,18 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.io).poll_write(cx, buf);
+        let written = Pin::new(self.io.get_mut()).poll_write(cx, buf);
         self.check_write(cx, written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // Called once everything has been written.
         self.release_response();
-        Pin::new(&mut self.io).poll_flush(cx)
+        Pin::new(self.io.get_mut()).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
+        Pin::new(self.io.get_mut()).poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
@@ -490,11 +493,11 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
+        let written = Pin::new(self.io.get_mut()).poll_write_vectored(cx, bufs);
         self.check_write(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
+        self.io.get_ref().is_write_vectored()
     }
 }
