Spare small bodies when the share of large ones is used up

What callers would have seen: beside long uploads in use, each further one ended all small requests whose bodies were arriving, with 503, though that freed nothing of what large bodies share, and was refused itself.

Found by reading the diff. Change: only a body that counts in the share may give way for it.

--- a/crates/process/src/budget/ledger.rs
+++ b/crates/process/src/budget/ledger.rs
@@ -75,6 +75,13 @@
     state: Arc<UsageState>,
 }
 
+impl UsageEntry {
+    /// Returns whether it is a body that counts in the share of the bodies.
+    fn is_large_body(&self) -> bool {
+        !self.is_connection && shared_bytes(self.bytes) > 0
+    }
+}
+
 /// One listener.
 #[derive(Debug)]
 struct ListenerEntry {
@@ -349,7 +356,7 @@
             if self.dropping_bytes > self.bytes_max / DROPPING_PARTS {
                 return false;
             }
-            let chosen = self.choose(now_ms, |entry| !entry.is_connection);
+            let chosen = self.choose(now_ms, UsageEntry::is_large_body);
             let is_asking = chosen.is_some_and(|(key, _)| key == asking);
             if is_asking || !self.end(chosen, GiveWayReason::Memory) {
                 return false;
--- a/crates/process/tests/budget.rs
+++ b/crates/process/tests/budget.rs
@@ -170,6 +170,21 @@
     assert!(!small.try_hold(SMALL_BODY_BYTES + 1));
 }
 
+/// A small body that is being received would free nothing of what large ones share.
+#[test]
+fn a_small_body_does_not_give_way_to_a_large_one() {
+    let (_budget, part) = budget(64);
+    let large = part.body();
+    assert!(large.try_hold(32 * CONNECTION_BYTES + SMALL_BODY_BYTES));
+    assert!(large.set_busy());
+    let small = part.body();
+    assert!(small.try_hold(SMALL_BODY_BYTES));
+    sleep(AGE);
+    let next = part.body();
+    assert!(!next.try_hold(SMALL_BODY_BYTES + 1));
+    assert!(!small.has_given_way());
+}
+
 /// Heartbeats and readiness checks are answered though requests in use have taken up all memory.
 #[rstest]
 #[case::essential(true)]
